--- /dev/null
+++ b/include/auburnchute/admission.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <auburnchute/clock.hpp>
+#include <auburnchute/tables.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace auburnchute {
+
+/// \brief A request that waits for a free slot.
+struct waiting_request {
+    std::uint64_t ticket_{}; ///< Unique in the queue.
+    std::string workspace_;
+    std::int64_t weight_{1}; ///< The workspace's weight.
+    std::string model_;      ///< Model with adapter, `base:adapter`.
+    priority priority_{priority::normal};
+    std::int64_t tokens_{}; ///< Expected tokens, the request's size for fairness.
+    millis arrived_{};
+    millis deadline_{};       ///< Served or refused by then.
+    double virtual_finish_{}; ///< Set by `enqueue`.
+};
+
+/// \brief Requests of one pool that wait, in weighted fair order. Plain data; the functions below change it.
+struct wait_queue {
+    std::vector<waiting_request> waiting_;
+    std::map<std::string, double> workspace_finish_; ///< Virtual finish of each workspace's last request.
+    double virtual_time_{};
+    std::size_t limit_{4096};
+    millis aging_{10'000};
+};
+
+/// \brief What is known about when a slot comes free.
+struct wait_estimate {
+    millis load_remaining_{};    ///< Until a replica of the model is loaded; 0 if one is.
+    double served_per_second_{}; ///< Requests of the model that the pool starts per second; 0: unknown.
+};
+
+enum class enqueue_verdict : std::uint8_t { queued, too_late, queue_full };
+
+/// \brief Puts a request in the queue, or refuses it at once when its deadline cannot be met.
+/// Thread safety of all functions on a queue: the caller holds the queue's lock.
+[[nodiscard]] enqueue_verdict enqueue(wait_queue& queue, waiting_request request,
+                                      wait_estimate const& estimate, millis now);
+
+/// \brief Takes the next request of a model: by class raised by waiting, then by virtual finish time.
+/// \returns None if no request of the model waits whose deadline is later than `now`.
+[[nodiscard]] std::optional<waiting_request> take_next(wait_queue& queue, std::string_view model, millis now);
+
+/// \brief Takes out all requests whose deadline has come; they must be refused.
+[[nodiscard]] std::vector<waiting_request> take_expired(wait_queue& queue, millis now);
+
+/// \brief Takes out one request, when its caller has gone. \returns False if it is not there.
+bool cancel(wait_queue& queue, std::uint64_t ticket) noexcept;
+
+/// \returns When the next waiting request expires; none if the queue is empty.
+[[nodiscard]] std::optional<millis> next_deadline(wait_queue const& queue) noexcept;
+
+/// \returns The class after aging, 0 the most important. Thread safety: pure.
+[[nodiscard]] int effective_class(waiting_request const& request, millis aging, millis now) noexcept;
+
+} // namespace auburnchute
--- /dev/null
+++ b/include/auburnchute/clock.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <atomic>
+#include <compare>
+#include <cstdint>
+#include <memory>
+
+namespace auburnchute {
+
+/// \brief A point in time or a duration in milliseconds. All interfaces of this library use it.
+///
+/// \code
+/// auto const deadline = now(clk) + millis{20'000};
+/// \endcode
+struct millis {
+    std::int64_t count_{};
+
+    friend constexpr auto operator<=>(millis, millis) noexcept = default;
+    friend constexpr millis operator+(millis a, millis b) noexcept { return {a.count_ + b.count_}; }
+    friend constexpr millis operator-(millis a, millis b) noexcept { return {a.count_ - b.count_}; }
+    friend constexpr millis operator*(millis a, std::int64_t n) noexcept { return {a.count_ * n}; }
+    friend constexpr millis operator/(millis a, std::int64_t n) noexcept { return {a.count_ / n}; }
+    constexpr millis& operator+=(millis other) noexcept
+    {
+        count_ += other.count_;
+        return *this;
+    }
+};
+
+/// \brief The clock that the system reads: the process's monotonic clock, or a manual one in tests.
+///
+/// Copies of a manual clock share the same time.
+/// Thread safety: all functions on a clock may be called from any thread.
+struct clock {
+    std::shared_ptr<std::atomic<std::int64_t>> manual_{}; ///< Null for the monotonic clock.
+};
+
+/// \brief Makes a clock that moves only through `advance`.
+/// \returns A manual clock that reads \p start.
+[[nodiscard]] clock make_manual_clock(millis start = {});
+
+/// \brief Reads the clock. \returns Milliseconds since an arbitrary but fixed start.
+[[nodiscard]] millis now(clock const& clk) noexcept;
+
+/// \brief Moves a manual clock forward.
+/// \pre `clk` was made by `make_manual_clock`; `step` is not negative.
+void advance(clock& clk, millis step) noexcept;
+
+/// \brief Reads the calendar clock, for timestamps shown to people and in spans; never for decisions.
+/// \returns Milliseconds since 1970-01-01 UTC.
+[[nodiscard]] millis wall_now() noexcept;
+
+} // namespace auburnchute
--- /dev/null
+++ b/include/auburnchute/ids.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace auburnchute {
+
+/// \brief One run of a daemon: the VM's name and a number drawn at random at process start.
+struct member_id {
+    std::string vm_;
+    std::uint64_t incarnation_{};
+
+    friend auto operator<=>(member_id const&, member_id const&) = default;
+};
+
+/// \brief A row of a table at a version: the line to which a decision traces back.
+struct row_ref {
+    std::string table_; ///< `routes` or `pools`
+    std::string row_;
+    std::uint64_t version_{};
+
+    friend auto operator<=>(row_ref const&, row_ref const&) = default;
+};
+
+/// \returns The row as shown to callers and operators, for example `routes/build-review@3`.
+[[nodiscard]] std::string to_string(row_ref const& row);
+
+/// \returns The member as shown in logs and request ids, for example `entry-a1-1f2e3d`.
+[[nodiscard]] std::string to_string(member_id const& member);
+
+/// \brief Digests a caller's key. Keys themselves are never stored.
+/// \returns The SHA-256 of salt and key, in lower-case hexadecimal.
+[[nodiscard]] std::string key_digest(std::string_view salt, std::string_view key);
+
+/// \returns A stable 64-bit hash, equal on all daemons.
+[[nodiscard]] std::uint64_t stable_hash(std::string_view text, std::uint64_t seed = 0) noexcept;
+
+} // namespace auburnchute
--- /dev/null
+++ b/include/auburnchute/placement.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <auburnchute/fleet_state.hpp>
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace auburnchute {
+
+/// \brief A model with adapter in a pool.
+struct model_key {
+    std::string pool_;
+    std::string model_;
+    std::string adapter_;
+
+    friend auto operator<=>(model_key const&, model_key const&) = default;
+};
+
+/// \brief Demand for a model, summed over daemons.
+struct model_demand {
+    std::int64_t waiting_{};
+    std::int64_t running_{};
+    millis oldest_wait_{};
+    priority highest_{priority::low};
+    millis last_used_{};              ///< When a request last ran or waited.
+    millis mean_interval_{3'600'000}; ///< Smoothed time between arrivals.
+};
+
+/// \brief What an upstream holds in its caches, from its events; may be late and incomplete.
+struct cached_weights {
+    std::map<std::string, load_source> by_model_; ///< `base` or `base:adapter`.
+};
+
+/// \brief All that a placement decision looks at.
+struct placement_input {
+    fleet_state const& state_;
+    std::map<model_key, model_demand> const& demand_;
+    std::map<std::string, cached_weights> const& caches_;     ///< By upstream.
+    std::map<std::string, std::int64_t> const& replica_load_; ///< Running requests by replica id.
+    std::map<std::string, millis> const& last_used_;          ///< By replica id.
+    std::map<std::string, millis> const& loaded_at_;          ///< By replica id, by this daemon's clock.
+    std::span<std::string const> leaving_;                    ///< Upstreams that are leaving by any evidence.
+    member_id self_;
+    millis now_{};
+};
+
+/// \brief A decision to write to the log: `load_decided` or `unload_decided`.
+using placement_action = std::variant<load_decided, unload_decided>;
+
+/// \brief Plans loads and unloads for one pool.
+/// \returns The records to propose, most urgent first; the fold accepts or rejects each. Thread safety: pure.
+///
+/// At most one load of a model is in flight unless the demand exceeds what that replica will carry. Loads
+/// from the store stay within the bounds of the pools table. A replica younger than `min_residence` is not
+/// unloaded. \param next_replica Number for the ids of new replicas, unique for this member; raised for each
+/// load.
+[[nodiscard]] std::vector<placement_action> plan_pool(placement_input const& input, pool_row const& pool,
+                                                      std::uint64_t& next_replica);
+
+/// \returns How long an idle replica is kept: as long as holding costs less than the expected cold start, at
+/// most the row's `idle_unload`. Thread safety: pure.
+[[nodiscard]] millis keep_alive(model_row const& model, millis mean_interval) noexcept;
+
+} // namespace auburnchute
--- /dev/null
+++ b/include/auburnchute/rate_share.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <auburnchute/clock.hpp>
+#include <auburnchute/ids.hpp>
+
+#include <cstdint>
+#include <map>
+#include <span>
+
+namespace auburnchute {
+
+/// \brief A workspace's whole share in units; each unit carries refill rate and bucket capacity.
+inline constexpr std::int64_t all_units = 1'000'000;
+
+/// \brief Loans between this daemon and one peer, as counts that only rise, so that a repeated or lost
+/// message neither makes nor doubles units.
+struct loan_account {
+    std::int64_t lent_{};          ///< Units lent to the peer in total.
+    std::int64_t lent_returned_{}; ///< Units of those that the peer gave back.
+    std::int64_t borrowed_{};      ///< Units borrowed from the peer in total, as last seen.
+    std::int64_t returned_{};      ///< Units of those that this daemon gave back.
+};
+
+/// \brief This daemon's part of one workspace's token bucket.
+///
+/// `tokens_ + outstanding_` never exceeds the capacity of the units held, except after `set_base` lowered
+/// them while requests were outstanding; then nothing refills until it fits again. Token counts are in
+/// thousandths, so that small shares refill evenly.
+struct rate_bucket {
+    std::int64_t rate_{};       ///< The workspace's tokens per second, all VMs together.
+    std::int64_t burst_{};      ///< The workspace's burst in tokens, all VMs together.
+    std::uint64_t version_{};   ///< Share version of the units and loans.
+    std::int64_t base_units_{}; ///< Units assigned by the share version.
+    std::map<member_id, loan_account> loans_;
+    std::int64_t tokens_{};      ///< Thousandths of a token, free to reserve.
+    std::int64_t outstanding_{}; ///< Thousandths reserved and not yet produced.
+    std::int64_t refill_rest_{}; ///< Remainder of the refill's division.
+    millis refilled_at_{};
+};
+
+/// \returns Units held now: base, less lent, plus borrowed. Thread safety: pure.
+[[nodiscard]] std::int64_t units_held(rate_bucket const& bucket) noexcept;
+
+/// \returns Capacity of the units held, in tokens. Thread safety: pure.
+[[nodiscard]] std::int64_t capacity(rate_bucket const& bucket) noexcept;
+
+/// \brief Adds the tokens earned since the last call. Thread safety of all functions that change a bucket:
+/// the caller holds the bucket's lock.
+void refill(rate_bucket& bucket, millis now) noexcept;
+
+/// \brief Takes tokens for a request. \pre `tokens` is not negative; `refill` was called with the present
+/// time. \returns False, with nothing changed, if too few are free.
+[[nodiscard]] bool reserve(rate_bucket& bucket, std::int64_t tokens) noexcept;
+
+/// \brief Turns reserved tokens into used ones, as the stream produces them.
+void produce(rate_bucket& bucket, std::int64_t tokens) noexcept;
+
+/// \brief Returns the reserved tokens that were not produced.
+void release(rate_bucket& bucket, std::int64_t tokens) noexcept;
+
+/// \brief Units missing to admit a request at once. \returns 0 if none are missing or more than `all_units`
+/// would be.
+[[nodiscard]] std::int64_t units_missing(rate_bucket const& bucket, std::int64_t tokens) noexcept;
+
+/// \brief A lender's answer: what it has lent to the borrower in total under a share version.
+struct loan_grant {
+    std::uint64_t version_{};
+    std::int64_t total_lent_{};
+    std::int64_t tokens_{}; ///< Thousandths that go with the newly lent units.
+};
+
+/// \brief Lends idle units and the tokens that they carry: lowers this daemon's capacity before anything is
+/// answered. Keeps a reserve for own demand. \returns The total lent to the borrower under this version,
+/// which the answer carries with `tokens_granted`.
+[[nodiscard]] loan_grant lend(rate_bucket& bucket, member_id const& borrower, std::uint64_t version,
+                              std::int64_t units);
+
+/// \brief Takes over what a lender granted. A grant of another version or an older total changes nothing;
+/// tokens are taken only together with new units.
+void receive_loan(rate_bucket& bucket, member_id const& lender, loan_grant const& grant) noexcept;
+
+/// \brief Gives back borrowed units that are idle. \returns The total given back to this lender.
+[[nodiscard]] std::int64_t give_back(rate_bucket& bucket, member_id const& lender) noexcept;
+
+/// \brief Books a return of lent units. Older totals change nothing.
+void take_back(rate_bucket& bucket, member_id const& borrower, std::uint64_t version,
+               std::int64_t total_returned) noexcept;
+
+/// \brief Limits the bucket to the smaller of its old and new base while a share version is pending, and
+/// forgets borrowed units. Lent units stay lent until the new version is in force.
+void prepare_version(rate_bucket& bucket, std::int64_t next_base_units) noexcept;
+
+/// \returns True if the bucket fits under its units, so that the pending version may be acknowledged.
+[[nodiscard]] bool fits(rate_bucket const& bucket) noexcept;
+
+/// \brief Begins a share version that is in force: sets the base units and clears all loans.
+void begin_version(rate_bucket& bucket, std::uint64_t version, std::int64_t base_units) noexcept;
+
+/// \brief Changes the workspace's limits after a new table version; a lower burst takes effect at once.
+void set_limits(rate_bucket& bucket, std::int64_t rate, std::int64_t burst, millis now) noexcept;
+
+/// \brief Divides `all_units` among the holders; the remainder goes to the first ones.
+/// \returns The units of the holder at `index`. \pre `index < holders`.
+[[nodiscard]] std::int64_t base_units(std::size_t index, std::size_t holders) noexcept;
+
+} // namespace auburnchute
--- /dev/null
+++ b/src/state/clock.cpp
@@ -0,0 +1,39 @@
+#include <auburnchute/clock.hpp>
+
+#include <chrono>
+
+namespace auburnchute {
+
+namespace {
+
+template <typename Clock>
+millis read() noexcept
+{
+    auto const since_epoch = Clock::now().time_since_epoch();
+    return {std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count()};
+}
+
+} // namespace
+
+clock make_manual_clock(millis start)
+{
+    return {std::make_shared<std::atomic<std::int64_t>>(start.count_)};
+}
+
+millis now(clock const& clk) noexcept
+{
+    return clk.manual_ ? millis{clk.manual_->load(std::memory_order_acquire)}
+                       : read<std::chrono::steady_clock>();
+}
+
+void advance(clock& clk, millis step) noexcept
+{
+    clk.manual_->fetch_add(step.count_, std::memory_order_acq_rel);
+}
+
+millis wall_now() noexcept
+{
+    return read<std::chrono::system_clock>();
+}
+
+} // namespace auburnchute
--- /dev/null
+++ b/src/state/fleet_state.cpp
@@ -0,0 +1,618 @@
+#include <auburnchute/fleet_state.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace auburnchute {
+
+namespace {
+
+apply_result rejected(std::string reason)
+{
+    return {verdict::rejected, std::move(reason)};
+}
+
+member_entry* find_member(fleet_state& state, member_id const& member)
+{
+    auto const it = state.members_.find(member);
+    return it == state.members_.end() ? nullptr : &it->second;
+}
+
+bool contains(std::vector<member_id> const& members, member_id const& member)
+{
+    return std::find(members.begin(), members.end(), member) != members.end();
+}
+
+/// A frozen process that was voted out may resume and send an order; only the end of its process rules that
+/// out.
+bool process_ended(fleet_state const& state, member_id const& member)
+{
+    auto const it = state.members_.find(member);
+    return it != state.members_.end() && it->second.status_ == member_status::gone &&
+           !it->second.by_suspicion_;
+}
+
+bool hand_over_complete(fleet_state const& state)
+{
+    auto const done = [&state](member_id const& m) { return state.acks_.contains(m) || is_gone(state, m); };
+    return std::all_of(state.in_force_.members_.begin(), state.in_force_.members_.end(), done) &&
+           std::all_of(state.pending_.members_.begin(), state.pending_.members_.end(), done);
+}
+
+bool removed_by_suspicion(fleet_state const& state)
+{
+    return std::any_of(
+        state.in_force_.members_.begin(), state.in_force_.members_.end(), [&](member_id const& m) {
+            auto const it = state.members_.find(m);
+            return it != state.members_.end() && it->second.by_suspicion_ && !state.acks_.contains(m);
+        });
+}
+
+/// Opens the next share version when the live set has changed and puts it in force when its hand-over is
+/// complete.
+void advance_shares(fleet_state& state)
+{
+    for (;;) {
+        if (state.pending_.number_ == 0) {
+            auto live = live_members(state);
+            if (live.empty() || live == state.in_force_.members_) {
+                return;
+            }
+            state.pending_ = {state.in_force_.number_ + 1, std::move(live), false};
+            state.acks_.clear();
+        }
+        if (!hand_over_complete(state)) {
+            return;
+        }
+        state.pending_.after_suspicion_ = removed_by_suspicion(state);
+        state.in_force_ = std::exchange(state.pending_, {});
+        state.acks_.clear();
+    }
+}
+
+void mark_gone(member_entry& entry, bool by_suspicion)
+{
+    entry.status_ = member_status::gone;
+    entry.by_suspicion_ = by_suspicion;
+}
+
+/// True if no order of the replica's executor can still act on the upstream.
+bool load_order_spent(fleet_state const& state, replica_entry const& replica)
+{
+    auto const upstream = state.upstreams_.find(replica.upstream_);
+    bool const fenced = upstream != state.upstreams_.end() && upstream->second.honours_fencing_;
+    return fenced || replica.load_order_ended_ || process_ended(state, replica.executor_);
+}
+
+/// Frees what a lost VM held. A load whose order may still arrive keeps its reservation, because a new VM may
+/// take over the address and an engine that ignores fencing numbers would obey.
+void free_replicas_of(fleet_state& state, std::string const& upstream)
+{
+    for (auto it = state.replicas_.begin(); it != state.replicas_.end();) {
+        if (it->second.upstream_ != upstream) {
+            ++it;
+        } else if (load_order_spent(state, it->second)) {
+            it = state.replicas_.erase(it);
+        } else {
+            it->second.status_ = replica_status::failed;
+            ++it;
+        }
+    }
+}
+
+void purge_expired(fleet_state& state)
+{
+    auto const expired = [&state](millis since) { return since + claim_lifetime < state.log_time_; };
+    std::erase_if(state.claims_, [&](auto const& item) { return expired(item.second.made_at_); });
+    std::erase_if(state.crashes_, [&](auto const& item) { return expired(item.second.last_); });
+}
+
+/// Folds one record body; one overload for each type.
+struct folder {
+    fleet_state& state_;
+    member_id const& writer_;
+    std::uint64_t offset_;
+
+    apply_result operator()(member_joined const& body)
+    {
+        if (state_.members_.contains(body.member_)) {
+            return rejected("the incarnation is already a member");
+        }
+        for (auto& [id, entry] : state_.members_) {
+            if (id.vm_ == body.member_.vm_) {
+                mark_gone(entry, false);
+            }
+        }
+        state_.members_[body.member_] = {body.availability_zone_, body.http_, body.peer_,
+                                         member_status::live,     false,      {}};
+        advance_shares(state_);
+        return {};
+    }
+
+    apply_result operator()(member_leaving const& body)
+    {
+        auto* const entry = find_member(state_, body.member_);
+        if (entry == nullptr || entry->status_ != member_status::live) {
+            return rejected("the member is not live");
+        }
+        entry->status_ = member_status::leaving;
+        advance_shares(state_);
+        return {};
+    }
+
+    apply_result operator()(member_gone const& body)
+    {
+        auto* const entry = find_member(state_, body.member_);
+        if (entry == nullptr) {
+            return rejected("the member is not known");
+        }
+        if (entry->status_ == member_status::gone && !entry->by_suspicion_) {
+            return rejected("the member is already gone");
+        }
+        if (body.evidence_ == gone_evidence::left && writer_ != body.member_) {
+            return rejected("only the member itself can state that it left");
+        }
+        mark_gone(*entry, false);
+        advance_shares(state_);
+        return {};
+    }
+
+    apply_result operator()(member_suspected const& body)
+    {
+        auto* const entry = find_member(state_, body.member_);
+        if (entry == nullptr || entry->status_ == member_status::gone) {
+            return rejected("the suspected member is not live");
+        }
+        if (writer_ != body.voter_ || !contains(state_.in_force_.members_, body.voter_) ||
+            is_gone(state_, body.voter_)) {
+            return rejected("the voter is not a member of the share version in force");
+        }
+        entry->voters_.insert(body.voter_);
+        auto const& members = state_.in_force_.members_;
+        auto const votes = std::count_if(members.begin(), members.end(),
+                                         [entry](member_id const& m) { return entry->voters_.contains(m); });
+        if (static_cast<std::size_t>(votes) > members.size() / 2) {
+            mark_gone(*entry, true);
+            advance_shares(state_);
+        }
+        return {};
+    }
+
+    apply_result operator()(share_ack const& body)
+    {
+        if (writer_ != body.member_ || state_.pending_.number_ == 0 ||
+            body.version_ != state_.pending_.number_) {
+            return rejected("the share version is not pending");
+        }
+        state_.acks_.insert(body.member_);
+        advance_shares(state_);
+        return {};
+    }
+
+    apply_result operator()(tables_published const& body)
+    {
+        auto const& current = *state_.tables_;
+        if (body.base_version_ != current.version_) {
+            return rejected("edited version " + std::to_string(body.base_version_) + ", but version " +
+                            std::to_string(current.version_) + " by " + current.author_ + " is in force");
+        }
+        if (auto const faults = validate(body.tables_); !faults.empty()) {
+            return rejected(faults.front().field_ + ": " + faults.front().message_);
+        }
+        if (same_rows(body.tables_, current)) {
+            return {};
+        }
+        auto next = std::make_shared<tables>(body.tables_);
+        next->version_ = current.version_ + 1;
+        state_.tables_ = std::move(next);
+        return {};
+    }
+
+    apply_result operator()(key_granted const& body)
+    {
+        if (state_.withdrawn_keys_.contains(body.digest_)) {
+            return rejected("the key was withdrawn and cannot be granted again");
+        }
+        if (find_workspace(*state_.tables_, body.workspace_) == nullptr) {
+            return rejected("workspace " + body.workspace_ + " does not exist");
+        }
+        if (state_.keys_.contains(body.digest_)) {
+            return rejected("the key is already granted");
+        }
+        state_.keys_[body.digest_] = {body.workspace_, body.name_};
+        return {};
+    }
+
+    apply_result operator()(key_withdrawn const& body)
+    {
+        if (state_.keys_.erase(body.digest_) == 0) {
+            return rejected("the key is not known");
+        }
+        state_.withdrawn_keys_.insert(body.digest_);
+        return {};
+    }
+
+    apply_result operator()(upstream_seen const& body)
+    {
+        auto const it = state_.upstreams_.find(body.upstream_);
+        if (it != state_.upstreams_.end() && it->second.vm_instance_ == body.vm_instance_) {
+            return rejected("the VM instance is already known");
+        }
+        if (body.memory_mb_ < 0) {
+            return rejected("memory must not be negative");
+        }
+        free_replicas_of(state_, body.upstream_);
+        state_.upstreams_[body.upstream_] = {body.vm_instance_,       body.address_,
+                                             body.availability_zone_, body.memory_mb_,
+                                             body.honours_fencing_,   body.checks_sender_};
+        return {};
+    }
+
+    apply_result operator()(upstream_gone const& body)
+    {
+        auto const it = state_.upstreams_.find(body.upstream_);
+        if (it == state_.upstreams_.end() || it->second.vm_instance_ != body.vm_instance_) {
+            return rejected("the VM instance is not known");
+        }
+        free_replicas_of(state_, body.upstream_);
+        state_.upstreams_.erase(it);
+        return {};
+    }
+
+    apply_result operator()(load_decided const& body)
+    {
+        if (auto reason = load_refusal(body); !reason.empty()) {
+            return rejected(std::move(reason));
+        }
+        replica_entry entry;
+        entry.pool_ = body.pool_;
+        entry.model_ = body.model_;
+        entry.adapter_ = body.adapter_;
+        entry.upstream_ = body.upstream_;
+        entry.memory_mb_ = body.memory_mb_;
+        entry.source_ = body.source_;
+        entry.executor_ = body.executor_;
+        entry.fencing_ = offset_;
+        entry.version_ = state_.tables_->version_;
+        entry.decided_at_ = state_.log_time_;
+        state_.replicas_[body.replica_] = std::move(entry);
+        return {};
+    }
+
+    apply_result operator()(replica_loaded const& body)
+    {
+        auto const it = state_.replicas_.find(body.replica_);
+        if (it == state_.replicas_.end()) {
+            return rejected("the replica is not known");
+        }
+        note_order_end(it->second, body.order_ended_);
+        if (it->second.status_ != replica_status::loading) {
+            return rejected("the replica is not loading");
+        }
+        it->second.status_ = replica_status::loaded;
+        return {};
+    }
+
+    apply_result operator()(load_failed const& body)
+    {
+        auto const it = state_.replicas_.find(body.replica_);
+        if (it == state_.replicas_.end()) {
+            return rejected("the replica is not known");
+        }
+        note_order_end(it->second, body.order_ended_);
+        if (it->second.status_ != replica_status::loading && it->second.status_ != replica_status::failed) {
+            return rejected("the replica is not loading");
+        }
+        it->second.status_ = replica_status::failed;
+        if (it->second.load_order_ended_) {
+            state_.replicas_.erase(it);
+        }
+        return {};
+    }
+
+    apply_result operator()(unload_decided const& body)
+    {
+        auto const it = state_.replicas_.find(body.replica_);
+        if (it == state_.replicas_.end()) {
+            return rejected("the replica is not known");
+        }
+        if (is_gone(state_, writer_) || is_gone(state_, body.executor_)) {
+            return rejected("the executor is gone");
+        }
+        auto& entry = it->second;
+        bool const takes_over =
+            entry.status_ == replica_status::unloading && is_gone(state_, entry.unload_executor_);
+        if (entry.status_ == replica_status::loading ||
+            (entry.status_ == replica_status::unloading && !takes_over)) {
+            return rejected("the replica is not loaded or failed");
+        }
+        if (entry.adapter_.empty() && has_adapters(entry)) {
+            return rejected("adapters are loaded on the replica");
+        }
+        entry.status_ = replica_status::unloading;
+        entry.unload_executor_ = body.executor_;
+        return {};
+    }
+
+    apply_result operator()(replica_released const& body)
+    {
+        auto const it = state_.replicas_.find(body.replica_);
+        if (it == state_.replicas_.end()) {
+            return rejected("the replica is not known");
+        }
+        if (it->second.status_ != replica_status::unloading) {
+            return rejected("the replica is not unloading");
+        }
+        if (writer_ != body.by_ || body.by_ != it->second.unload_executor_) {
+            return rejected("only the executor of the unload can release the memory");
+        }
+        if (!load_order_spent(state_, it->second)) {
+            return rejected("the load order of " + to_string(it->second.executor_) + " may still arrive");
+        }
+        state_.replicas_.erase(it);
+        return {};
+    }
+
+    apply_result operator()(claim_made const& body)
+    {
+        if (writer_ != body.daemon_ || is_gone(state_, body.daemon_)) {
+            return rejected("the claimant is gone");
+        }
+        auto const it = state_.claims_.find(body.key_);
+        if (it != state_.claims_.end() && it->second.made_at_ + claim_lifetime >= state_.log_time_) {
+            return rejected("the key is already claimed");
+        }
+        claim_entry entry;
+        entry.route_ = body.route_;
+        entry.workspace_ = body.workspace_;
+        entry.request_digest_ = body.request_digest_;
+        entry.daemon_ = body.daemon_;
+        entry.made_at_ = state_.log_time_;
+        state_.claims_[body.key_] = std::move(entry);
+        return {};
+    }
+
+    apply_result operator()(claim_outcome const& body)
+    {
+        auto const it = state_.claims_.find(body.key_);
+        if (it == state_.claims_.end() || it->second.daemon_ != body.daemon_ || writer_ != body.daemon_) {
+            return rejected("the claim is not held by the writer");
+        }
+        if (it->second.finished_) {
+            return rejected("the claim already has an outcome");
+        }
+        if (body.not_run_) {
+            state_.claims_.erase(it);
+            return {};
+        }
+        auto& entry = it->second;
+        entry.finished_ = true;
+        entry.status_ = body.status_;
+        entry.content_type_ = body.content_type_;
+        entry.body_kept_ = body.body_kept_ && body.body_.size() <= max_outcome_body;
+        entry.body_ = entry.body_kept_ ? body.body_ : std::string{};
+        return {};
+    }
+
+    apply_result operator()(crash_seen const& body)
+    {
+        auto& entry = state_.crashes_[body.fingerprint_];
+        ++entry.crashes_;
+        entry.confirmed_ = entry.confirmed_ || body.isolated_;
+        entry.upstreams_.insert(body.upstream_);
+        entry.last_ = state_.log_time_;
+        return {};
+    }
+
+    apply_result operator()(crash_cleared const& body)
+    {
+        auto const it = state_.crashes_.find(body.fingerprint_);
+        if (it == state_.crashes_.end() || it->second.confirmed_) {
+            return rejected("the fingerprint is not an unconfirmed suspect");
+        }
+        state_.crashes_.erase(it);
+        return {};
+    }
+
+    apply_result operator()(drain_set const& body)
+    {
+        if (body.drained_) {
+            state_.drained_.insert(body.target_);
+        } else {
+            state_.drained_.erase(body.target_);
+        }
+        return {};
+    }
+
+    /// Snapshots serve readers that start from them; for a reader that is ahead they only mark the time to
+    /// purge.
+    apply_result operator()(snapshot const&)
+    {
+        purge_expired(state_);
+        return {};
+    }
+
+private:
+    void note_order_end(replica_entry& entry, bool ended) const
+    {
+        entry.load_order_ended_ = entry.load_order_ended_ || (ended && writer_ == entry.executor_);
+    }
+
+    [[nodiscard]] bool has_adapters(replica_entry const& base) const
+    {
+        return std::any_of(state_.replicas_.begin(), state_.replicas_.end(), [&base](auto const& item) {
+            auto const& other = item.second;
+            return other.upstream_ == base.upstream_ && other.pool_ == base.pool_ &&
+                   other.model_ == base.model_ && !other.adapter_.empty();
+        });
+    }
+
+    [[nodiscard]] bool holds(load_decided const& body, std::string_view adapter, bool loaded_only) const
+    {
+        return std::any_of(state_.replicas_.begin(), state_.replicas_.end(), [&](auto const& item) {
+            auto const& r = item.second;
+            return r.upstream_ == body.upstream_ && r.pool_ == body.pool_ && r.model_ == body.model_ &&
+                   r.adapter_ == adapter && (!loaded_only || r.status_ == replica_status::loaded);
+        });
+    }
+
+    /// \returns Why the load breaks a row or the capacity of the VM; empty if it does not.
+    [[nodiscard]] std::string load_refusal(load_decided const& body) const
+    {
+        if (is_gone(state_, writer_) || is_gone(state_, body.executor_) ||
+            !state_.members_.contains(body.executor_)) {
+            return "the executor is gone";
+        }
+        if (state_.replicas_.contains(body.replica_)) {
+            return "the replica id is already used";
+        }
+        if (auto reason = row_refusal(body); !reason.empty()) {
+            return reason;
+        }
+        return capacity_refusal(body);
+    }
+
+    [[nodiscard]] std::string row_refusal(load_decided const& body) const
+    {
+        auto const* const pool = find_pool(*state_.tables_, body.pool_);
+        auto const* const model = pool == nullptr ? nullptr : find_model(*pool, body.model_);
+        if (model == nullptr) {
+            return "pool " + body.pool_ + " has no model " + body.model_;
+        }
+        auto const* const adapter = body.adapter_.empty() ? nullptr : find_adapter(*model, body.adapter_);
+        if (!body.adapter_.empty() && adapter == nullptr) {
+            return "model " + body.model_ + " has no adapter " + body.adapter_;
+        }
+        if (body.memory_mb_ != (adapter != nullptr ? adapter->memory_mb_ : model->memory_mb_)) {
+            return "the memory is not the one that the row states";
+        }
+        auto const count = replica_count(state_, body.pool_, body.model_, body.adapter_);
+        if (count != body.expected_count_) {
+            return "the replica count changed from " + std::to_string(body.expected_count_) + " to " +
+                   std::to_string(count);
+        }
+        if (count >= model->max_replicas_) {
+            return "max_replicas " + std::to_string(model->max_replicas_) + " is reached";
+        }
+        if (holds(body, body.adapter_, false)) {
+            return "the upstream already holds it";
+        }
+        if (adapter != nullptr && !holds(body, "", true)) {
+            return "the base model is not loaded on the upstream";
+        }
+        return upstream_refusal(body, *pool);
+    }
+
+    [[nodiscard]] std::string upstream_refusal(load_decided const& body, pool_row const& pool) const
+    {
+        auto const upstream = state_.upstreams_.find(body.upstream_);
+        if (upstream == state_.upstreams_.end() || state_.drained_.contains(body.upstream_)) {
+            return "upstream " + body.upstream_ + " is unknown or drained";
+        }
+        if (!matches_upstream(pool.upstreams_, body.upstream_)) {
+            return "upstream " + body.upstream_ + " is not in the pool's row";
+        }
+        auto const& zones = pool.availability_zones_;
+        if (pool.locality_ == locality::require && !zones.empty() &&
+            std::find(zones.begin(), zones.end(), upstream->second.availability_zone_) == zones.end()) {
+            return "availability zone " + upstream->second.availability_zone_ +
+                   " is not allowed by the pool's row";
+        }
+        return {};
+    }
+
+    [[nodiscard]] std::string capacity_refusal(load_decided const& body) const
+    {
+        auto const& upstream = state_.upstreams_.find(body.upstream_)->second;
+        if (reserved_memory(state_, body.upstream_) + body.memory_mb_ > upstream.memory_mb_) {
+            return "the VM's memory is reserved";
+        }
+        auto const& pool = *find_pool(*state_.tables_, body.pool_);
+        if (pool.memory_mb_ > 0 &&
+            reserved_memory(state_, body.upstream_, body.pool_) + body.memory_mb_ > pool.memory_mb_) {
+            return "the pool's memory on the VM is reserved";
+        }
+        bool const is_adapter = !body.adapter_.empty();
+        auto const& store = state_.tables_->store_;
+        auto const bound = is_adapter ? store.adapter_transfers_ : store.checkpoint_transfers_;
+        if (body.source_ == load_source::store && transfers_in_flight(state_, is_adapter) >= bound) {
+            return "the weight store serves its " + std::to_string(bound) + " transfers already";
+        }
+        return {};
+    }
+};
+
+} // namespace
+
+apply_result apply(fleet_state& state, record const& rec, std::uint64_t offset, millis log_time)
+{
+    state.next_offset_ = offset + 1;
+    state.log_time_ = std::max(state.log_time_, log_time);
+    auto& sequence = state.sequences_[rec.writer_];
+    if (rec.sequence_ <= sequence) {
+        ++state.repeated_;
+        return {verdict::repeated, "the record was folded before"};
+    }
+    sequence = rec.sequence_;
+    auto result = std::visit(folder{state, rec.writer_, offset}, rec.body_);
+    ++(result.verdict_ == verdict::accepted ? state.accepted_ : state.rejected_);
+    return result;
+}
+
+std::int64_t reserved_memory(fleet_state const& state, std::string_view upstream) noexcept
+{
+    std::int64_t sum = 0;
+    for (auto const& [id, replica] : state.replicas_) {
+        sum += replica.upstream_ == upstream ? replica.memory_mb_ : 0;
+    }
+    return sum;
+}
+
+std::int64_t reserved_memory(fleet_state const& state, std::string_view upstream,
+                             std::string_view pool) noexcept
+{
+    std::int64_t sum = 0;
+    for (auto const& [id, replica] : state.replicas_) {
+        sum += replica.upstream_ == upstream && replica.pool_ == pool ? replica.memory_mb_ : 0;
+    }
+    return sum;
+}
+
+std::int64_t replica_count(fleet_state const& state, std::string_view pool, std::string_view model,
+                           std::string_view adapter) noexcept
+{
+    return std::count_if(state.replicas_.begin(), state.replicas_.end(), [&](auto const& item) {
+        return item.second.pool_ == pool && item.second.model_ == model && item.second.adapter_ == adapter;
+    });
+}
+
+std::int64_t transfers_in_flight(fleet_state const& state, bool adapters) noexcept
+{
+    return std::count_if(state.replicas_.begin(), state.replicas_.end(), [adapters](auto const& item) {
+        auto const& replica = item.second;
+        // A failed load whose order may still arrive can still transfer.
+        bool const may_transfer =
+            replica.status_ == replica_status::loading || replica.status_ == replica_status::failed;
+        return may_transfer && replica.source_ == load_source::store && replica.adapter_.empty() != adapters;
+    });
+}
+
+std::vector<member_id> live_members(fleet_state const& state)
+{
+    std::vector<member_id> members;
+    for (auto const& [id, entry] : state.members_) {
+        if (entry.status_ == member_status::live) {
+            members.push_back(id);
+        }
+    }
+    return members;
+}
+
+bool is_gone(fleet_state const& state, member_id const& member) noexcept
+{
+    auto const it = state.members_.find(member);
+    return it != state.members_.end() && it->second.status_ == member_status::gone;
+}
+
+} // namespace auburnchute
--- /dev/null
+++ b/tools/generate.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Generates gen/ from proto/. The output is committed; run this after a change of a .proto file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+protoc -I proto --cpp_out=gen --grpc_out=gen --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" proto/*.proto
--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Checks formatting and runs the linter. tools/lint.sh --fix formats in place and skips the linter.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mapfile -t sources < <(git ls-files --cached --others --exclude-standard 'include/*.hpp' 'src/*.[ch]pp' 'apps/*.[ch]pp' 'standins/*.[ch]pp' \
+  'measure/*.[ch]pp' 'examples/*.[ch]pp' 'tests/*.[ch]pp')
+if [ "${1:-}" = --fix ]; then
+  clang-format -i "${sources[@]}"
+  exit 0
+fi
+clang-format --dry-run --Werror "${sources[@]}"
+[ -e build/compile_commands.json ] || tools/build.sh
+mapfile -t units < <(printf '%s\n' "${sources[@]}" | grep '\.cpp$' | grep -v '^tests/')
+printf '%s\n' "${units[@]}" | xargs -P "${JOBS:-$(nproc)}" -n 1 clang-tidy -p build --quiet
