Divide rate and burst into shares with loans

Change: implements rate_share.hpp. Interface changes, with the reason for each: - lend, receive_loan, give_back, take_back, prepare_version and begin_version take the time and refill first. Without it a borrower that had not refilled would earn the borrowed units' rate for the time before the loan. - prepare_version takes the pending version's number. Loans made while it is pending carry that number and last when it comes into force. Otherwise a membership change that a log outage leaves pending would stop all loans for the whole outage. - give_back returns loan_return {version, total, tokens} and take_back takes it. A return without tokens loses them. ReturnRequest in peer.proto needs 'int64 tokens = 5' (0 is safe) and has to carry the version of it. - idle_units says how much a heartbeat may advertise. - receive_loan is not noexcept, as it may add an account.

--- a/include/auburnchute/rate_share.hpp
+++ b/include/auburnchute/rate_share.hpp
@@ -27,10 +27,11 @@
 /// them while requests were outstanding; then nothing refills until it fits again. Token counts are in
 /// thousandths, so that small shares refill evenly.
 struct rate_bucket {
-    std::int64_t rate_{};       ///< The workspace's tokens per second, all VMs together.
-    std::int64_t burst_{};      ///< The workspace's burst in tokens, all VMs together.
-    std::uint64_t version_{};   ///< Share version of the units and loans.
-    std::int64_t base_units_{}; ///< Units assigned by the share version.
+    std::int64_t rate_{};        ///< The workspace's tokens per second, all VMs together.
+    std::int64_t burst_{};       ///< The workspace's burst in tokens, all VMs together.
+    std::uint64_t version_{};    ///< Share version of the loans; the pending one once it is prepared.
+    std::int64_t base_units_{};  ///< Units assigned by the share version.
+    std::int64_t lent_before_{}; ///< Units lent under the version before a pending one.
     std::map<member_id, loan_account> loans_;
     std::int64_t tokens_{};      ///< Thousandths of a token, free to reserve.
     std::int64_t outstanding_{}; ///< Thousandths reserved and not yet produced.
@@ -52,7 +53,8 @@
 /// time. \returns False, with nothing changed, if too few are free.
 [[nodiscard]] bool reserve(rate_bucket& bucket, std::int64_t tokens) noexcept;
 
-/// \brief Turns reserved tokens into used ones, as the stream produces them.
+/// \brief Turns reserved tokens into used ones, as the stream produces them. \pre `tokens` is at most what is
+/// left of the request's reservation; what exceeds all reservations is charged to later requests.
 void produce(rate_bucket& bucket, std::int64_t tokens) noexcept;
 
 /// \brief Returns the reserved tokens that were not produced.
@@ -62,6 +64,10 @@
 /// would be.
 [[nodiscard]] std::int64_t units_missing(rate_bucket const& bucket, std::int64_t tokens) noexcept;
 
+/// \returns Units that could be lent now: those whose capacity is filled with free tokens, less a reserve for
+/// own demand. Heartbeats carry this. \pre `refill` was called with the present time. Thread safety: pure.
+[[nodiscard]] std::int64_t idle_units(rate_bucket const& bucket) noexcept;
+
 /// \brief A lender's answer: what it has lent to the borrower in total under a share version.
 struct loan_grant {
     std::uint64_t version_{};
@@ -69,32 +75,49 @@
     std::int64_t tokens_{}; ///< Thousandths that go with the newly lent units.
 };
 
+/// \brief What a borrower has given back to the lender in total under a share version.
+struct loan_return {
+    std::uint64_t version_{};
+    std::int64_t total_returned_{};
+    std::int64_t tokens_{}; ///< Thousandths that go with the newly returned units.
+};
+
+// All functions below that move units refill first: a refill after the move would pay the moved units at both
+// ends for the same time.
+
 /// \brief Lends idle units and the tokens that they carry: lowers this daemon's capacity before anything is
-/// answered. Keeps a reserve for own demand. \returns The total lent to the borrower under this version,
-/// which the answer carries with `tokens_granted`.
+/// answered. \returns The total lent to the borrower under this version. A request for 0 units asks for the
+/// total again after a lost answer; one of another version gets a total of 0.
 [[nodiscard]] loan_grant lend(rate_bucket& bucket, member_id const& borrower, std::uint64_t version,
-                              std::int64_t units);
+                              std::int64_t units, millis now);
 
 /// \brief Takes over what a lender granted. A grant of another version or an older total changes nothing;
 /// tokens are taken only together with new units.
-void receive_loan(rate_bucket& bucket, member_id const& lender, loan_grant const& grant) noexcept;
+void receive_loan(rate_bucket& bucket, member_id const& lender, loan_grant const& grant, millis now);
 
-/// \brief Gives back borrowed units that are idle. \returns The total given back to this lender.
-[[nodiscard]] std::int64_t give_back(rate_bucket& bucket, member_id const& lender) noexcept;
+/// \brief Gives back borrowed units that are idle, with their tokens. \returns The total given back to this
+/// lender. With nothing idle the call repeats the last total, in case that message was lost.
+[[nodiscard]] loan_return give_back(rate_bucket& bucket, member_id const& lender, millis now) noexcept;
 
-/// \brief Books a return of lent units. Older totals change nothing.
-void take_back(rate_bucket& bucket, member_id const& borrower, std::uint64_t version,
-               std::int64_t total_returned) noexcept;
+/// \brief Books a return of lent units. Another version or an older total changes nothing.
+void take_back(rate_bucket& bucket, member_id const& borrower, loan_return const& returned,
+               millis now) noexcept;
 
 /// \brief Limits the bucket to the smaller of its old and new base while a share version is pending, and
-/// forgets borrowed units. Lent units stay lent until the new version is in force.
-void prepare_version(rate_bucket& bucket, std::int64_t next_base_units) noexcept;
+/// forgets borrowed units. Units lent under the old version stay lent until the new one is in force.
+///
+/// Loans made from now on belong to the pending version and last when it comes into force, so that daemons
+/// that have seen the pending version can still lend to each other while a log outage delays it. An older
+/// version changes nothing.
+void prepare_version(rate_bucket& bucket, std::uint64_t version, std::int64_t next_base_units,
+                     millis now) noexcept;
 
 /// \returns True if the bucket fits under its units, so that the pending version may be acknowledged.
 [[nodiscard]] bool fits(rate_bucket const& bucket) noexcept;
 
-/// \brief Begins a share version that is in force: sets the base units and clears all loans.
-void begin_version(rate_bucket& bucket, std::uint64_t version, std::int64_t base_units) noexcept;
+/// \brief Begins a share version that is in force: sets the base units and clears the loans of older
+/// versions. An older version changes nothing.
+void begin_version(rate_bucket& bucket, std::uint64_t version, std::int64_t base_units, millis now) noexcept;
 
 /// \brief Changes the workspace's limits after a new table version; a lower burst takes effect at once.
 void set_limits(rate_bucket& bucket, std::int64_t rate, std::int64_t burst, millis now) noexcept;
--- /dev/null
+++ b/src/coordination/rate_share.cpp
@@ -0,0 +1,257 @@
+#include <auburnchute/rate_share.hpp>
+
+#include <algorithm>
+
+namespace auburnchute {
+
+namespace {
+
+/// Rate times units times milliseconds does not fit 64 bits at the target size after a long pause.
+__extension__ using wide = __int128;
+
+constexpr std::int64_t thousandths = 1'000;
+
+/// A lender keeps this part of its capacity, so that its own next request needs no round trip.
+constexpr std::int64_t reserve_divisor = 16;
+
+/// Rounded down, so that the capacities of all holders never add up to more than the burst.
+std::int64_t capacity_of(rate_bucket const& bucket, std::int64_t units) noexcept
+{
+    return static_cast<std::int64_t>(wide{bucket.burst_} * thousandths * units / all_units);
+}
+
+std::int64_t full_capacity(rate_bucket const& bucket) noexcept
+{
+    return capacity_of(bucket, units_held(bucket));
+}
+
+/// Drops tokens that do not fit under the capacity; the remainder of a refill counts as part of a token.
+void clip(rate_bucket& bucket) noexcept
+{
+    auto const room = full_capacity(bucket) - bucket.outstanding_;
+    if (bucket.tokens_ >= room) {
+        bucket.tokens_ = std::max(std::min<std::int64_t>(bucket.tokens_, 0), room);
+        bucket.refill_rest_ = 0;
+    }
+}
+
+/// Units whose capacity is filled with free tokens, after keeping back `kept` thousandths.
+std::int64_t filled_units(rate_bucket const& bucket, std::int64_t kept) noexcept
+{
+    auto const free = bucket.tokens_ - kept;
+    if (free <= 0 || bucket.burst_ <= 0) {
+        return 0;
+    }
+    auto const held = units_held(bucket);
+    auto units = std::min(
+        held, static_cast<std::int64_t>(wide{free} * all_units / (wide{bucket.burst_} * thousandths)));
+    // Rounding can leave the outstanding tokens a thousandth above the remaining capacity.
+    while (units > 0 && bucket.outstanding_ > capacity_of(bucket, held - units)) {
+        --units;
+    }
+    return units;
+}
+
+} // namespace
+
+std::int64_t units_held(rate_bucket const& bucket) noexcept
+{
+    auto units = bucket.base_units_ - bucket.lent_before_;
+    for (auto const& [peer, loan] : bucket.loans_) {
+        units += loan.borrowed_ - loan.returned_ - loan.lent_ + loan.lent_returned_;
+    }
+    return std::max<std::int64_t>(units, 0);
+}
+
+std::int64_t capacity(rate_bucket const& bucket) noexcept
+{
+    return full_capacity(bucket) / thousandths;
+}
+
+std::int64_t idle_units(rate_bucket const& bucket) noexcept
+{
+    return filled_units(bucket, full_capacity(bucket) / reserve_divisor);
+}
+
+void refill(rate_bucket& bucket, millis now) noexcept
+{
+    auto const elapsed = now - bucket.refilled_at_;
+    if (elapsed.count_ <= 0) {
+        return;
+    }
+    bucket.refilled_at_ = now;
+    auto const room = full_capacity(bucket) - bucket.outstanding_ - bucket.tokens_;
+    if (room <= 0) {
+        return;
+    }
+    // A rate of one token per second is one thousandth per millisecond.
+    auto const earned = wide{bucket.rate_} * units_held(bucket) * elapsed.count_ + wide{bucket.refill_rest_};
+    if (earned / all_units >= room) {
+        bucket.tokens_ += room;
+        bucket.refill_rest_ = 0;
+        return;
+    }
+    bucket.tokens_ += static_cast<std::int64_t>(earned / all_units);
+    bucket.refill_rest_ = static_cast<std::int64_t>(earned % all_units);
+}
+
+bool reserve(rate_bucket& bucket, std::int64_t tokens) noexcept
+{
+    if (tokens > bucket.tokens_ / thousandths || bucket.tokens_ < 0) {
+        return false;
+    }
+    bucket.tokens_ -= tokens * thousandths;
+    bucket.outstanding_ += tokens * thousandths;
+    return true;
+}
+
+void produce(rate_bucket& bucket, std::int64_t tokens) noexcept
+{
+    auto const used = std::min(bucket.outstanding_, tokens * thousandths);
+    bucket.outstanding_ -= used;
+    // Production above all reservations is charged to later requests.
+    bucket.tokens_ -= tokens * thousandths - used;
+}
+
+void release(rate_bucket& bucket, std::int64_t tokens) noexcept
+{
+    auto const unused = std::min(bucket.outstanding_, tokens * thousandths);
+    bucket.outstanding_ -= unused;
+    bucket.tokens_ += unused;
+    clip(bucket);
+}
+
+std::int64_t units_missing(rate_bucket const& bucket, std::int64_t tokens) noexcept
+{
+    if (bucket.burst_ <= 0 || tokens > bucket.burst_) {
+        return 0;
+    }
+    auto const missing = tokens * thousandths - bucket.tokens_;
+    if (missing <= 0) {
+        return 0;
+    }
+    auto const per_all = wide{bucket.burst_} * thousandths;
+    auto const units = (wide{missing} * all_units + per_all - 1) / per_all;
+    return units > all_units ? 0 : static_cast<std::int64_t>(units);
+}
+
+loan_grant lend(rate_bucket& bucket, member_id const& borrower, std::uint64_t version, std::int64_t units,
+                millis now)
+{
+    refill(bucket, now);
+    if (version != bucket.version_) {
+        return {bucket.version_, 0, 0};
+    }
+    auto const lent = std::min(units, idle_units(bucket));
+    if (lent <= 0) {
+        auto const known = bucket.loans_.find(borrower);
+        return {version, known == bucket.loans_.end() ? 0 : known->second.lent_, 0};
+    }
+    auto& loan = bucket.loans_[borrower];
+    loan.lent_ += lent;
+    auto const tokens = std::min(bucket.tokens_, capacity_of(bucket, lent));
+    bucket.tokens_ -= tokens;
+    clip(bucket);
+    return {version, loan.lent_, tokens};
+}
+
+void receive_loan(rate_bucket& bucket, member_id const& lender, loan_grant const& grant, millis now)
+{
+    refill(bucket, now);
+    if (grant.version_ != bucket.version_ || grant.total_lent_ <= 0) {
+        return;
+    }
+    auto& loan = bucket.loans_[lender];
+    if (grant.total_lent_ <= loan.borrowed_) {
+        return;
+    }
+    loan.borrowed_ = grant.total_lent_;
+    bucket.tokens_ += grant.tokens_;
+    clip(bucket);
+}
+
+loan_return give_back(rate_bucket& bucket, member_id const& lender, millis now) noexcept
+{
+    refill(bucket, now);
+    auto const found = bucket.loans_.find(lender);
+    if (found == bucket.loans_.end()) {
+        return {bucket.version_, 0, 0};
+    }
+    auto& loan = found->second;
+    auto const units = std::min(loan.borrowed_ - loan.returned_, idle_units(bucket));
+    if (units <= 0) {
+        return {bucket.version_, loan.returned_, 0};
+    }
+    loan.returned_ += units;
+    auto const tokens = std::min(bucket.tokens_, capacity_of(bucket, units));
+    bucket.tokens_ -= tokens;
+    clip(bucket);
+    return {bucket.version_, loan.returned_, tokens};
+}
+
+void take_back(rate_bucket& bucket, member_id const& borrower, loan_return const& returned,
+               millis now) noexcept
+{
+    refill(bucket, now);
+    auto const found = bucket.loans_.find(borrower);
+    if (returned.version_ != bucket.version_ || found == bucket.loans_.end() ||
+        returned.total_returned_ <= found->second.lent_returned_ ||
+        returned.total_returned_ > found->second.lent_) {
+        return;
+    }
+    found->second.lent_returned_ = returned.total_returned_;
+    bucket.tokens_ += returned.tokens_;
+    clip(bucket);
+}
+
+void prepare_version(rate_bucket& bucket, std::uint64_t version, std::int64_t next_base_units,
+                     millis now) noexcept
+{
+    if (version <= bucket.version_) {
+        return;
+    }
+    refill(bucket, now);
+    for (auto const& [peer, loan] : bucket.loans_) {
+        bucket.lent_before_ += loan.lent_ - loan.lent_returned_;
+    }
+    bucket.loans_.clear();
+    bucket.base_units_ = std::min(bucket.base_units_, next_base_units);
+    bucket.version_ = version;
+    clip(bucket);
+}
+
+bool fits(rate_bucket const& bucket) noexcept
+{
+    return bucket.tokens_ + bucket.outstanding_ <= full_capacity(bucket);
+}
+
+void begin_version(rate_bucket& bucket, std::uint64_t version, std::int64_t base_units, millis now) noexcept
+{
+    if (version < bucket.version_) {
+        return;
+    }
+    refill(bucket, now);
+    if (version > bucket.version_) {
+        bucket.loans_.clear();
+    }
+    bucket.lent_before_ = 0;
+    bucket.version_ = version;
+    bucket.base_units_ = base_units;
+    clip(bucket);
+}
+
+void set_limits(rate_bucket& bucket, std::int64_t rate, std::int64_t burst, millis now) noexcept
+{
+    refill(bucket, now);
+    bucket.rate_ = rate;
+    bucket.burst_ = burst;
+    clip(bucket);
+}
+
+std::int64_t base_units(std::size_t index, std::size_t holders) noexcept
+{
+    auto const count = static_cast<std::int64_t>(holders);
+    return all_units / count + (static_cast<std::int64_t>(index) < all_units % count ? 1 : 0);
+}
+
+} // namespace auburnchute
