Pick upstreams by sampled load

Change: two candidates by prefix and two by request hash, the least loaded wins, a prefix candidate wins while its load is below 1.25 times the mean. Loads are compared relative to slots. One request above 1.25 times the mean is allowed to a prefix candidate: at low load the mean is below one request and no candidate would pass. Only candidates with a free slot are sampled, so that no request waits beside a free slot. avoid_ is a preference: it is dropped when no other candidate can take the request.

--- /dev/null
+++ b/src/coordination/routing.cpp
@@ -0,0 +1,111 @@
+#include <auburnchute/routing.hpp>
+
+#include <auburnchute/ids.hpp>
+
+#include <array>
+#include <utility>
+
+namespace auburnchute {
+
+namespace {
+
+/// The two eligible candidates with the highest hashes.
+struct best_two {
+    std::array<std::size_t, 2> index_{};
+    std::array<std::uint64_t, 2> score_{};
+    std::size_t count_{};
+};
+
+void offer(best_two& best, std::size_t index, std::uint64_t score) noexcept
+{
+    if (best.count_ == 0 || score > best.score_[0]) {
+        best.index_ = {index, best.index_[0]};
+        best.score_ = {score, best.score_[0]};
+    } else if (best.count_ == 1 || score > best.score_[1]) {
+        best.index_[1] = index;
+        best.score_[1] = score;
+    } else {
+        return;
+    }
+    best.count_ = best.count_ < 2 ? best.count_ + 1 : 2;
+}
+
+std::int64_t load(routing_candidate const& candidate) noexcept
+{
+    return candidate.reported_ + candidate.own_since_report_;
+}
+
+/// Compares loads relative to slots, so that a large upstream is not left idle beside a small one.
+bool less_loaded(routing_candidate const& a, routing_candidate const& b) noexcept
+{
+    return load(a) * b.slots_ < load(b) * a.slots_;
+}
+
+bool may_run(routing_candidate const& candidate, routing_request const& request) noexcept
+{
+    return candidate.accepts_work_ && load(candidate) < candidate.slots_ &&
+           !(request.isolated_ && candidate.runs_suspect_) &&
+           !(request.zone_required_ && candidate.availability_zone_ != request.availability_zone_);
+}
+
+std::optional<std::size_t> pick_among(std::span<routing_candidate const> candidates,
+                                      routing_request const& request, std::string_view avoid) noexcept
+{
+    best_two by_prefix;
+    best_two by_request;
+    best_two by_request_in_zone;
+    std::int64_t total_load = 0;
+    std::int64_t total_slots = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        auto const& candidate = candidates[i];
+        if (!may_run(candidate, request) || (!avoid.empty() && candidate.upstream_ == avoid)) {
+            continue;
+        }
+        total_load += load(candidate);
+        total_slots += candidate.slots_;
+        offer(by_prefix, i, stable_hash(candidate.upstream_, request.prefix_hash_));
+        auto const spread = stable_hash(candidate.upstream_, request.request_hash_);
+        offer(by_request, i, spread);
+        if (candidate.availability_zone_ == request.availability_zone_) {
+            offer(by_request_in_zone, i, spread);
+        }
+    }
+    std::optional<std::size_t> chosen;
+    for (std::size_t n = 0; n < by_prefix.count_; ++n) {
+        auto const index = by_prefix.index_[n];
+        auto const& candidate = candidates[index];
+        // One request above 1.25 times the mean is allowed: at low load the mean is below one request and
+        // no upstream with the prefix in its cache would pass.
+        bool const near_mean = 4 * (load(candidate) - 1) * total_slots < 5 * total_load * candidate.slots_;
+        if (near_mean && (!chosen || less_loaded(candidate, candidates[*chosen]))) {
+            chosen = index;
+        }
+    }
+    if (chosen) {
+        return chosen;
+    }
+    auto const& sample = by_request_in_zone.count_ > 0 ? by_request_in_zone : by_request;
+    for (best_two const* best : {&std::as_const(by_prefix), &sample}) {
+        for (std::size_t n = 0; n < best->count_; ++n) {
+            auto const index = best->index_[n];
+            if (!chosen || less_loaded(candidates[index], candidates[*chosen])) {
+                chosen = index;
+            }
+        }
+    }
+    return chosen;
+}
+
+} // namespace
+
+std::optional<std::size_t> pick_upstream(std::span<routing_candidate const> candidates,
+                                         routing_request const& request) noexcept
+{
+    auto const chosen = pick_among(candidates, request, request.avoid_);
+    if (chosen || request.avoid_.empty()) {
+        return chosen;
+    }
+    return pick_among(candidates, request, {});
+}
+
+} // namespace auburnchute
