Order waiting requests by class and weighted fair queueing

Change: implements admission.hpp. Interface change: waiting_request loses virtual_finish_; a workspace is charged when a request is taken. With charging at enqueue, requests that expire or are cancelled would push back the workspace's later ones. limit_ bounds a workspace to as many entries as are free, so that one workspace cannot fill the queue and have the others refused.

--- a/include/auburnchute/admission.hpp
+++ b/include/auburnchute/admission.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -21,16 +22,20 @@
     priority priority_{priority::normal};
     std::int64_t tokens_{}; ///< Expected tokens, the request's size for fairness.
     millis arrived_{};
-    millis deadline_{};       ///< Served or refused by then.
-    double virtual_finish_{}; ///< Set by `enqueue`.
+    millis deadline_{}; ///< Served or refused by then.
 };
 
-/// \brief Requests of one pool that wait, in weighted fair order. Plain data; the functions below change it.
+/// \brief Requests of one pool that wait, in no order. Plain data; the functions below change it.
+///
+/// A workspace is charged when its request is taken, not when it is queued: requests that expire or are
+/// cancelled cost it nothing.
 struct wait_queue {
     std::vector<waiting_request> waiting_;
-    std::map<std::string, double> workspace_finish_; ///< Virtual finish of each workspace's last request.
-    double virtual_time_{};
-    std::size_t limit_{4096};
+    std::map<std::string, double, std::less<>>
+        workspace_finish_;  ///< Virtual finish of each workspace's last request taken, if ahead of the time.
+    double virtual_time_{}; ///< Virtual start of the last request taken.
+    std::size_t limit_{
+        4096}; ///< A workspace may queue as many as are free, so it never fills the queue alone.
     millis aging_{10'000};
 };
 
@@ -47,7 +52,8 @@
 [[nodiscard]] enqueue_verdict enqueue(wait_queue& queue, waiting_request request,
                                       wait_estimate const& estimate, millis now);
 
-/// \brief Takes the next request of a model: by class raised by waiting, then by virtual finish time.
+/// \brief Takes the next request of a model: by class raised by waiting, then the workspace with the earliest
+/// virtual finish, then the oldest request.
 /// \returns None if no request of the model waits whose deadline is later than `now`.
 [[nodiscard]] std::optional<waiting_request> take_next(wait_queue& queue, std::string_view model, millis now);
 
