--- a/include/auburnchute/retry.hpp
+++ b/include/auburnchute/retry.hpp
@@ -23,8 +23,9 @@
 /// \brief Limits retries to a part of the requests, so that they cannot multiply an overload. One for each
 /// pool.
 struct retry_budget {
-    std::int64_t balance_{};        ///< Thousandths of a retry.
-    std::int64_t limit_{10'000};    ///< Ten retries at once at most.
+    std::int64_t balance_{
+        10'000};                 ///< Thousandths of a retry; full at first, as rarely used pools earn little.
+    std::int64_t limit_{10'000}; ///< Ten retries at once at most.
     std::int64_t per_request_{100}; ///< Each first try earns a tenth of a retry.
 };
 
@@ -34,8 +35,8 @@
 void earn(retry_budget& budget) noexcept;
 
 /// \brief Decides whether to try again, and takes the retry from the budget.
-/// \returns False if the request may have run and is not repeatable, the tries or the budget are used up, or
-/// the deadline has come.
+/// \returns False if the request is not repeatable (even if it did not run: its caller may repeat it), it was
+/// answered, the tries or the budget are used up, or the deadline has come.
 [[nodiscard]] bool try_again(retry_budget& budget, try_result result, bool repeatable, int tries, millis now,
                              millis deadline) noexcept;
 
--- /dev/null
+++ b/src/coordination/retry.cpp
@@ -0,0 +1,54 @@
+#include <auburnchute/retry.hpp>
+
+#include <algorithm>
+
+namespace auburnchute {
+
+namespace {
+
+constexpr std::int64_t one_retry = 1'000;
+
+execution execution_of(try_result result) noexcept
+{
+    switch (result) {
+    case try_result::not_sent:
+    case try_result::refused:
+        return execution::not_run;
+    case try_result::answered:
+    case try_result::cut_in_answer:
+        return execution::ran;
+    case try_result::cut_before_answer:
+    case try_result::wrong_answer:
+        break;
+    }
+    return execution::unknown;
+}
+
+} // namespace
+
+void earn(retry_budget& budget) noexcept
+{
+    budget.balance_ = std::min(budget.limit_, budget.balance_ + budget.per_request_);
+}
+
+bool try_again(retry_budget& budget, try_result result, bool repeatable, int tries, millis now,
+               millis deadline) noexcept
+{
+    if (result == try_result::answered || !repeatable || tries >= max_tries || now >= deadline ||
+        budget.balance_ < one_retry) {
+        return false;
+    }
+    budget.balance_ -= one_retry;
+    return true;
+}
+
+execution execution_after(execution before, try_result result) noexcept
+{
+    auto const latest = execution_of(result);
+    if (before == execution::ran || latest == execution::ran) {
+        return execution::ran;
+    }
+    return before == execution::unknown ? before : latest;
+}
+
+} // namespace auburnchute
