--- a/include/auburnchute/rate_share.hpp
+++ b/include/auburnchute/rate_share.hpp
@@ -49,19 +49,22 @@
 /// the caller holds the bucket's lock.
 void refill(rate_bucket& bucket, millis now) noexcept;
 
-/// \brief Takes tokens for a request. \pre `tokens` is not negative; `refill` was called with the present
-/// time. \returns False, with nothing changed, if too few are free.
-[[nodiscard]] bool reserve(rate_bucket& bucket, std::int64_t tokens) noexcept;
+// All functions below that take the time refill first. A refill after tokens were produced or units moved
+// would pay for the time in which the bucket was full, or pay the moved units at both ends.
+
+/// \brief Takes tokens for a request. \pre `tokens` is not negative. \returns False, with nothing taken, if
+/// too few are free.
+[[nodiscard]] bool reserve(rate_bucket& bucket, std::int64_t tokens, millis now) noexcept;
 
 /// \brief Turns reserved tokens into used ones, as the stream produces them. \pre `tokens` is at most what is
 /// left of the request's reservation; what exceeds all reservations is charged to later requests.
-void produce(rate_bucket& bucket, std::int64_t tokens) noexcept;
+void produce(rate_bucket& bucket, std::int64_t tokens, millis now) noexcept;
 
 /// \brief Returns the reserved tokens that were not produced.
-void release(rate_bucket& bucket, std::int64_t tokens) noexcept;
+void release(rate_bucket& bucket, std::int64_t tokens, millis now) noexcept;
 
 /// \brief Units missing to admit a request at once. \returns 0 if none are missing or more than `all_units`
-/// would be.
+/// would be. \pre `refill` was called with the present time.
 [[nodiscard]] std::int64_t units_missing(rate_bucket const& bucket, std::int64_t tokens) noexcept;
 
 /// \returns Units that could be lent now: those whose capacity is filled with free tokens, less a reserve for
@@ -82,9 +85,6 @@
     std::int64_t tokens_{}; ///< Thousandths that go with the newly returned units.
 };
 
-// All functions below that move units refill first: a refill after the move would pay the moved units at both
-// ends for the same time.
-
 /// \brief Lends idle units and the tokens that they carry: lowers this daemon's capacity before anything is
 /// answered. \returns The total lent to the borrower under this version. A request for 0 units asks for the
 /// total again after a lost answer; one of another version gets a total of 0.
--- a/src/coordination/rate_share.cpp
+++ b/src/coordination/rate_share.cpp
@@ -95,8 +95,9 @@
     bucket.refill_rest_ = static_cast<std::int64_t>(earned % all_units);
 }
 
-bool reserve(rate_bucket& bucket, std::int64_t tokens) noexcept
+bool reserve(rate_bucket& bucket, std::int64_t tokens, millis now) noexcept
 {
+    refill(bucket, now);
     if (tokens > bucket.tokens_ / thousandths || bucket.tokens_ < 0) {
         return false;
     }
@@ -105,16 +106,18 @@
     return true;
 }
 
-void produce(rate_bucket& bucket, std::int64_t tokens) noexcept
+void produce(rate_bucket& bucket, std::int64_t tokens, millis now) noexcept
 {
+    refill(bucket, now);
     auto const used = std::min(bucket.outstanding_, tokens * thousandths);
     bucket.outstanding_ -= used;
     // Production above all reservations is charged to later requests.
     bucket.tokens_ -= tokens * thousandths - used;
 }
 
-void release(rate_bucket& bucket, std::int64_t tokens) noexcept
+void release(rate_bucket& bucket, std::int64_t tokens, millis now) noexcept
 {
+    refill(bucket, now);
     auto const unused = std::min(bucket.outstanding_, tokens * thousandths);
     bucket.outstanding_ -= unused;
     bucket.tokens_ += unused;
@@ -165,8 +168,9 @@
     if (grant.total_lent_ <= loan.borrowed_) {
         return;
     }
+    // A lender with an older, higher burst may have sent more than these units carry here.
+    bucket.tokens_ += std::min(grant.tokens_, capacity_of(bucket, grant.total_lent_ - loan.borrowed_));
     loan.borrowed_ = grant.total_lent_;
-    bucket.tokens_ += grant.tokens_;
     clip(bucket);
 }
 
@@ -199,8 +203,9 @@
         returned.total_returned_ > found->second.lent_) {
         return;
     }
+    bucket.tokens_ += std::min(returned.tokens_,
+                               capacity_of(bucket, returned.total_returned_ - found->second.lent_returned_));
     found->second.lent_returned_ = returned.total_returned_;
-    bucket.tokens_ += returned.tokens_;
     clip(bucket);
 }
 
