--- a/src/protocol/explain.hpp
+++ b/src/protocol/explain.hpp
@@ -43,15 +43,16 @@
     /// \param capacity Trails kept. \pre Above 0. 8,192 trails of about 1 KiB each take 8 MiB.
     explicit trail_store(std::size_t capacity = 8'192);
 
-    /// \brief Stores a trail, in place of an earlier one with the same id and kind or of the oldest.
+    /// \brief Stores a trail; the oldest one leaves when the store is full. A trail that is put again hides
+    /// its earlier state.
     void put(decision_trail trail);
 
-    /// \returns The newest trail with that id.
+    /// \returns The newest trail with that id. Scans the store, since it runs only for `explain`.
     [[nodiscard]] std::optional<decision_trail> find(std::string_view id) const;
 
 private:
     mutable std::mutex mutex_;
-    std::size_t capacity_;
+    std::size_t const capacity_;
     std::deque<decision_trail> trails_; ///< Oldest first.
 };
 
--- /dev/null
+++ b/src/protocol/metrics.cpp
@@ -0,0 +1,256 @@
+#include "protocol/metrics.hpp"
+
+#include <array>
+#include <atomic>
+#include <boost/histogram.hpp>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+#include <shared_mutex>
+#include <sstream>
+#include <vector>
+
+namespace auburnchute {
+
+namespace {
+
+namespace bh = boost::histogram;
+
+struct description {
+    std::string_view name_;
+    std::string_view label_;
+    std::string_view help_;
+};
+
+// The families that the daemon uses; docs/OPERATING.md lists them with their alarms.
+constexpr std::array descriptions{
+    description{"auburnchute_requests_total", "outcome", "Requests by outcome."},
+    description{"auburnchute_refusals_total", "type", "Refusals by problem type."},
+    description{"auburnchute_tokens_total", "workspace", "Tokens produced, by workspace."},
+    description{"auburnchute_wait_ms", "pool",
+                "Time from arrival to the choice of a replica, in milliseconds."},
+    description{"auburnchute_first_token_ms", "pool",
+                "Time from arrival to the first token, in milliseconds."},
+    description{"auburnchute_load_ms", "source",
+                "Duration of loads by source of the weights, in milliseconds."},
+    description{"auburnchute_loads_total", "outcome", "Loads executed by this daemon, by outcome."},
+    description{"auburnchute_unloads_total", "reason", "Unloads executed by this daemon, by reason."},
+    description{"auburnchute_retries_total", "result", "Tries that were repeated, by the result of the try."},
+    description{"auburnchute_crashes_total", "verdict", "Upstream deaths seen with a request in flight."},
+    description{"auburnchute_borrowed_tokens_total", "workspace", "Tokens borrowed from peers."},
+    description{"auburnchute_log_age_ms", "",
+                "Time since the log was last read to the tail, in milliseconds."},
+    description{"auburnchute_log_next_offset", "", "Next log offset to fold."},
+    description{"auburnchute_log_append_ms", "", "Time from an append to its read-back, in milliseconds."},
+    description{"auburnchute_log_faults_total", "kind", "Failed calls to the log service."},
+    description{"auburnchute_ready", "", "1 if this daemon serves requests."},
+    description{"auburnchute_members", "", "Entry VMs in the share version in force."},
+    description{"auburnchute_open_streams", "", "Requests in progress."},
+    description{"auburnchute_waiting", "pool", "Requests waiting in the pool's queue."},
+    description{"auburnchute_replicas", "status", "Replicas in the fold, by status."},
+    description{"auburnchute_reserved_mb", "upstream", "Memory reserved on an upstream, in MB."},
+    description{"auburnchute_upstreams_unreachable", "", "Upstreams that do not answer this daemon."},
+    description{"auburnchute_peers_silent", "", "Peers not heard from within the suspicion time."},
+    description{"auburnchute_spans_dropped", "", "Spans lost to a full buffer or disk."},
+};
+
+description describe(std::string_view name)
+{
+    for (auto const& known : descriptions) {
+        if (known.name_ == name) {
+            return known;
+        }
+    }
+    return {name, "label", "No description."};
+}
+
+// From the 5 ms of an adapter load to the ten minutes after which every deadline has passed.
+constexpr std::array<double, 17> bounds{-1,    5,     10,     20,     50,     100,    200,     500,    1'000,
+                                        2'000, 5'000, 10'000, 20'000, 30'000, 60'000, 120'000, 600'000};
+
+using duration_axis = bh::axis::variable<double, bh::use_default, bh::axis::option::overflow_t>;
+using duration_histogram =
+    bh::histogram<std::tuple<duration_axis>, bh::dense_storage<bh::accumulators::thread_safe<std::uint64_t>>>;
+
+constexpr std::string_view overflow_label = "other";
+
+} // namespace
+
+enum class family_kind : std::uint8_t { counter, gauge, histogram };
+
+struct metric_cell {
+    std::atomic<std::int64_t> count_{0}; ///< Of a counter; of a histogram the sum of its values.
+    std::atomic<double> gauge_{0};
+    std::unique_ptr<duration_histogram> histogram_;
+};
+
+struct family {
+    family_kind kind_{family_kind::counter};
+    std::map<std::string, metric_cell, std::less<>> cells_;
+};
+
+struct metrics::registry {
+    mutable std::shared_mutex mutex_;
+    std::map<std::string, family, std::less<>> families_;
+
+    /// Calls `use` with the cell; the map's nodes never move or leave, so the cell stays valid under the
+    /// lock.
+    template <typename Use>
+    void with_cell(family_kind kind, std::string_view name, std::string_view label, Use&& use)
+    {
+        {
+            std::shared_lock const lock{mutex_};
+            if (auto* const cell = find(kind, name, label)) {
+                use(*cell);
+                return;
+            }
+        }
+        std::unique_lock const lock{mutex_};
+        if (auto* const cell = make(kind, name, label)) {
+            use(*cell);
+        }
+    }
+
+    metric_cell* find(family_kind kind, std::string_view name, std::string_view label)
+    {
+        auto const it = families_.find(name);
+        if (it == families_.end() || it->second.kind_ != kind) {
+            return nullptr;
+        }
+        auto& cells = it->second.cells_;
+        auto cell = cells.find(label);
+        if (cell == cells.end() && cells.size() > max_label_values) {
+            cell = cells.find(overflow_label);
+        }
+        return cell == cells.end() ? nullptr : &cell->second;
+    }
+
+    /// Null if the family is of another kind; such a value is dropped, as it cannot be shown.
+    metric_cell* make(family_kind kind, std::string_view name, std::string_view label)
+    {
+        auto it = families_.find(name);
+        if (it == families_.end()) {
+            it = families_.try_emplace(std::string{name}).first;
+            it->second.kind_ = kind;
+        }
+        if (it->second.kind_ != kind) {
+            return nullptr;
+        }
+        auto& cells = it->second.cells_;
+        bool const full = cells.size() >= max_label_values && cells.find(label) == cells.end();
+        auto& cell = cells[std::string{full ? overflow_label : label}];
+        if (kind == family_kind::histogram && !cell.histogram_) {
+            cell.histogram_ = std::make_unique<duration_histogram>(
+                std::make_tuple(duration_axis(bounds.begin(), bounds.end())));
+        }
+        return &cell;
+    }
+};
+
+namespace {
+
+prometheus::ClientMetric::Histogram show_histogram(metric_cell const& cell)
+{
+    prometheus::ClientMetric::Histogram shown;
+    std::uint64_t total = 0;
+    for (auto const& bin : bh::indexed(*cell.histogram_, bh::coverage::all)) {
+        total += *bin;
+        // The last bin is the overflow and has an infinite upper bound.
+        shown.bucket.push_back({total, bin.bin().upper()});
+    }
+    shown.sample_count = total;
+    shown.sample_sum = static_cast<double>(cell.count_.load());
+    return shown;
+}
+
+/// Only ASCII without control characters is shown, because a label may come from a request.
+std::string printable(std::string_view label)
+{
+    std::string shown{label};
+    for (auto& c : shown) {
+        c = c < ' ' || c == 0x7f ? '?' : c;
+    }
+    return shown;
+}
+
+prometheus::MetricFamily show(std::string const& name, family const& shown)
+{
+    auto const known = describe(name);
+    prometheus::MetricFamily out;
+    out.name = name;
+    out.help = known.help_;
+    switch (shown.kind_) {
+    case family_kind::counter:
+        out.type = prometheus::MetricType::Counter;
+        break;
+    case family_kind::gauge:
+        out.type = prometheus::MetricType::Gauge;
+        break;
+    case family_kind::histogram:
+        out.type = prometheus::MetricType::Histogram;
+        break;
+    }
+    for (auto const& [label, cell] : shown.cells_) {
+        prometheus::ClientMetric metric;
+        if (!label.empty()) {
+            metric.label.push_back(
+                {std::string{known.label_.empty() ? "label" : known.label_}, printable(label)});
+        }
+        if (shown.kind_ == family_kind::counter) {
+            metric.counter.value = static_cast<double>(cell.count_.load());
+        } else if (shown.kind_ == family_kind::gauge) {
+            metric.gauge.value = cell.gauge_.load();
+        } else {
+            metric.histogram = show_histogram(cell);
+        }
+        out.metric.push_back(std::move(metric));
+    }
+    return out;
+}
+
+} // namespace
+
+metrics::metrics() : registry_{std::make_unique<registry>()} {}
+
+metrics::~metrics() = default;
+
+void metrics::count(std::string_view name, std::string_view label, std::int64_t n)
+{
+    registry_->with_cell(family_kind::counter, name, label,
+                         [n](metric_cell& cell) { cell.count_.fetch_add(n, std::memory_order_relaxed); });
+}
+
+void metrics::observe(std::string_view name, std::string_view label, millis value)
+{
+    registry_->with_cell(family_kind::histogram, name, label, [value](metric_cell& cell) {
+        // A clock that was read on two threads can differ by a tick; a negative duration counts as 0.
+        auto const booked = std::max<std::int64_t>(0, value.count_);
+        // Bins exclude their upper bound, but Prometheus's buckets include it; values are whole.
+        (*cell.histogram_)(static_cast<double>(booked) - 0.5);
+        cell.count_.fetch_add(booked, std::memory_order_relaxed);
+    });
+}
+
+void metrics::gauge(std::string_view name, std::string_view label, double value)
+{
+    registry_->with_cell(family_kind::gauge, name, label,
+                         [value](metric_cell& cell) { cell.gauge_.store(value, std::memory_order_relaxed); });
+}
+
+std::string metrics::text() const
+{
+    std::vector<prometheus::MetricFamily> shown;
+    {
+        std::shared_lock const lock{registry_->mutex_};
+        for (auto const& [name, one] : registry_->families_) {
+            shown.push_back(show(name, one));
+        }
+    }
+    std::ostringstream out;
+    prometheus::TextSerializer{}.Serialize(out, shown);
+    return out.str();
+}
+
+} // namespace auburnchute
