--- a/include/auburnchute/ids.hpp
+++ b/include/auburnchute/ids.hpp
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -30,6 +31,9 @@
 /// \returns The member as shown in logs and request ids, for example `entry-a1-1f2e3d`.
 [[nodiscard]] std::string to_string(member_id const& member);
 
+/// \returns The bytes in lower-case hexadecimal.
+[[nodiscard]] std::string to_hex(std::span<unsigned char const> bytes);
+
 /// \brief Digests a caller's key. Keys themselves are never stored.
 /// \returns The SHA-256 of salt and key, in lower-case hexadecimal.
 [[nodiscard]] std::string key_digest(std::string_view salt, std::string_view key);
--- a/src/state/ids.cpp
+++ b/src/state/ids.cpp
@@ -19,20 +19,25 @@
     return member.vm_ + "-" + text.data();
 }
 
+std::string to_hex(std::span<unsigned char const> bytes)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string hex;
+    hex.reserve(bytes.size() * 2);
+    for (unsigned char const byte : bytes) {
+        hex.push_back(digits[byte >> 4U]);
+        hex.push_back(digits[byte & 0xFU]);
+    }
+    return hex;
+}
+
 std::string key_digest(std::string_view salt, std::string_view key)
 {
     std::string const input = std::string{salt} + '\n' + std::string{key};
     std::array<unsigned char, EVP_MAX_MD_SIZE> bytes{};
     unsigned int size = 0;
     EVP_Digest(input.data(), input.size(), bytes.data(), &size, EVP_sha256(), nullptr);
-    std::string hex;
-    hex.reserve(std::size_t{size} * 2);
-    constexpr std::string_view digits = "0123456789abcdef";
-    for (unsigned int i = 0; i < size; ++i) {
-        hex.push_back(digits[bytes[i] >> 4U]);
-        hex.push_back(digits[bytes[i] & 0xFU]);
-    }
-    return hex;
+    return to_hex({bytes.data(), size});
 }
 
 std::uint64_t stable_hash(std::string_view text, std::uint64_t seed) noexcept
--- /dev/null
+++ b/src/transport/vm_list_client.cpp
@@ -0,0 +1,43 @@
+#include "transport/vm_list_client.hpp"
+
+#include "transport/http_client.hpp"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace auburnchute {
+
+std::optional<std::vector<listed_vm>> read_vm_list(std::string const& address)
+{
+    auto const client = make_http_client(address, {{500}, {2'000}, {1'000}});
+    auto const result = client->Get("/v1/vms");
+    if (!result || result->status != 200) {
+        return std::nullopt;
+    }
+    auto const json = nlohmann::json::parse(result->body, nullptr, false);
+    if (!json.is_object()) {
+        return std::nullopt;
+    }
+    try {
+        std::vector<listed_vm> vms;
+        for (auto const& item : json.at("vms")) {
+            listed_vm vm;
+            vm.name_ = item.at("name").get<std::string>();
+            vm.instance_ = item.at("instance").get<std::string>();
+            vm.is_entry_ = item.at("role").get<std::string>() == "entry";
+            vm.address_ = item.value("address", "");
+            vm.availability_zone_ = item.value("availability_zone", "");
+            vm.memory_mb_ = item.value("memory_mb", std::int64_t{0});
+            vm.leaving_ = item.value("leaving", false);
+            vm.honours_fencing_ = item.value("honours_fencing", false);
+            vm.checks_sender_ = item.value("checks_sender", false);
+            vms.push_back(std::move(vm));
+        }
+        return vms;
+    } catch (nlohmann::json::exception const&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace auburnchute
