Judge a daemon's authority and choose members to vote out

Ruled out: deriving "has voted" from the fold alone. A vote may be in the log before its writer reads it back, and an answer given in between would let a member keep its authority although a majority voted it out. Change: judge_authority, may_vouch and members_to_suspect. authority_view gains voted_against_, listening_since_ and last_suspect_check_; members_to_suspect takes the view by reference, books its votes there and counts silence anew after a pause of its own.

--- a/include/auburnchute/authority.hpp
+++ b/include/auburnchute/authority.hpp
@@ -18,6 +18,10 @@
 /// \brief How long members wait after a removal by votes before they use the freed share.
 inline constexpr millis suspicion_grace{5'000};
 
+/// \brief Longest time between two calls of `members_to_suspect`; after a longer one the daemon was paused
+/// and counts the silence of its peers anew.
+inline constexpr millis max_listening_gap{2'000};
+
 /// \brief What this daemon knows of the log and its peers, in its own time.
 struct authority_view {
     member_id self_;
@@ -27,7 +31,12 @@
     std::map<member_id, millis> outage_confirmed_; ///< By peer: when the question was sent that it answered
                                                    ///< with "not reachable either".
     std::map<member_id, millis> heard_from_;       ///< By peer: last message of any kind.
-    std::map<member_id, millis> vouched_for_; ///< By peer: when this daemon last confirmed the outage to it.
+    std::map<member_id, millis> vouched_for_; ///< By peer: when this daemon last confirmed the outage to it;
+                                              ///< set before the answer leaves.
+    std::map<member_id, millis> voted_against_; ///< By peer: when `members_to_suspect` last returned it. A
+                                                ///< vote may be in the log before its writer reads it back.
+    millis listening_since_{};    ///< Start or end of the last pause; kept by `members_to_suspect`.
+    millis last_suspect_check_{}; ///< Last call of `members_to_suspect`.
 };
 
 enum class authority : std::uint8_t {
@@ -46,8 +55,11 @@
 [[nodiscard]] bool may_vouch(fleet_state const& state, authority_view const& view,
                              member_id const& peer) noexcept;
 
-/// \returns The members that this daemon should vote out now. Thread safety: pure.
-[[nodiscard]] std::vector<member_id> members_to_suspect(fleet_state const& state, authority_view const& view,
+/// \brief Chooses the members to vote out and books them as voted against, so that `may_vouch` refuses them
+/// before the vote is read back. A vote that is not folded is returned again after `suspect_after`.
+/// \returns The members that this daemon should vote out now; call it at least every `max_listening_gap`.
+/// Thread safety: the caller owns `view`.
+[[nodiscard]] std::vector<member_id> members_to_suspect(fleet_state const& state, authority_view& view,
                                                         millis now);
 
 } // namespace auburnchute
