Queue, batch and repeat records for the log

Ruled out: repeating an acknowledged batch at the retry pause; it is in the log and only its read is late, so a repeat wastes appends. A failed append is repeated after 250 ms, an unread acknowledged one after 10 s.

--- a/include/auburnchute/log_writer.hpp
+++ b/include/auburnchute/log_writer.hpp
@@ -15,6 +15,13 @@
 /// \brief Appends a second that all daemons together may make; the log takes several hundred.
 inline constexpr std::int64_t append_budget = 250;
 
+/// \brief How long the writer waits after a failed append, so that an outage does not cause a retry at every
+/// interval.
+inline constexpr millis append_retry_pause{250};
+
+/// \brief How long an acknowledged batch may stay unread before it is sent again. Repeating it is harmless.
+inline constexpr millis read_back_patience{10'000};
+
 /// \brief Group commit: queues records, forms one batch at a time and repeats it until it is read back.
 ///
 /// Plain data; the transport sends what `next_batch` returns and reports what it reads.
@@ -43,7 +50,9 @@
 /// again.
 void append_returned(log_writer& writer, bool acknowledged, millis now) noexcept;
 
-/// \brief Reports an own record that was read back. \returns True if it belonged to the batch in flight.
+/// \brief Reports an own record that was read back. Earlier records of the batch are dropped as well: the
+/// fold has passed them. After a start from a snapshot, call it with the highest folded sequence of this
+/// writer. \returns True if it belonged to the batch in flight.
 bool read_back(log_writer& writer, std::uint64_t sequence) noexcept;
 
 /// \brief Drops queued records that were never sent, when the daemon's authority lapsed. \returns Their
