Blame crashes on requests and isolate suspects one at a time

Ruled out: isolation by each daemon alone. Two daemons that each run one suspect on the same upstream would both take theirs for the only one, and a crash would confirm an innocent request. New functions: may_run_isolated lets suspects that crashed together run one after the other over all daemons; book_peer_evidence takes what a peer passes on; book_folded drops local evidence once the fold holds it. book_crash is given the time. judge is no longer noexcept, because it looks up a string.

--- a/include/auburnchute/quarantine.hpp
+++ b/include/auburnchute/quarantine.hpp
@@ -11,6 +11,13 @@
 
 namespace auburnchute {
 
+/// \brief How long a suspect waits before its isolated run, so that all daemons learn first which other
+/// requests were in flight on the upstream that died. Two heartbeats.
+inline constexpr millis evidence_delay{1'000};
+
+/// \brief How long a suspect keeps the others that crashed with it waiting; its caller may have gone.
+inline constexpr millis suspect_turn{10'000};
+
 /// \brief Crash evidence that this daemon holds beyond the fold: own and peers' crashes not yet folded.
 struct quarantine_view {
     std::map<std::string, crash_entry> local_; ///< By fingerprint.
@@ -24,19 +31,33 @@
 
 /// \returns What the evidence of the fold and of this daemon says about a request. Thread safety: pure.
 [[nodiscard]] crash_verdict judge(fleet_state const& state, quarantine_view const& view,
-                                  std::string_view fingerprint) noexcept;
+                                  std::string_view fingerprint);
+
+/// \brief Says whether a suspect may start its isolated run. Suspects that crashed on one upstream run one
+/// after the other over all daemons, in the order of their fingerprints; otherwise two daemons would each
+/// take their own suspect for the only one and blame an innocent request. \returns False: ask again later.
+/// Thread safety: pure.
+[[nodiscard]] bool may_run_isolated(fleet_state const& state, quarantine_view const& view,
+                                    std::string_view fingerprint, millis now);
 
 /// \brief Books the death of an upstream.
 /// \param in_flight Fingerprints that ran on it; \param isolated the one that ran as an isolated suspect, or
-/// empty. \returns The records to append, one for each request in flight. If an isolated suspect was among
-/// them, it alone is blamed.
+/// empty. \returns The records to append, one for each fingerprint in flight. If an isolated suspect was
+/// among them, it alone is blamed.
 [[nodiscard]] std::vector<crash_seen> book_crash(quarantine_view& view, std::string_view upstream,
                                                  std::vector<std::string> const& in_flight,
-                                                 std::string_view isolated);
+                                                 std::string_view isolated, millis now);
+
+/// \brief Books evidence that a peer passed on directly, while the log is down or slow.
+void book_peer_evidence(quarantine_view& view, crash_seen const& seen, millis now);
 
 /// \brief Books that a suspect finished. \returns True if a `crash_cleared` record should be appended.
 [[nodiscard]] bool book_finish(fleet_state const& state, quarantine_view& view, std::string_view fingerprint);
 
+/// \brief Drops the local evidence on a request when a `crash_seen` or `crash_cleared` record for it was
+/// folded; from then on the fold says what is known.
+void book_folded(quarantine_view& view, std::string_view fingerprint);
+
 /// \returns The fingerprint of a request; it reveals neither the body nor the key. Thread safety: pure.
 [[nodiscard]] std::string fingerprint(std::string_view workspace, std::string_view route,
                                       std::string_view body);
