--- a/include/auburnchute/fleet_state.hpp
+++ b/include/auburnchute/fleet_state.hpp
@@ -24,6 +24,7 @@
     std::string availability_zone_;
     std::string http_;
     std::string peer_;
+    std::string admin_;
     member_status status_{member_status::live};
     bool by_suspicion_{};        ///< Gone by votes: its share is usable only after `suspicion_grace`.
     std::set<member_id> voters_; ///< Members of the share version in force that suspect it.
--- a/include/auburnchute/record.hpp
+++ b/include/auburnchute/record.hpp
@@ -23,8 +23,9 @@
 struct member_joined {
     member_id member_;
     std::string availability_zone_;
-    std::string http_; ///< Address for callers, `ip:port`.
-    std::string peer_; ///< Address for other daemons, `ip:port`.
+    std::string http_;  ///< Address for callers, `ip:port`.
+    std::string peer_;  ///< Address for other daemons, `ip:port`.
+    std::string admin_; ///< Address for operators, `ip:port`.
 };
 
 struct member_leaving {
--- a/src/state/fleet_state.cpp
+++ b/src/state/fleet_state.cpp
@@ -124,7 +124,7 @@
                 mark_gone(entry, false);
             }
         }
-        state_.members_[body.member_] = {body.availability_zone_, body.http_, body.peer_,
+        state_.members_[body.member_] = {body.availability_zone_, body.http_, body.peer_, body.admin_,
                                          member_status::live,     false,      {}};
         advance_shares(state_);
         return {};
--- a/src/transport/engine_client.cpp
+++ b/src/transport/engine_client.cpp
@@ -42,10 +42,12 @@
     report.leaving_ = json.value("leaving", false);
     report.resumes_streams_ = json.value("resumes_streams", false);
     for (auto const& item : json.value("replicas", nlohmann::json::array())) {
-        report.replicas_.push_back({item.at("replica").get<std::string>(), item.value("status", "") == "loaded"});
+        report.replicas_.push_back(
+            {item.at("replica").get<std::string>(), item.value("status", "") == "loaded"});
     }
     for (auto const& item : json.value("cached", nlohmann::json::array())) {
-        report.cached_.emplace_back(item.at("model").get<std::string>(), parse_source(item.value("source", "")));
+        report.cached_.emplace_back(item.at("model").get<std::string>(),
+                                    parse_source(item.value("source", "")));
     }
     return report;
 }
@@ -96,10 +98,11 @@
     }
 }
 
-order_result order_load(std::string const& address, load_order const& order, std::string const& order_key, millis limit)
+order_result order_load(std::string const& address, load_order const& order, std::string const& order_key,
+                        millis limit)
 {
-    nlohmann::json const body{{"replica", order.replica_},     {"model", order.model_},
-                              {"adapter", order.adapter_},     {"memory_mb", order.memory_mb_},
+    nlohmann::json const body{{"replica", order.replica_},        {"model", order.model_},
+                              {"adapter", order.adapter_},        {"memory_mb", order.memory_mb_},
                               {"source", to_text(order.source_)}, {"fencing", order.fencing_},
                               {"vm_instance", order.vm_instance_}};
     return send_order(address, "/orders/load", body.dump(), order_key, limit);
--- a/src/transport/engine_client.hpp
+++ b/src/transport/engine_client.hpp
@@ -26,13 +26,14 @@
     bool leaving_{};
     bool resumes_streams_{};
     std::vector<reported_replica> replicas_;
-    std::vector<std::pair<std::string, load_source>> cached_; ///< `base` or `base:adapter`, and the cache that holds it.
+    std::vector<std::pair<std::string, load_source>>
+        cached_; ///< `base` or `base:adapter`, and the cache that holds it.
 };
 
 /// \brief How an order to an upstream ended.
 enum class order_result : std::uint8_t {
     done,
-    refused, ///< The upstream answered that it does not obey; the order can no longer act.
+    refused,  ///< The upstream answered that it does not obey; the order can no longer act.
     not_sent, ///< Nothing was written; the order can no longer act.
     unknown   ///< The order may still act.
 };
@@ -53,12 +54,12 @@
 [[nodiscard]] std::optional<upstream_report> read_report(std::string const& address);
 
 /// \brief Orders a load and waits for its end. \param order_key Signs the order; empty: unsigned.
-[[nodiscard]] order_result order_load(std::string const& address, load_order const& order, std::string const& order_key,
-                                      millis limit);
+[[nodiscard]] order_result order_load(std::string const& address, load_order const& order,
+                                      std::string const& order_key, millis limit);
 
 /// \brief Orders an unload and waits for its end.
-[[nodiscard]] order_result order_unload(std::string const& address, std::string const& replica, std::uint64_t fencing,
-                                        std::string const& order_key);
+[[nodiscard]] order_result order_unload(std::string const& address, std::string const& replica,
+                                        std::uint64_t fencing, std::string const& order_key);
 
 /// \returns The hexadecimal HMAC-SHA-256 that upstreams check.
 [[nodiscard]] std::string sign_order(std::string const& order_key, std::string const& body);
--- a/src/transport/fleet_view.hpp
+++ b/src/transport/fleet_view.hpp
@@ -13,10 +13,11 @@
 
 /// \brief Counts that the request path keeps for one upstream; they outlive published views.
 struct upstream_counters {
-    std::atomic<std::int64_t> running_{};     ///< Own requests on the upstream.
-    std::atomic<std::int64_t> full_until_{};  ///< The upstream refused work: no new work until this time.
-    std::atomic<std::int64_t> suspects_{};    ///< Own isolated suspects on the upstream.
-    std::atomic<std::int64_t> refused_connections_{}; ///< In a row; the upstream counts as unreachable after three.
+    std::atomic<std::int64_t> running_{};    ///< Own requests on the upstream.
+    std::atomic<std::int64_t> full_until_{}; ///< The upstream refused work: no new work until this time.
+    std::atomic<std::int64_t> suspects_{};   ///< Own isolated suspects on the upstream.
+    std::atomic<std::int64_t>
+        refused_connections_{}; ///< In a row; the upstream counts as unreachable after three.
 };
 
 /// \brief An upstream as last reported.
@@ -43,8 +44,8 @@
     bool stopping_{};
 };
 
-/// \brief How long open streams go on after the authority lapsed. Ends before other members may use this daemon's share:
-/// `suspect_after` and `suspicion_grace` less 10% clock drift, counted from the last contact.
+/// \brief How long open streams go on after the authority lapsed. Ends before other members may use this
+/// daemon's share: `suspect_after` and `suspicion_grace` less 10% clock drift, counted from the last contact.
 inline constexpr millis stream_grace{6'000};
 
 } // namespace auburnchute
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -21,6 +21,7 @@
 
 /// \brief Makes an HTTP client for `IP:PORT` with these limits. \throws error if the address is malformed.
 /// Thread safety: pure; the client belongs to the calling thread.
-[[nodiscard]] std::unique_ptr<httplib::Client> make_http_client(std::string_view address, call_limits const& limits);
+[[nodiscard]] std::unique_ptr<httplib::Client> make_http_client(std::string_view address,
+                                                                call_limits const& limits);
 
 } // namespace auburnchute
--- a/src/transport/log_client.cpp
+++ b/src/transport/log_client.cpp
@@ -15,8 +15,9 @@
 std::optional<std::string> base64_decode(std::string const& text)
 {
     std::string bytes(text.size() / 4 * 3, '\0');
-    auto const size = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
-                                      reinterpret_cast<unsigned char const*>(text.data()), static_cast<int>(text.size()));
+    auto const size =
+        EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                        reinterpret_cast<unsigned char const*>(text.data()), static_cast<int>(text.size()));
     if (size < 0 || text.size() % 4 != 0) {
         return std::nullopt;
     }
@@ -42,8 +43,9 @@
             if (!data) {
                 return std::nullopt;
             }
-            page.entries_.push_back(
-                {item.at("offset").get<std::uint64_t>(), {item.at("time_ms").get<std::int64_t>()}, std::move(*data)});
+            page.entries_.push_back({item.at("offset").get<std::uint64_t>(),
+                                     {item.at("time_ms").get<std::int64_t>()},
+                                     std::move(*data)});
         }
         return page;
     } catch (nlohmann::json::exception const&) {
--- a/src/transport/log_client.hpp
+++ b/src/transport/log_client.hpp
@@ -26,8 +26,8 @@
 
 /// \brief Client of the append-only log service.
 ///
-/// Thread safety: all functions may be called from any thread; each call opens its own connection or reuses the calling
-/// thread's one.
+/// Thread safety: all functions may be called from any thread; each call opens its own connection or reuses
+/// the calling thread's one.
 class log_client {
 public:
     /// \brief Makes a client. \pre `address` is `IP:PORT`.
--- a/src/transport/peer_service.cpp
+++ b/src/transport/peer_service.cpp
@@ -35,7 +35,8 @@
     }
     grpc::SslServerCredentialsOptions options{GRPC_SSL_REQUEST_AND_REQUIRE_CLIENT_CERTIFICATE_AND_VERIFY};
     options.pem_root_certs = read_file(security.authority_);
-    options.pem_key_cert_pairs.push_back({read_file(security.private_key_), read_file(security.certificate_)});
+    options.pem_key_cert_pairs.push_back(
+        {read_file(security.private_key_), read_file(security.certificate_)});
     return grpc::SslServerCredentials(options);
 }
 
@@ -59,25 +60,29 @@
         return grpc::Status::OK;
     }
 
-    grpc::Status Borrow(grpc::ServerContext*, peer::v1::BorrowRequest const* request, peer::v1::BorrowReply* reply) override
+    grpc::Status Borrow(grpc::ServerContext*, peer::v1::BorrowRequest const* request,
+                        peer::v1::BorrowReply* reply) override
     {
         *reply = handlers_.borrow_(*request);
         return grpc::Status::OK;
     }
 
-    grpc::Status Return(grpc::ServerContext*, peer::v1::ReturnRequest const* request, peer::v1::ReturnReply*) override
+    grpc::Status Return(grpc::ServerContext*, peer::v1::ReturnRequest const* request,
+                        peer::v1::ReturnReply*) override
     {
         handlers_.give_back_(*request);
         return grpc::Status::OK;
     }
 
-    grpc::Status Demand(grpc::ServerContext*, peer::v1::DemandRequest const* request, peer::v1::DemandReply*) override
+    grpc::Status Demand(grpc::ServerContext*, peer::v1::DemandRequest const* request,
+                        peer::v1::DemandReply*) override
     {
         handlers_.demand_(*request);
         return grpc::Status::OK;
     }
 
-    grpc::Status FetchRecords(grpc::ServerContext*, peer::v1::FetchRequest const* request, peer::v1::FetchReply* reply) override
+    grpc::Status FetchRecords(grpc::ServerContext*, peer::v1::FetchRequest const* request,
+                              peer::v1::FetchReply* reply) override
     {
         *reply = handlers_.fetch_(*request);
         return grpc::Status::OK;
@@ -149,7 +154,8 @@
 
 peer_client::~peer_client() = default;
 
-std::optional<peer::v1::HeartbeatReply> peer_client::heartbeat(peer::v1::HeartbeatRequest const& request, millis limit) const
+std::optional<peer::v1::HeartbeatReply> peer_client::heartbeat(peer::v1::HeartbeatRequest const& request,
+                                                               millis limit) const
 {
     grpc::ClientContext context;
     set_deadline(context, limit);
@@ -160,7 +166,8 @@
     return reply;
 }
 
-std::optional<peer::v1::BorrowReply> peer_client::borrow(peer::v1::BorrowRequest const& request, millis limit) const
+std::optional<peer::v1::BorrowReply> peer_client::borrow(peer::v1::BorrowRequest const& request,
+                                                         millis limit) const
 {
     grpc::ClientContext context;
     set_deadline(context, limit);
@@ -187,7 +194,8 @@
     return implementation_->stub_->Demand(&context, request, &reply).ok();
 }
 
-std::optional<peer::v1::FetchReply> peer_client::fetch(peer::v1::FetchRequest const& request, millis limit) const
+std::optional<peer::v1::FetchReply> peer_client::fetch(peer::v1::FetchRequest const& request,
+                                                       millis limit) const
 {
     grpc::ClientContext context;
     set_deadline(context, limit);
--- a/src/transport/peer_service.hpp
+++ b/src/transport/peer_service.hpp
@@ -19,7 +19,8 @@
     std::string authority_;
 };
 
-/// \brief What a daemon does with the calls of its peers. The functions may be called from several threads at once.
+/// \brief What a daemon does with the calls of its peers. The functions may be called from several threads at
+/// once.
 struct peer_handlers {
     std::function<peer::v1::HeartbeatReply(peer::v1::HeartbeatRequest const&)> heartbeat_;
     std::function<peer::v1::BorrowReply(peer::v1::BorrowRequest const&)> borrow_;
@@ -33,8 +34,8 @@
 /// Thread safety: `stop` may be called from any thread.
 class peer_server {
 public:
-    /// \brief Binds the address. The process registers as a member only afterwards, so that a newer incarnation at an address
-    /// proves that the older process ended. \throws error if the address is in use.
+    /// \brief Binds the address. The process registers as a member only afterwards, so that a newer
+    /// incarnation at an address proves that the older process ended. \throws error if the address is in use.
     peer_server(std::string const& address, peer_security const& security, peer_handlers handlers);
     ~peer_server();
     peer_server(peer_server const&) = delete;
@@ -60,11 +61,14 @@
     peer_client& operator=(peer_client const&) = delete;
 
     /// \returns The reply; none if the peer did not answer within `limit`.
-    [[nodiscard]] std::optional<peer::v1::HeartbeatReply> heartbeat(peer::v1::HeartbeatRequest const& request, millis limit) const;
-    [[nodiscard]] std::optional<peer::v1::BorrowReply> borrow(peer::v1::BorrowRequest const& request, millis limit) const;
+    [[nodiscard]] std::optional<peer::v1::HeartbeatReply> heartbeat(peer::v1::HeartbeatRequest const& request,
+                                                                    millis limit) const;
+    [[nodiscard]] std::optional<peer::v1::BorrowReply> borrow(peer::v1::BorrowRequest const& request,
+                                                              millis limit) const;
     bool give_back(peer::v1::ReturnRequest const& request, millis limit) const;
     bool demand(peer::v1::DemandRequest const& request, millis limit) const;
-    [[nodiscard]] std::optional<peer::v1::FetchReply> fetch(peer::v1::FetchRequest const& request, millis limit) const;
+    [[nodiscard]] std::optional<peer::v1::FetchReply> fetch(peer::v1::FetchRequest const& request,
+                                                            millis limit) const;
 
 private:
     struct implementation;
--- a/src/transport/share_book.cpp
+++ b/src/transport/share_book.cpp
@@ -17,7 +17,8 @@
 {
     auto const holders = preferred_members(workspace, version.members_, max_share_holders);
     auto const it = std::find(holders.begin(), holders.end(), self);
-    return it == holders.end() ? 0 : base_units(static_cast<std::size_t>(it - holders.begin()), holders.size());
+    return it == holders.end() ? 0
+                               : base_units(static_cast<std::size_t>(it - holders.begin()), holders.size());
 }
 
 bool is_member(share_version const& version, member_id const& self)
@@ -53,7 +54,8 @@
         std::lock_guard const lock{slot->mutex_};
         set_limits(slot->bucket_, row.rate_, row.burst_, time);
     }
-    std::erase_if(entries_, [&](auto const& item) { return find_workspace(*state.tables_, item.first) == nullptr; });
+    std::erase_if(entries_,
+                  [&](auto const& item) { return find_workspace(*state.tables_, item.first) == nullptr; });
 }
 
 void share_book::begin_if_due(fleet_state const& state, member_id const& self)
@@ -71,8 +73,7 @@
     version_ = in_force.number_;
     for (auto& [workspace, slot] : entries_) {
         std::lock_guard const lock{slot->mutex_};
-        refill(slot->bucket_, now(clock_));
-        begin_version(slot->bucket_, version_, units_in(in_force, workspace, self));
+        begin_version(slot->bucket_, version_, units_in(in_force, workspace, self), now(clock_));
     }
 }
 
@@ -87,10 +88,13 @@
         for (auto& [workspace, slot] : entries_) {
             std::lock_guard const bucket_lock{slot->mutex_};
             if (slot->bucket_.base_units_ == 0 && slot->bucket_.loans_.empty()) {
-                begin_version(slot->bucket_, version_, units_in(state.in_force_, workspace, self));
+                begin_version(slot->bucket_, version_, units_in(state.in_force_, workspace, self),
+                              now(clock_));
                 if (state.pending_.number_ != 0) {
-                    // The pending version may already be acknowledged, so the smaller share counts here as well.
-                    prepare_version(slot->bucket_, units_in(state.pending_, workspace, self));
+                    // The pending version may already be acknowledged, so the smaller share counts here as
+                    // well.
+                    prepare_version(slot->bucket_, state.pending_.number_,
+                                    units_in(state.pending_, workspace, self), now(clock_));
                 }
             }
         }
@@ -104,8 +108,7 @@
     bool all_fit = true;
     for (auto& [workspace, slot] : entries_) {
         std::lock_guard const bucket_lock{slot->mutex_};
-        refill(slot->bucket_, now(clock_));
-        prepare_version(slot->bucket_, units_in(pending, workspace, self));
+        prepare_version(slot->bucket_, pending.number_, units_in(pending, workspace, self), now(clock_));
         all_fit = all_fit && fits(slot->bucket_);
     }
     if (!all_fit) {
@@ -167,32 +170,36 @@
         return std::nullopt;
     }
     std::lock_guard const lock{slot->mutex_};
-    if (slot->bucket_.version_ != version) {
-        return std::nullopt;
-    }
-    refill(slot->bucket_, now(clock_));
-    return lend(slot->bucket_, borrower, version, units);
+    return lend(slot->bucket_, borrower, version, units, now(clock_));
 }
 
 void share_book::borrowed_from(member_id const& lender, std::string_view workspace, loan_grant const& grant)
 {
     if (auto const slot = find(workspace)) {
         std::lock_guard const lock{slot->mutex_};
-        refill(slot->bucket_, now(clock_));
-        receive_loan(slot->bucket_, lender, grant);
+        receive_loan(slot->bucket_, lender, grant, now(clock_));
     }
 }
 
-void share_book::returned_by(member_id const& borrower, std::string_view workspace, std::uint64_t version,
-                             std::int64_t total)
+void share_book::returned_by(member_id const& borrower, std::string_view workspace,
+                             loan_return const& returned)
 {
     if (auto const slot = find(workspace)) {
         std::lock_guard const lock{slot->mutex_};
-        refill(slot->bucket_, now(clock_));
-        take_back(slot->bucket_, borrower, version, total);
+        take_back(slot->bucket_, borrower, returned, now(clock_));
     }
 }
 
+std::uint64_t share_book::loan_version(std::string_view workspace) const
+{
+    auto const slot = find(workspace);
+    if (!slot) {
+        return 0;
+    }
+    std::lock_guard const lock{slot->mutex_};
+    return slot->bucket_.version_;
+}
+
 std::vector<share_book::pending_return> share_book::collect_returns()
 {
     std::vector<pending_return> returns;
@@ -201,7 +208,6 @@
         std::lock_guard const bucket_lock{slot->mutex_};
         auto& bucket = slot->bucket_;
         bool const idle = now(clock_) >= slot->last_reserve_ + loan_idle;
-        refill(bucket, now(clock_));
         std::vector<member_id> lenders;
         for (auto const& [peer, loan] : bucket.loans_) {
             if (loan.borrowed_ > 0) {
@@ -211,7 +217,7 @@
         for (auto const& lender : lenders) {
             // The total is sent again while idle, in case an earlier message was lost.
             if (idle) {
-                returns.push_back({lender, workspace, bucket.version_, give_back(bucket, lender)});
+                returns.push_back({lender, workspace, give_back(bucket, lender, now(clock_))});
             }
         }
     }
@@ -224,13 +230,8 @@
     std::lock_guard const lock{mutex_};
     for (auto& [workspace, slot] : entries_) {
         std::lock_guard const bucket_lock{slot->mutex_};
-        auto const& bucket = slot->bucket_;
         refill(slot->bucket_, now(clock_));
-        auto const full = capacity(bucket) * 1'000;
-        if (full > 0) {
-            idle[workspace] = static_cast<std::int64_t>(static_cast<double>(units_held(bucket)) *
-                                                        static_cast<double>(bucket.tokens_) / static_cast<double>(full));
-        }
+        idle[workspace] = auburnchute::idle_units(slot->bucket_);
     }
     return idle;
 }
@@ -248,12 +249,6 @@
     return all;
 }
 
-std::uint64_t share_book::version() const
-{
-    std::lock_guard const lock{mutex_};
-    return version_;
-}
-
 millis share_book::retry_after(std::string_view workspace, std::int64_t tokens)
 {
     auto const slot = find(workspace);
--- a/src/transport/share_book.hpp
+++ b/src/transport/share_book.hpp
@@ -27,13 +27,14 @@
 
 /// \brief This daemon's token buckets, one for each workspace, and their share versions.
 ///
-/// Thread safety: all functions may be called from any thread. A bucket's lock is held for a few arithmetic steps only.
+/// Thread safety: all functions may be called from any thread. A bucket's lock is held for a few arithmetic
+/// steps only.
 class share_book {
 public:
     explicit share_book(clock clk);
 
-    /// \brief Follows the fold: limits, pending and new share versions. Call after each folded batch and every tick.
-    /// \returns The pending version if this member may acknowledge it now.
+    /// \brief Follows the fold: limits, pending and new share versions. Call after each folded batch and
+    /// every tick. \returns The pending version if this member may acknowledge it now.
     [[nodiscard]] std::optional<std::uint64_t> follow(fleet_state const& state, member_id const& self);
 
     /// \brief Forgets all units and tokens, when this daemon takes a new incarnation.
@@ -48,7 +49,8 @@
     /// \brief Returns reserved tokens that were not used.
     void unused(std::string_view workspace, std::int64_t tokens);
 
-    /// \brief Lends units to a peer. \returns The grant; none if the workspace is unknown or the versions differ.
+    /// \brief Lends units to a peer. \returns The grant; none if the workspace is unknown or the versions
+    /// differ.
     [[nodiscard]] std::optional<loan_grant> lend_to(member_id const& borrower, std::string_view workspace,
                                                     std::uint64_t version, std::int64_t units);
 
@@ -56,14 +58,16 @@
     void borrowed_from(member_id const& lender, std::string_view workspace, loan_grant const& grant);
 
     /// \brief Books a peer's return.
-    void returned_by(member_id const& borrower, std::string_view workspace, std::uint64_t version, std::int64_t total);
+    void returned_by(member_id const& borrower, std::string_view workspace, loan_return const& returned);
+
+    /// \returns The share version under which loans of the workspace are made now.
+    [[nodiscard]] std::uint64_t loan_version(std::string_view workspace) const;
 
     /// \brief A return to send to a lender.
     struct pending_return {
         member_id lender_;
         std::string workspace_;
-        std::uint64_t version_{};
-        std::int64_t total_{};
+        loan_return returned_;
     };
 
     /// \brief Gives idle borrowed units back. \returns The messages to send; they may be repeated.
@@ -75,10 +79,8 @@
     /// \returns All buckets.
     [[nodiscard]] std::vector<share_status> status();
 
-    /// \returns The share version that the buckets follow.
-    [[nodiscard]] std::uint64_t version() const;
-
-    /// \returns Milliseconds until a request of this size could be admitted with the units held; for `Retry-After`.
+    /// \returns Milliseconds until a request of this size could be admitted with the units held; for
+    /// `Retry-After`.
     [[nodiscard]] millis retry_after(std::string_view workspace, std::int64_t tokens);
 
 private:
--- a/src/transport/vm_list_client.hpp
+++ b/src/transport/vm_list_client.hpp
@@ -21,7 +21,8 @@
 };
 
 /// \brief Reads the VM list, which may lag behind.
-/// \returns None if it could not be reached or answered nonsense. Thread safety: may be called from any thread.
+/// \returns None if it could not be reached or answered nonsense. Thread safety: may be called from any
+/// thread.
 [[nodiscard]] std::optional<std::vector<listed_vm>> read_vm_list(std::string const& address);
 
 } // namespace auburnchute
