Plan loads and unloads of a pool

Ruled out: planning on a copy of the fold. It copies every claim and key for each plan; a survey of upstreams and replicas holds all that counts. Beyond the interface as it was: plan_removed_pools unloads replicas whose pool row left the tables, which no pool's planner sees; placement_input gains failed_, so that a load that fails is not sent to the same upstream again at once while another fits.

--- a/include/auburnchute/placement.hpp
+++ b/include/auburnchute/placement.hpp
@@ -35,6 +35,20 @@
     std::map<std::string, load_source> by_model_; ///< `base` or `base:adapter`.
 };
 
+/// \brief A load that failed; for a while its upstream comes last for the same model.
+struct failed_load {
+    std::string upstream_;
+    std::string model_;
+    std::string adapter_;
+    millis at_{};
+};
+
+/// \brief How long a failed load counts against its upstream.
+inline constexpr millis failed_load_memory{60'000};
+
+/// \brief A model is kept for the full `idle_unload` while its mean interval is below this many load times.
+inline constexpr std::int64_t keep_alive_load_times = 20;
+
 /// \brief All that a placement decision looks at.
 struct placement_input {
     fleet_state const& state_;
@@ -42,10 +56,12 @@
     std::map<std::string, cached_weights> const& caches_;     ///< By upstream.
     std::map<std::string, std::int64_t> const& replica_load_; ///< Running requests by replica id.
     std::map<std::string, millis> const& last_used_;          ///< By replica id.
-    std::map<std::string, millis> const& loaded_at_;          ///< By replica id, by this daemon's clock.
-    std::span<std::string const> leaving_;                    ///< Upstreams that are leaving by any evidence.
+    std::map<std::string, millis> const& loaded_at_; ///< By replica id, by this daemon's clock; a replica
+                                                     ///< without an entry counts as just loaded.
+    std::span<std::string const> leaving_;           ///< Upstreams that are leaving by any evidence.
     member_id self_;
     millis now_{};
+    std::span<failed_load const> failed_{}; ///< Loads that failed within `failed_load_memory`.
 };
 
 /// \brief A decision to write to the log: `load_decided` or `unload_decided`.
@@ -61,6 +77,10 @@
 [[nodiscard]] std::vector<placement_action> plan_pool(placement_input const& input, pool_row const& pool,
                                                       std::uint64_t& next_replica);
 
+/// \brief Plans the unloads of replicas whose pool left the tables. One member does it for the fleet.
+/// \returns The records to propose. Thread safety: pure.
+[[nodiscard]] std::vector<placement_action> plan_removed_pools(placement_input const& input);
+
 /// \returns How long an idle replica is kept: as long as holding costs less than the expected cold start, at
 /// most the row's `idle_unload`. Thread safety: pure.
 [[nodiscard]] millis keep_alive(model_row const& model, millis mean_interval) noexcept;
