--- a/src/transport/share_book.cpp
+++ b/src/transport/share_book.cpp
@@ -137,8 +137,7 @@
     std::lock_guard const lock{slot->mutex_};
     auto const time = now(clock_);
     slot->last_reserve_ = time;
-    refill(slot->bucket_, time);
-    if (reserve(slot->bucket_, tokens)) {
+    if (reserve(slot->bucket_, tokens, time)) {
         return 0;
     }
     return std::max<std::int64_t>(1, units_missing(slot->bucket_, tokens));
@@ -148,8 +147,7 @@
 {
     if (auto const slot = find(workspace)) {
         std::lock_guard const lock{slot->mutex_};
-        refill(slot->bucket_, now(clock_));
-        produce(slot->bucket_, tokens);
+        produce(slot->bucket_, tokens, now(clock_));
     }
 }
 
@@ -157,8 +155,7 @@
 {
     if (auto const slot = find(workspace)) {
         std::lock_guard const lock{slot->mutex_};
-        refill(slot->bucket_, now(clock_));
-        release(slot->bucket_, tokens);
+        release(slot->bucket_, tokens, now(clock_));
     }
 }
 
