Write the request path, the admin interface and the daemon

Requests pass the steps of docs/design.md section 8. Upstreams are always read as streams, so that crossed and cut answers are noticed event by event.

--- a/src/transport/fleet_control.cpp
+++ b/src/transport/fleet_control.cpp
@@ -88,6 +88,12 @@
     publish();
 }
 
+bool fleet_control::is_stopping() const
+{
+    std::lock_guard const lock{mutex_};
+    return stopping_;
+}
+
 void fleet_control::finish_stop(millis limit)
 {
     auto const deadline = now(clock_) + limit;
@@ -235,6 +241,12 @@
     return all;
 }
 
+millis fleet_control::log_age() const
+{
+    std::lock_guard const lock{mutex_};
+    return now(clock_) - authority_.log_tail_read_;
+}
+
 void fleet_control::publish()
 {
     std::lock_guard const one_publisher{publish_mutex_};
--- a/src/transport/fleet_control.hpp
+++ b/src/transport/fleet_control.hpp
@@ -67,12 +67,15 @@
     /// \brief Begins a planned stop: this VM leaves the entry list and new share versions.
     void begin_stop();
 
+    /// \returns True after a planned stop has begun, by a signal or by a drain.
+    [[nodiscard]] bool is_stopping() const;
+
     /// \brief Ends the membership after the last request, and all threads. Waits up to `limit` for the log.
     void finish_stop(millis limit);
 
     /// \brief Reads the published view. The reference is valid only within `use`.
     template <typename F>
-    decltype(auto) read(F&& use) const
+    auto read(F&& use) const
     {
         return view_.read(std::forward<F>(use));
     }
@@ -109,6 +112,9 @@
     /// \returns True if a suspect may start its isolated run now; otherwise ask again later.
     [[nodiscard]] bool may_start_isolated(std::string const& fingerprint) const;
 
+    /// \returns How long ago the log was known to be read to its tail.
+    [[nodiscard]] millis log_age() const;
+
     [[nodiscard]] clock const& time_source() const noexcept { return clock_; }
 
 private:
--- a/src/transport/fleet_log.cpp
+++ b/src/transport/fleet_log.cpp
@@ -132,6 +132,8 @@
             }
             if (auto const* const crash = std::get_if<crash_seen>(&rec.body_)) {
                 book_folded(quarantine_, crash->fingerprint_);
+                std::erase_if(fresh_crashes_,
+                              [crash](auto const& told) { return told.fingerprint_ == crash->fingerprint_; });
             } else if (auto const* const cleared = std::get_if<crash_cleared>(&rec.body_)) {
                 book_folded(quarantine_, cleared->fingerprint_);
             }
@@ -150,6 +152,9 @@
         state_ = std::make_shared<fleet_state const>(fold_);
     }
     metrics_.count("auburnchute_records_folded_total", {}, folded);
+    if (!own.empty()) {
+        publish(); // Whoever waits for a record reads a view that contains it.
+    }
     for (auto& [sequence, result] : own) {
         resolve(sequence, result);
     }
--- /dev/null
+++ b/src/transport/http_front.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "transport/model_call.hpp"
+#include "transport/request_context.hpp"
+
+#include <atomic>
+#include <memory>
+#include <thread>
+
+namespace httplib {
+struct Request;
+struct Response;
+class Server;
+} // namespace httplib
+
+namespace auburnchute {
+
+/// \brief The HTTP interface for callers.
+///
+/// Thread safety: `begin_drain`, `open_requests` and `stop` may be called from any thread.
+class http_front {
+public:
+    explicit http_front(request_services services);
+    ~http_front();
+    http_front(http_front const&) = delete;
+    http_front& operator=(http_front const&) = delete;
+
+    /// \brief Binds the address and serves on threads of its own. \returns The bound port. \throws error if
+    /// the address cannot be bound.
+    int start();
+
+    /// \brief From now on new requests are refused as not run; running ones go on.
+    void begin_drain() noexcept;
+
+    /// \returns Requests that are being answered.
+    [[nodiscard]] int open_requests() const noexcept;
+
+    /// \brief Closes the port and ends all threads.
+    void stop();
+
+private:
+    void add_routes();
+    void serve_model(httplib::Request const& request, httplib::Response& response);
+    void serve_service(httplib::Request const& request, httplib::Response& response);
+    void serve_entries(httplib::Response& response) const;
+    void serve_models(httplib::Request const& request, httplib::Response& response) const;
+    [[nodiscard]] bool refuse_if_full(request_context const& context, httplib::Response& response) const;
+
+    request_services services_;
+    retry_budgets budgets_;
+    std::unique_ptr<httplib::Server> server_;
+    std::atomic<int> open_{};
+    std::atomic<bool> draining_{};
+    std::jthread listener_;
+};
+
+} // namespace auburnchute
--- /dev/null
+++ b/src/transport/request_queue.cpp
@@ -0,0 +1,356 @@
+#include "transport/request_queue.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace auburnchute {
+
+namespace {
+
+/// A missed model counts as waited for during this time, so that the planner loads it for the caller's next
+/// try.
+constexpr millis missed_lifetime{2'000};
+
+/// An upstream that refused connections is tried again after this time.
+constexpr std::int64_t refused_connections_limit = 3;
+
+std::string queue_name(model_key const& key)
+{
+    return key.adapter_.empty() ? key.model_ : key.model_ + ":" + key.adapter_;
+}
+
+bool accepts_work(fleet_view const& view, std::string const& name, upstream_status const& status, millis time)
+{
+    return !status.leaving_ && !view.state_->drained_.contains(name) && status.counters_ &&
+           status.counters_->full_until_.load(std::memory_order_relaxed) <= time.count_ &&
+           status.counters_->refused_connections_.load(std::memory_order_relaxed) < refused_connections_limit;
+}
+
+routing_candidate make_candidate(fleet_view const& view, std::string const& name,
+                                 upstream_status const& status, std::int64_t slots, millis time)
+{
+    routing_candidate candidate;
+    candidate.upstream_ = name;
+    candidate.availability_zone_ = status.availability_zone_;
+    auto const running = status.counters_->running_.load(std::memory_order_relaxed);
+    candidate.reported_ = status.reported_;
+    // The report counts what this daemon ran when it was taken, so only the difference is added.
+    candidate.own_since_report_ = std::max<std::int64_t>(0, running - status.own_at_report_);
+    candidate.slots_ = slots;
+    candidate.accepts_work_ = accepts_work(view, name, status, time);
+    candidate.runs_suspect_ = status.counters_->suspects_.load(std::memory_order_relaxed) > 0;
+    return candidate;
+}
+
+} // namespace
+
+request_queue::request_queue(fleet_control& control, metrics& counters)
+    : control_{control}, metrics_{counters}
+{
+}
+
+request_queue::pool_queue& request_queue::queue_of(std::string const& pool)
+{
+    std::lock_guard const lock{mutex_};
+    auto& slot = pools_[pool];
+    if (!slot) {
+        slot = std::make_unique<pool_queue>();
+    }
+    return *slot;
+}
+
+bool request_queue::find_place(fleet_view const& view, slot_request const& request, slot_grant& grant) const
+{
+    auto const* const pool = find_pool(*view.state_->tables_, request.key_.pool_);
+    if (pool == nullptr) {
+        return false;
+    }
+    auto const time = now(control_.time_source());
+    std::vector<routing_candidate> candidates;
+    std::vector<std::string const*> replicas;
+    if (pool->kind_ == pool_kind::service) {
+        for (auto const& [name, status] : view.upstreams_) {
+            if (matches_upstream(pool->upstreams_, name) && status.counters_) {
+                candidates.push_back(make_candidate(view, name, status, pool->slots_, time));
+                replicas.push_back(nullptr);
+            }
+        }
+    } else {
+        auto const* const model = find_model(*pool, request.key_.model_);
+        if (model == nullptr) {
+            return false;
+        }
+        for (auto const& [id, replica] : view.state_->replicas_) {
+            bool const wanted =
+                replica.pool_ == request.key_.pool_ && replica.model_ == request.key_.model_ &&
+                replica.adapter_ == request.key_.adapter_ && replica.status_ == replica_status::loaded;
+            auto const status = wanted ? view.upstreams_.find(replica.upstream_) : view.upstreams_.end();
+            if (status != view.upstreams_.end() && status->second.counters_) {
+                candidates.push_back(
+                    make_candidate(view, status->first, status->second, model->slots_, time));
+                replicas.push_back(&id);
+            }
+        }
+    }
+    routing_request wanted;
+    wanted.prefix_hash_ = request.prefix_hash_;
+    wanted.request_hash_ = request.request_hash_;
+    wanted.isolated_ = request.isolated_;
+    wanted.avoid_ = request.avoid_;
+    if (pool->locality_ == locality::require && !pool->availability_zones_.empty()) {
+        for (auto& candidate : candidates) {
+            auto const& zones = pool->availability_zones_;
+            bool const allowed =
+                std::find(zones.begin(), zones.end(), candidate.availability_zone_) != zones.end();
+            candidate.accepts_work_ = candidate.accepts_work_ && allowed;
+        }
+    }
+    auto const own = view.state_->members_.find(view.self_);
+    if (own != view.state_->members_.end()) {
+        wanted.availability_zone_ = own->second.availability_zone_;
+    }
+    auto const chosen = pick_upstream(candidates, wanted);
+    if (!chosen) {
+        return false;
+    }
+    std::string const name{candidates[*chosen].upstream_};
+    auto const& status = view.upstreams_.at(name);
+    grant.verdict_ = slot_verdict::granted;
+    grant.upstream_ = name;
+    grant.address_ = status.address_;
+    grant.resumes_streams_ = status.resumes_streams_;
+    grant.replica_ = replicas[*chosen] == nullptr ? std::string{} : *replicas[*chosen];
+    grant.counters_ = status.counters_;
+    return true;
+}
+
+bool request_queue::take_place(fleet_view const& view, slot_request const& request, slot_grant& grant) const
+{
+    if (!find_place(view, request, grant)) {
+        return false;
+    }
+    grant.counters_->running_.fetch_add(1, std::memory_order_relaxed);
+    if (request.isolated_) {
+        grant.counters_->suspects_.fetch_add(1, std::memory_order_relaxed);
+    }
+    return true;
+}
+
+wait_estimate request_queue::estimate(fleet_view const& view, pool_queue const& pool,
+                                      slot_request const& request, bool& cold) const
+{
+    auto const& key = request.key_;
+    wait_estimate result;
+    auto const* const row = find_pool(*view.state_->tables_, key.pool_);
+    if (row == nullptr || row->kind_ == pool_kind::service) {
+        return result;
+    }
+    std::int64_t loaded = 0;
+    for (auto const& [id, replica] : view.state_->replicas_) {
+        bool const same =
+            replica.pool_ == key.pool_ && replica.model_ == key.model_ && replica.adapter_ == key.adapter_;
+        loaded += same && replica.status_ == replica_status::loaded ? 1 : 0;
+    }
+    auto const* const model = find_model(*row, key.model_);
+    cold = loaded == 0;
+    if (cold && model != nullptr) {
+        bool const base_loaded =
+            !key.adapter_.empty() && replica_count(*view.state_, key.pool_, key.model_, "") > 0;
+        result.load_remaining_ = base_loaded ? millis{50} : model->load_time_;
+    }
+    auto const usage = pool.usage_.find(key);
+    if (loaded > 0 && usage != pool.usage_.end() && usage->second.mean_service_ms_ > 0) {
+        result.served_per_second_ =
+            static_cast<double>(loaded * model->slots_) * 1'000.0 / usage->second.mean_service_ms_;
+    }
+    return result;
+}
+
+void request_queue::note_arrival(pool_queue& pool, slot_request const& request)
+{
+    auto const time = now(control_.time_source());
+    auto& usage = pool.usage_[request.key_];
+    if (usage.last_arrival_.count_ > 0) {
+        auto const interval = time - usage.last_arrival_;
+        usage.mean_interval_ = (usage.mean_interval_ * 7 + interval) / 8;
+    }
+    usage.last_arrival_ = time;
+    usage.last_used_ = time;
+    usage.highest_ = request.priority_;
+}
+
+slot_grant request_queue::acquire(slot_request const& request)
+{
+    auto& pool = queue_of(request.key_.pool_);
+    auto const entry = std::make_shared<waiter>();
+    entry->request_ = request;
+    auto& grant = entry->grant_;
+    std::uint64_t const ticket = next_ticket_.fetch_add(1, std::memory_order_relaxed);
+    bool queued = false;
+    control_.read([&](fleet_view const& view) {
+        std::lock_guard const lock{pool.mutex_};
+        note_arrival(pool, request);
+        if (pool.waiters_.empty() && take_place(view, request, grant)) {
+            ++pool.usage_[request.key_].running_;
+            return;
+        }
+        auto const expected = estimate(view, pool, request, grant.was_cold_);
+        grant.expected_wait_ = expected.load_remaining_;
+        if (auto const* const row = find_pool(*view.state_->tables_, request.key_.pool_)) {
+            pool.queue_.aging_ = row->aging_;
+        }
+        waiting_request item;
+        item.ticket_ = ticket;
+        item.workspace_ = request.workspace_;
+        item.weight_ = request.weight_;
+        item.model_ = queue_name(request.key_);
+        item.priority_ = request.priority_;
+        item.tokens_ = request.tokens_;
+        item.arrived_ = request.arrived_;
+        item.deadline_ = request.deadline_;
+        auto const verdict = enqueue(pool.queue_, std::move(item), expected, now(control_.time_source()));
+        if (verdict != enqueue_verdict::queued) {
+            grant.verdict_ =
+                verdict == enqueue_verdict::too_late ? slot_verdict::too_late : slot_verdict::queue_full;
+            pool.usage_[request.key_].missed_at_ = now(control_.time_source());
+            return;
+        }
+        pool.waiters_[ticket] = entry;
+        queued = true;
+        // A place may have come free since the queue was last dispatched.
+        dispatch(view, pool);
+    });
+    if (!queued) {
+        if (grant.verdict_ == slot_verdict::too_late) {
+            control_.demand_changed();
+        }
+        return grant;
+    }
+    if (grant.was_cold_) {
+        control_.demand_changed();
+    }
+    std::unique_lock lock{pool.mutex_};
+    auto const left = request.deadline_ - now(control_.time_source());
+    entry->wake_.wait_for(lock, std::chrono::milliseconds{std::max<std::int64_t>(0, left.count_)},
+                          [&] { return entry->done_; });
+    if (!entry->done_) {
+        cancel(pool.queue_, ticket);
+        pool.waiters_.erase(ticket);
+        grant.verdict_ = slot_verdict::expired;
+    }
+    return grant;
+}
+
+void request_queue::dispatch(fleet_view const& view, pool_queue& pool)
+{
+    auto const time = now(control_.time_source());
+    std::map<std::string, std::shared_ptr<waiter>> models;
+    for (auto const& [ticket, entry] : pool.waiters_) {
+        models.try_emplace(queue_name(entry->request_.key_), entry);
+    }
+    for (auto const& [model, sample] : models) {
+        // A request is charged when it is taken from the queue, so a place is looked for first.
+        slot_grant found;
+        auto probe = sample->request_;
+        probe.isolated_ = false;
+        probe.avoid_.clear();
+        while (find_place(view, probe, found)) {
+            auto next = take_next(pool.queue_, model, time);
+            auto const it = next ? pool.waiters_.find(next->ticket_) : pool.waiters_.end();
+            if (it == pool.waiters_.end()) {
+                break;
+            }
+            auto const entry = it->second;
+            if (!take_place(view, entry->request_, entry->grant_)) {
+                (void)enqueue(pool.queue_, std::move(*next), {}, time);
+                break;
+            }
+            ++pool.usage_[entry->request_.key_].running_;
+            pool.waiters_.erase(it);
+            entry->done_ = true;
+            entry->wake_.notify_all();
+        }
+    }
+}
+
+void request_queue::release(slot_request const& request, slot_grant const& grant, millis served_for)
+{
+    grant.counters_->running_.fetch_sub(1, std::memory_order_relaxed);
+    if (request.isolated_) {
+        grant.counters_->suspects_.fetch_sub(1, std::memory_order_relaxed);
+    }
+    auto& pool = queue_of(request.key_.pool_);
+    control_.read([&](fleet_view const& view) {
+        std::lock_guard const lock{pool.mutex_};
+        auto& usage = pool.usage_[request.key_];
+        --usage.running_;
+        usage.last_used_ = now(control_.time_source());
+        auto const duration = static_cast<double>(std::max<std::int64_t>(1, served_for.count_));
+        usage.mean_service_ms_ =
+            usage.mean_service_ms_ == 0 ? duration : usage.mean_service_ms_ * 0.9 + duration * 0.1;
+        dispatch(view, pool);
+    });
+}
+
+void request_queue::dispatch_all()
+{
+    control_.read([&](fleet_view const& view) {
+        std::lock_guard const lock{mutex_};
+        for (auto& [name, pool] : pools_) {
+            std::lock_guard const pool_lock{pool->mutex_};
+            dispatch(view, *pool);
+        }
+    });
+}
+
+std::map<model_key, model_demand> request_queue::demand() const
+{
+    std::map<model_key, model_demand> all;
+    auto const time = now(control_.time_source());
+    std::lock_guard const lock{mutex_};
+    for (auto const& [name, pool] : pools_) {
+        std::lock_guard const pool_lock{pool->mutex_};
+        for (auto const& [key, usage] : pool->usage_) {
+            if (key.model_.empty()) {
+                continue;
+            }
+            auto& entry = all[key];
+            entry.running_ = usage.running_;
+            entry.last_used_ = usage.running_ > 0 ? time : usage.last_used_;
+            entry.mean_interval_ = usage.mean_interval_;
+            entry.highest_ = usage.highest_;
+            if (time < usage.missed_at_ + missed_lifetime) {
+                entry.waiting_ = 1;
+                entry.oldest_wait_ = time - usage.missed_at_;
+            }
+        }
+        for (auto const& [ticket, entry] : pool->waiters_) {
+            auto& demand = all[entry->request_.key_];
+            ++demand.waiting_;
+            demand.oldest_wait_ = std::max(demand.oldest_wait_, time - entry->request_.arrived_);
+            demand.highest_ = std::min(demand.highest_, entry->request_.priority_);
+            demand.last_used_ = time;
+        }
+    }
+    return all;
+}
+
+std::map<std::string, request_queue::pool_status> request_queue::status() const
+{
+    std::map<std::string, pool_status> all;
+    auto const time = now(control_.time_source());
+    std::lock_guard const lock{mutex_};
+    for (auto const& [name, pool] : pools_) {
+        std::lock_guard const pool_lock{pool->mutex_};
+        auto& entry = all[name];
+        for (auto const& waiting : pool->queue_.waiting_) {
+            ++entry.waiting_;
+            entry.oldest_wait_ = std::max(entry.oldest_wait_, time - waiting.arrived_);
+        }
+    }
+    return all;
+}
+
+} // namespace auburnchute
