--- a/include/auburnchute/snapshot_cell.hpp
+++ b/include/auburnchute/snapshot_cell.hpp
@@ -1,23 +1,65 @@
 #pragma once
 
+#include <atomic>
+#include <functional>
 #include <memory>
 #include <utility>
 
 namespace auburnchute {
 
-/// \brief Opens a read-copy-update read section; `lock` and `unlock` nest. Used by `snapshot_cell`.
+/// \brief Opens a read-copy-update read section; `rcu_enter` and `rcu_leave` nest. Used by `snapshot_cell`.
 void rcu_enter() noexcept;
+/// \brief Closes the read section. \pre `rcu_enter` was called by this thread.
 void rcu_leave() noexcept;
 /// \brief Waits until all read sections that were open have ended. \pre Not called within a read section.
 void rcu_wait() noexcept;
 
-/// \brief Publishes immutable snapshots from one writer to many readers without locks on the readers' side.
+/// \brief Publishes immutable snapshots to many readers without locks on the readers' side.
 ///
 /// \code
 /// snapshot_cell<fleet_view> cell{std::make_unique<fleet_view const>()};
-/// cell.read([](fleet_view const& view) { return view.routes_; });
+/// auto const routes = cell.read([](fleet_view const& view) { return view.routes_; });
+/// cell.publish(std::make_unique<fleet_view const>(next));
 /// \endcode
+/// Thread safety: `read` and `publish` may be called from any thread; the destructor needs that no other
+/// call runs.
 template <typename T>
-class snapshot_cell;
+class snapshot_cell {
+public:
+    /// \brief Makes a cell with its first value. \pre `value` is not null.
+    explicit snapshot_cell(std::unique_ptr<T const> value) noexcept : value_{value.release()} {}
+
+    snapshot_cell(snapshot_cell const&) = delete;
+    snapshot_cell& operator=(snapshot_cell const&) = delete;
+    ~snapshot_cell() { delete value_.load(std::memory_order_acquire); }
+
+    /// \brief Calls `f` with the current value, which stays valid during the call. `f` should be short: a
+    /// long read delays `publish`.
+    /// \returns A copy of what `f` returns; `f` must not return a pointer or view into the value.
+    template <typename F>
+    auto read(F&& f) const
+    {
+        section const open;
+        return std::invoke(std::forward<F>(f), *value_.load(std::memory_order_acquire));
+    }
+
+    /// \brief Replaces the value, and frees the old one after its readers have left.
+    /// \pre `value` is not null; not called from within `read`.
+    void publish(std::unique_ptr<T const> value) noexcept
+    {
+        std::unique_ptr<T const> const old{value_.exchange(value.release(), std::memory_order_acq_rel)};
+        rcu_wait();
+    }
+
+private:
+    struct section {
+        section() noexcept { rcu_enter(); }
+        section(section const&) = delete;
+        section& operator=(section const&) = delete;
+        ~section() { rcu_leave(); }
+    };
+
+    std::atomic<T const*> value_;
+};
 
 } // namespace auburnchute
