--- a/include/auburnchute/placement.hpp
+++ b/include/auburnchute/placement.hpp
@@ -64,8 +64,9 @@
     std::span<failed_load const> failed_{}; ///< Loads that failed within `failed_load_memory`.
 };
 
-/// \brief A decision to write to the log: `load_decided` or `unload_decided`.
-using placement_action = std::variant<load_decided, unload_decided>;
+/// \brief A record to write to the log. `load_failed` gives up a load whose executor is gone: nobody else
+/// would report its end.
+using placement_action = std::variant<load_decided, unload_decided, load_failed>;
 
 /// \brief Plans loads and unloads for one pool.
 /// \returns The records to propose, most urgent first; the fold accepts or rejects each. Thread safety: pure.
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -306,6 +306,14 @@
     {
         for (auto& upstream : upstreams_) {
             for (auto& held : upstream.held_) {
+                if (held.id_ != nullptr && held.status_ == replica_status::loading &&
+                    is_gone(in_.state_, held.entry_->executor_)) {
+                    // The load may still arrive; as a failed one it keeps its memory and is unloaded.
+                    actions_.emplace_back(load_failed{*held.id_, false});
+                    held.status_ = replica_status::failed;
+                    models_[{held.entry_->model_, held.entry_->adapter_}].serving_ -=
+                        upstream.allowed_ ? 1 : 0;
+                }
                 if (orphaned_unload(held)) {
                     actions_.emplace_back(unload_decided{*held.id_, in_.self_});
                 }
