Count what other daemons send when picking an upstream

Change: routing_request::senders_; a daemon takes the others to have sent as much as itself. The check for a free slot still uses only what is known, so nothing is refused on an estimate.

--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -30,20 +30,26 @@
     best.count_ = best.count_ < 2 ? best.count_ + 1 : 2;
 }
 
-std::int64_t load(routing_candidate const& candidate) noexcept
+std::int64_t known_load(routing_candidate const& candidate) noexcept
 {
     return candidate.reported_ + candidate.own_since_report_;
 }
 
+/// The load with what the other daemons are likely to have sent since the report.
+std::int64_t estimated_load(routing_candidate const& candidate, std::int64_t senders) noexcept
+{
+    return candidate.reported_ + candidate.own_since_report_ * senders;
+}
+
 /// Compares loads relative to slots, so that a large upstream is not left idle beside a small one.
-bool less_loaded(routing_candidate const& a, routing_candidate const& b) noexcept
+bool less_loaded(routing_candidate const& a, routing_candidate const& b, std::int64_t senders) noexcept
 {
-    return load(a) * b.slots_ < load(b) * a.slots_;
+    return estimated_load(a, senders) * b.slots_ < estimated_load(b, senders) * a.slots_;
 }
 
 bool may_run(routing_candidate const& candidate, routing_request const& request) noexcept
 {
-    return candidate.accepts_work_ && load(candidate) < candidate.slots_ &&
+    return candidate.accepts_work_ && known_load(candidate) < candidate.slots_ &&
            !(request.isolated_ && candidate.runs_suspect_) &&
            !(request.zone_required_ && candidate.availability_zone_ != request.availability_zone_);
 }
@@ -61,7 +67,7 @@
         if (!may_run(candidate, request) || (!avoid.empty() && candidate.upstream_ == avoid)) {
             continue;
         }
-        total_load += load(candidate);
+        total_load += estimated_load(candidate, request.senders_);
         total_slots += candidate.slots_;
         offer(by_prefix, i, stable_hash(candidate.upstream_, request.prefix_hash_));
         auto const spread = stable_hash(candidate.upstream_, request.request_hash_);
@@ -76,8 +82,9 @@
         auto const& candidate = candidates[index];
         // One request above 1.25 times the mean is allowed: at low load the mean is below one request and
         // no upstream with the prefix in its cache would pass.
-        bool const near_mean = 4 * (load(candidate) - 1) * total_slots < 5 * total_load * candidate.slots_;
-        if (near_mean && (!chosen || less_loaded(candidate, candidates[*chosen]))) {
+        bool const near_mean = 4 * (estimated_load(candidate, request.senders_) - 1) * total_slots <
+                               5 * total_load * candidate.slots_;
+        if (near_mean && (!chosen || less_loaded(candidate, candidates[*chosen], request.senders_))) {
             chosen = index;
         }
     }
@@ -88,7 +95,7 @@
     for (best_two const* best : {&std::as_const(by_prefix), &sample}) {
         for (std::size_t n = 0; n < best->count_; ++n) {
             auto const index = best->index_[n];
-            if (!chosen || less_loaded(candidates[index], candidates[*chosen])) {
+            if (!chosen || less_loaded(candidates[index], candidates[*chosen], request.senders_)) {
                 chosen = index;
             }
         }
--- /dev/null
+++ b/tests/coordination/retry_test.cpp
@@ -0,0 +1,120 @@
+#include <auburnchute/retry.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+using namespace auburnchute;
+
+namespace {
+
+constexpr try_result all_results[] = {try_result::answered,      try_result::not_sent,
+                                      try_result::refused,       try_result::cut_before_answer,
+                                      try_result::cut_in_answer, try_result::wrong_answer};
+
+} // namespace
+
+// Guards against a retry of what must not run twice, after the deadline, or beyond the tries.
+TEST_CASE("retries are limited by result, repeatability, tries and deadline",
+          "[retry][promise-9][promise-10]")
+{
+    for (auto const result : all_results) {
+        for (bool const repeatable : {true, false}) {
+            for (int const tries : {1, 2, 3, 4}) {
+                for (millis const at : {millis{0}, millis{99}, millis{100}, millis{101}}) {
+                    retry_budget budget;
+                    bool const expected =
+                        result != try_result::answered && repeatable && tries < max_tries && at < millis{100};
+                    CAPTURE(static_cast<int>(result), repeatable, tries, at.count_);
+                    CHECK(try_again(budget, result, repeatable, tries, at, {100}) == expected);
+                    CHECK(budget.balance_ == (expected ? 9'000 : 10'000));
+                }
+            }
+        }
+    }
+}
+
+// Guards against "not run" after a try that may have run.
+TEST_CASE("not run is told only when every try is known not to have run", "[retry][promise-9]")
+{
+    for (auto const first : all_results) {
+        for (auto const second : all_results) {
+            auto const told = execution_after(execution_after(execution::not_run, first), second);
+            auto const idle = [](try_result r) {
+                return r == try_result::not_sent || r == try_result::refused;
+            };
+            auto const ran = [](try_result r) {
+                return r == try_result::answered || r == try_result::cut_in_answer;
+            };
+            auto const expected = idle(first) && idle(second) ? execution::not_run
+                                  : ran(first) || ran(second) ? execution::ran
+                                                              : execution::unknown;
+            CAPTURE(static_cast<int>(first), static_cast<int>(second));
+            CHECK(told == expected);
+        }
+    }
+}
+
+namespace {
+
+struct retry_model {};
+
+/// Counts what the budget let through; knows only "a tenth of the requests, ten at once".
+struct retry_ledger {
+    retry_budget budget_;
+    std::int64_t requests_{};
+    std::int64_t retries_{};
+    std::int64_t level_{}; ///< Tenths of a retry above the earned ones.
+};
+
+struct retry_step : rc::state::Command<retry_model, retry_ledger> {
+    int fresh_ = *rc::gen::inRange(0, 20);
+    int failures_ = *rc::gen::inRange(0, 40);
+    bool repeatable_ = *rc::gen::weightedElement<bool>({{9, true}, {1, false}});
+    try_result result_ =
+        *rc::gen::elementOf(std::vector<try_result>(std::begin(all_results), std::end(all_results)));
+
+    void show(std::ostream& os) const override
+    {
+        os << fresh_ << " requests, " << failures_ << " failures of kind " << static_cast<int>(result_)
+           << (repeatable_ ? "" : ", not repeatable");
+    }
+
+    void run(retry_model const&, retry_ledger& ledger) const override
+    {
+        for (int i = 0; i < fresh_; ++i) {
+            earn(ledger.budget_);
+            ++ledger.requests_;
+            ledger.level_ = std::max<std::int64_t>(ledger.level_ - 1, 0);
+        }
+        for (int i = 0; i < failures_; ++i) {
+            if (try_again(ledger.budget_, result_, repeatable_, 1 + i % max_tries, {0}, {1})) {
+                RC_ASSERT(repeatable_);
+                RC_ASSERT(result_ != try_result::answered);
+                ++ledger.retries_;
+                ledger.level_ += 10;
+            }
+        }
+        RC_ASSERT(ledger.retries_ * 10 <= 100 + ledger.requests_);
+        // The same bound for every interval: ten retries at once and a tenth of the interval's requests.
+        RC_ASSERT(ledger.level_ <= 100);
+    }
+};
+
+} // namespace
+
+// Guards against retries that multiply an overload.
+TEST_CASE("retries stay below the budget", "[retry][promise-9]")
+{
+    CHECK(rc::check("at most a tenth of the requests and ten at once", [] {
+        retry_ledger ledger;
+        rc::state::check(retry_model{}, ledger, rc::state::gen::execOneOfWithArgs<retry_step>());
+    }));
+}
+
+// Guards against a pool that is used a few times a day and could never retry.
+TEST_CASE("a fresh budget allows a retry", "[retry]")
+{
+    retry_budget budget;
+    CHECK(try_again(budget, try_result::not_sent, true, 1, {0}, {1}));
+}
