Prove guarantee 3 on the wait queue

Test: tests/coordination/admission_test.cpp: tables and a stateful test; the oracle knows each request's fate and how often it was passed over. Each request is taken, expired or cancelled exactly once, never taken after its deadline; with requests of one size, the next request of a workspace that has risen to class 0 is passed over at most twice for each other workspace.

--- /dev/null
+++ b/tests/coordination/admission_test.cpp
@@ -0,0 +1,352 @@
+#include <auburnchute/admission.hpp>
+
+#include <algorithm>
+#include <array>
+#include <catch2/catch.hpp>
+#include <map>
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+#include <string>
+
+using namespace auburnchute;
+
+namespace {
+
+waiting_request make_request(std::uint64_t ticket, std::string workspace, priority level = priority::normal,
+                             std::int64_t tokens = 100, millis arrived = {}, millis deadline = {30'000})
+{
+    return {ticket, std::move(workspace), 1, "m", level, tokens, arrived, deadline};
+}
+
+std::vector<std::uint64_t> take_all(wait_queue& queue, millis now)
+{
+    std::vector<std::uint64_t> order;
+    while (auto const taken = take_next(queue, "m", now)) {
+        order.push_back(taken->ticket_);
+    }
+    return order;
+}
+
+} // namespace
+
+// Guards against waiting requests that never rise, or that rise above the most important class.
+TEST_CASE("a request rises one class for each aging time", "[admission][promise-3]")
+{
+    auto const [level, waited, aging, expected] = GENERATE(table<priority, std::int64_t, std::int64_t, int>({
+        {priority::low, 0, 10'000, 3},
+        {priority::low, 9'999, 10'000, 3},
+        {priority::low, 10'000, 10'000, 2},
+        {priority::low, 30'000, 10'000, 0},
+        {priority::low, 90'000, 10'000, 0},
+        {priority::urgent, 90'000, 10'000, 0},
+        {priority::low, 90'000, 0, 3},
+        {priority::normal, -5, 10'000, 2},
+    }));
+    CHECK(effective_class(make_request(1, "a", level), {aging}, {waited}) == expected);
+}
+
+// Guards against a workspace with many requests that makes the others wait behind all of them.
+TEST_CASE("workspaces take turns within a class", "[admission][promise-3]")
+{
+    wait_queue queue;
+    for (std::uint64_t ticket = 1; ticket <= 6; ++ticket) {
+        REQUIRE(enqueue(queue, make_request(ticket, "busy"), {}, {}) == enqueue_verdict::queued);
+    }
+    REQUIRE(enqueue(queue, make_request(7, "quiet"), {}, {}) == enqueue_verdict::queued);
+    REQUIRE(enqueue(queue, make_request(8, "quiet"), {}, {}) == enqueue_verdict::queued);
+    CHECK(take_all(queue, {}) == std::vector<std::uint64_t>{1, 7, 2, 8, 3, 4, 5, 6});
+}
+
+// Guards against weights that do not count, and against large requests that count as small ones.
+TEST_CASE("service is divided by weight and tokens", "[admission]")
+{
+    auto const [weight, tokens, expected] = GENERATE(
+        table<std::int64_t, std::int64_t, int>({{1, 100, 10}, {3, 100, 15}, {1, 300, 5}, {3, 300, 10}}));
+    wait_queue queue;
+    for (std::uint64_t ticket = 0; ticket < 40; ++ticket) {
+        auto request = make_request(ticket, ticket % 2 == 0 ? "a" : "b");
+        if (ticket % 2 == 0) {
+            request.weight_ = weight;
+            request.tokens_ = tokens;
+        }
+        REQUIRE(enqueue(queue, request, {}, {}) == enqueue_verdict::queued);
+    }
+    int taken = 0;
+    for (int i = 0; i < 20; ++i) {
+        taken += take_next(queue, "m", {})->workspace_ == "a" ? 1 : 0;
+    }
+    CHECK(std::abs(taken - expected) <= 1);
+}
+
+// Guards against requests that expired or whose callers left and that still cost their workspace its turn.
+TEST_CASE("expired and cancelled requests cost nothing", "[admission]")
+{
+    wait_queue queue;
+    for (std::uint64_t ticket = 1; ticket <= 20; ++ticket) {
+        REQUIRE(enqueue(queue, make_request(ticket, "a", priority::normal, 100, {}, {1'000}), {}, {}) ==
+                enqueue_verdict::queued);
+    }
+    CHECK(cancel(queue, 20));
+    CHECK(take_expired(queue, {1'000}).size() == 19);
+    REQUIRE(enqueue(queue, make_request(21, "a", priority::normal, 100, {1'000}), {}, {1'000}) ==
+            enqueue_verdict::queued);
+    REQUIRE(enqueue(queue, make_request(22, "b", priority::normal, 100, {1'000}), {}, {1'000}) ==
+            enqueue_verdict::queued);
+    CHECK(take_all(queue, {1'000}) == std::vector<std::uint64_t>{21, 22});
+}
+
+// Guards against requests that wait although they cannot be served in time, and against refusals that count
+// requests of other workspaces, classes or models that would be served later.
+TEST_CASE("a request that cannot be served in time is refused at once", "[admission][promise-3]")
+{
+    auto const [workspace, level, load, rate, deadline, verdict] =
+        GENERATE(table<std::string, priority, std::int64_t, double, std::int64_t, enqueue_verdict>({
+            {"quiet", priority::normal, 0, 0.0, 30'000, enqueue_verdict::queued},
+            {"quiet", priority::normal, 0, 0.0, 0, enqueue_verdict::too_late},
+            {"quiet", priority::normal, 30'000, 0.0, 30'000, enqueue_verdict::too_late},
+            {"quiet", priority::normal, 29'999, 0.0, 30'000, enqueue_verdict::queued},
+            {"quiet", priority::normal, 0, 1.0, 5'000, enqueue_verdict::queued},
+            {"busy", priority::normal, 0, 1.0, 5'000, enqueue_verdict::too_late},
+            {"busy", priority::normal, 0, 1.0, 50'001, enqueue_verdict::queued},
+            {"busy", priority::high, 0, 1.0, 5'000, enqueue_verdict::queued},
+            {"quiet", priority::low, 0, 1.0, 5'000, enqueue_verdict::too_late},
+            {"quiet", priority::normal, 4'000, 1.0, 4'000, enqueue_verdict::too_late},
+        }));
+    wait_queue queue;
+    for (std::uint64_t ticket = 1; ticket <= 50; ++ticket) {
+        queue.waiting_.push_back(make_request(ticket, "busy", priority::normal, 100, {}, {600'000}));
+    }
+    auto const request = make_request(99, workspace, level, 100, {}, {deadline});
+    CHECK(enqueue(queue, request, {{load}, rate}, {}) == verdict);
+}
+
+// Guards against one workspace that fills the queue so that all others are refused.
+TEST_CASE("one workspace leaves room in the queue", "[admission][promise-3]")
+{
+    wait_queue queue;
+    queue.limit_ = 16;
+    std::uint64_t ticket = 0;
+    int queued = 0;
+    for (int i = 0; i < 20; ++i) {
+        queued += enqueue(queue, make_request(++ticket, "busy"), {}, {}) == enqueue_verdict::queued ? 1 : 0;
+    }
+    CHECK(queued == 8);
+    for (auto const* workspace : {"b", "c", "d", "e"}) {
+        CHECK(enqueue(queue, make_request(++ticket, workspace), {}, {}) == enqueue_verdict::queued);
+    }
+}
+
+// Guards against a queue whose table of workspaces grows with every workspace ever served.
+TEST_CASE("workspaces that were served long ago take no memory", "[admission]")
+{
+    wait_queue queue;
+    for (std::uint64_t ticket = 0; ticket < 1'000; ++ticket) {
+        REQUIRE(enqueue(queue, make_request(ticket, "w" + std::to_string(ticket)), {}, {}) ==
+                enqueue_verdict::queued);
+        REQUIRE(take_next(queue, "m", {}).has_value());
+        if (ticket % 10 == 9) {
+            for (int i = 0; i < 2; ++i) {
+                REQUIRE(enqueue(queue, make_request(9'999, "steady"), {}, {}) == enqueue_verdict::queued);
+                REQUIRE(take_next(queue, "m", {}).has_value());
+            }
+        }
+    }
+    CHECK(queue.workspace_finish_.size() <= 22);
+}
+
+// Guards against a timer that is set too late for the next refusal.
+TEST_CASE("the next deadline is the earliest", "[admission][promise-3]")
+{
+    wait_queue queue;
+    CHECK_FALSE(next_deadline(queue).has_value());
+    for (std::int64_t const deadline : {500, 200, 900}) {
+        REQUIRE(enqueue(queue, make_request(1, "a", priority::normal, 1, {}, {deadline}), {}, {}) ==
+                enqueue_verdict::queued);
+    }
+    CHECK(next_deadline(queue) == millis{200});
+}
+
+namespace {
+
+enum class fate { refused, waiting, taken, expired, cancelled };
+
+struct watched {
+    fate fate_{fate::refused};
+    waiting_request request_;
+    int passed_over_{}; ///< Takes of its model for other workspaces while it was next of its own.
+};
+
+struct queue_model {};
+
+/// Knows each request's fate and how often it was passed over; nothing of the order in the queue.
+struct queue_ledger {
+    wait_queue queue_;
+    millis now_{};
+    std::vector<watched> requests_;
+};
+
+constexpr int workspaces = 4;
+constexpr std::int64_t even_tokens = 100;
+
+void settle(queue_ledger& l, std::uint64_t ticket, fate end)
+{
+    auto& entry = l.requests_[ticket];
+    RC_ASSERT(entry.fate_ == fate::waiting);
+    entry.fate_ = end;
+}
+
+/// The oldest request of a workspace and model that has risen to the most important class.
+watched* head(queue_ledger& l, std::string const& workspace, std::string const& model)
+{
+    watched* first = nullptr;
+    for (auto& entry : l.requests_) {
+        auto const& r = entry.request_;
+        if (entry.fate_ == fate::waiting && r.workspace_ == workspace && r.model_ == model &&
+            r.deadline_ > l.now_ && effective_class(r, l.queue_.aging_, l.now_) == 0 &&
+            (first == nullptr || r.arrived_ < first->request_.arrived_)) {
+            first = &entry;
+        }
+    }
+    return first;
+}
+
+enum class queue_action { enqueue, flood, take, expire, cancel, advance };
+
+struct queue_step : rc::state::Command<queue_model, queue_ledger> {
+    queue_action action_ = *rc::gen::weightedElement<queue_action>({{6, queue_action::enqueue},
+                                                                    {1, queue_action::flood},
+                                                                    {10, queue_action::take},
+                                                                    {2, queue_action::expire},
+                                                                    {1, queue_action::cancel},
+                                                                    {4, queue_action::advance}});
+    int workspace_ = *rc::gen::inRange(0, workspaces);
+    int model_ = *rc::gen::weightedElement<int>({{4, 0}, {1, 1}});
+    int level_ = *rc::gen::inRange(0, 4);
+    std::int64_t n_ = *rc::gen::inRange<std::int64_t>(1, 1'000);
+
+    void show(std::ostream& os) const override
+    {
+        os << "action " << static_cast<int>(action_) << " w" << workspace_ << " m" << model_ << " class "
+           << level_ << " n=" << n_;
+    }
+
+    void run(queue_model const&, queue_ledger& l) const override
+    {
+        switch (action_) {
+        case queue_action::enqueue:
+            add(l);
+            break;
+        case queue_action::flood:
+            for (int i = 0; i < 30; ++i) {
+                add(l);
+            }
+            break;
+        case queue_action::take:
+            take(l);
+            break;
+        case queue_action::expire:
+            for (auto const& gone : take_expired(l.queue_, l.now_)) {
+                RC_ASSERT(gone.deadline_ <= l.now_);
+                settle(l, gone.ticket_, fate::expired);
+            }
+            for (auto const& entry : l.requests_) {
+                RC_ASSERT(entry.fate_ != fate::waiting || entry.request_.deadline_ > l.now_);
+            }
+            break;
+        case queue_action::cancel:
+            if (!l.requests_.empty()) {
+                auto const ticket = static_cast<std::uint64_t>(n_) % l.requests_.size();
+                bool const waits = l.requests_[ticket].fate_ == fate::waiting;
+                RC_ASSERT(cancel(l.queue_, ticket) == waits);
+                if (waits) {
+                    settle(l, ticket, fate::cancelled);
+                }
+            }
+            break;
+        case queue_action::advance:
+            l.now_ += millis{n_ * n_ / 100};
+            break;
+        }
+        check(l);
+    }
+
+    void add(queue_ledger& l) const
+    {
+        waiting_request request{l.requests_.size(),
+                                "w" + std::to_string(workspace_),
+                                1,
+                                "m" + std::to_string(model_),
+                                static_cast<priority>(level_),
+                                even_tokens,
+                                l.now_,
+                                l.now_ + millis{n_ * 100 - 1'000}};
+        auto const verdict = enqueue(l.queue_, request, {}, l.now_);
+        RC_ASSERT((verdict == enqueue_verdict::too_late) == (request.deadline_ <= l.now_));
+        l.requests_.push_back(
+            {verdict == enqueue_verdict::queued ? fate::waiting : fate::refused, request, 0});
+    }
+
+    void take(queue_ledger& l) const
+    {
+        auto const model = "m" + std::to_string(model_);
+        std::array<watched*, workspaces> heads{};
+        for (int w = 0; w < workspaces; ++w) {
+            heads[static_cast<std::size_t>(w)] = head(l, "w" + std::to_string(w), model);
+        }
+        bool const any = std::any_of(l.requests_.begin(), l.requests_.end(), [&](watched const& entry) {
+            return entry.fate_ == fate::waiting && entry.request_.model_ == model &&
+                   entry.request_.deadline_ > l.now_;
+        });
+        auto const taken = take_next(l.queue_, model, l.now_);
+        RC_ASSERT(taken.has_value() == any);
+        if (!taken) {
+            return;
+        }
+        RC_ASSERT(taken->deadline_ > l.now_);
+        RC_ASSERT(taken->model_ == model);
+        settle(l, taken->ticket_, fate::taken);
+        for (auto* const entry : heads) {
+            if (entry == nullptr) {
+                continue;
+            }
+            if (entry->request_.workspace_ != taken->workspace_) {
+                // All requests are of one size, so a workspace is ahead of another by at most one request
+                // when its turn is judged, and each other workspace is served at most twice before.
+                RC_ASSERT(++entry->passed_over_ <= 2 * (workspaces - 1));
+            }
+        }
+        // A workspace that was served, of any model, has had its turn; its next request counts from here.
+        for (auto& entry : l.requests_) {
+            if (entry.request_.workspace_ == taken->workspace_) {
+                entry.passed_over_ = 0;
+            }
+        }
+    }
+
+    static void check(queue_ledger const& l)
+    {
+        std::size_t waiting = 0;
+        for (auto const& entry : l.requests_) {
+            waiting += entry.fate_ == fate::waiting ? 1 : 0;
+        }
+        RC_ASSERT(l.queue_.waiting_.size() == waiting);
+        RC_ASSERT(waiting <= l.queue_.limit_);
+    }
+};
+
+} // namespace
+
+// Guards against requests that are lost, served twice or served late, and against a workspace that is passed
+// over again and again once its request has risen to the most important class.
+TEST_CASE("each waiting request ends once, in time and in its turn", "[admission][promise-3]")
+{
+    auto const limit = GENERATE(as<std::size_t>{}, 8, 64, 4'096);
+    CHECK(rc::check("taken, expired or cancelled exactly once", [limit] {
+        queue_model const model;
+        queue_ledger ledger;
+        ledger.queue_.limit_ = limit;
+        auto const commands = *rc::gen::resize(
+            200, rc::state::gen::commands(model, rc::state::gen::execOneOfWithArgs<queue_step>()));
+        rc::state::runAll(commands, model, ledger);
+    }));
+}
