--- a/src/protocol/openai.cpp
+++ b/src/protocol/openai.cpp
@@ -77,10 +77,17 @@
     {
         if (value.is_string()) {
             add(value.get_ref<std::string const&>());
-        } else if (value.is_structured()) {
+        } else if (value.is_array()) {
             for (auto const& item : value) {
                 add_strings(item);
             }
+        } else if (value.is_object()) {
+            for (auto const& [name, item] : value.items()) {
+                // The kind of a part is the same for all requests and would only dilute the prefix.
+                if (name != "type") {
+                    add_strings(item);
+                }
+            }
         }
     }
 
