Keep suspects apart over all daemons until one is judged

Cause: the stateful test found innocent requests refused. Turns of suspects were counted from the crash, so after ten seconds all suspects that still waited ran at once on several daemons and a crash blamed one beside the poison. An older crash record, when folded, also took away a confirmation that was still on its way. Ruled out: asking for two isolated crashes; with one replica the second run meets the poison again. Change: a suspect's turn is counted from the last judgement; a suspect with one crash is clear again once another request is confirmed to have crashed its upstream; book_folded keeps unfolded confirmations and takes the time. Conclusion: a run of an isolated suspect longer than suspect_turn may still overlap with the next.

--- a/src/coordination/quarantine.cpp
+++ b/src/coordination/quarantine.cpp
@@ -34,6 +34,15 @@
                                  (own.local_ != nullptr && shares_upstream(entry, *own.local_)));
 }
 
+/// True if a confirmed request crashed the upstreams of this suspect. The suspect may run normally: a second
+/// crash makes it a suspect again.
+bool explained(fleet_state const& state, crash_entry const& suspect)
+{
+    return std::any_of(state.crashes_.begin(), state.crashes_.end(), [&suspect](auto const& item) {
+        return item.second.confirmed_ && shares_upstream(item.second, suspect);
+    });
+}
+
 void book(quarantine_view& view, std::string const& fingerprint, std::string_view upstream, bool isolated,
           millis now)
 {
@@ -52,7 +61,11 @@
     if ((folded != nullptr && folded->confirmed_) || (local != nullptr && local->confirmed_)) {
         return crash_verdict::confirmed;
     }
-    return folded != nullptr || local != nullptr ? crash_verdict::suspect : crash_verdict::clear;
+    if (folded == nullptr && local == nullptr) {
+        return crash_verdict::clear;
+    }
+    bool const one_crash = (folded == nullptr ? 0 : folded->crashes_) <= 1 && local == nullptr;
+    return one_crash && explained(state, *folded) ? crash_verdict::clear : crash_verdict::suspect;
 }
 
 bool may_run_isolated(fleet_state const& state, quarantine_view const& view, std::string_view fingerprint,
@@ -60,26 +73,21 @@
 {
     std::string const own_name{fingerprint};
     auto const own = find_evidence(state, view, own_name);
-    if (own.local_ != nullptr && now - own.local_->last_ < evidence_delay) {
-        return false;
+    auto const learned = view.learned_at_.find(own_name);
+    if (own.local_ == nullptr && learned == view.learned_at_.end()) {
+        return true; // Evidence from a snapshot: every turn of that time is over.
     }
-    for (auto const& [name, entry] : state.crashes_) {
-        if (name >= own_name) {
-            break;
-        }
-        if (state.log_time_ - entry.last_ < suspect_turn && rivals(entry, own)) {
-            return false;
-        }
+    auto const waited = now - std::max(own.local_ == nullptr ? millis{} : own.local_->last_,
+                                       learned == view.learned_at_.end() ? millis{} : learned->second);
+    auto const quiet = std::min(waited, now - view.last_judged_);
+    std::int64_t before = 0;
+    for (auto it = state.crashes_.begin(); it != state.crashes_.end() && it->first < own_name; ++it) {
+        before += rivals(it->second, own) ? 1 : 0;
     }
-    for (auto const& [name, entry] : view.local_) {
-        if (name >= own_name) {
-            break;
-        }
-        if (now - entry.last_ < suspect_turn && rivals(entry, own)) {
-            return false;
-        }
+    for (auto it = view.local_.begin(); it != view.local_.end() && it->first < own_name; ++it) {
+        before += !state.crashes_.contains(it->first) && rivals(it->second, own) ? 1 : 0;
     }
-    return true;
+    return waited >= evidence_delay && quiet >= suspect_turn * before;
 }
 
 std::vector<crash_seen> book_crash(quarantine_view& view, std::string_view upstream,
@@ -120,9 +128,21 @@
     return known;
 }
 
-void book_folded(quarantine_view& view, std::string_view fingerprint)
+void book_folded(fleet_state const& state, quarantine_view& view, std::string_view fingerprint, millis now)
 {
-    view.local_.erase(std::string{fingerprint});
+    std::string const name{fingerprint};
+    auto const [folded, local] = find_evidence(state, view, name);
+    bool const confirmation_on_its_way =
+        local != nullptr && local->confirmed_ && (folded == nullptr || !folded->confirmed_);
+    if (!confirmation_on_its_way) {
+        view.local_.erase(name);
+    }
+    if (folded != nullptr && !folded->confirmed_) {
+        view.learned_at_[name] = now;
+    } else {
+        view.learned_at_.erase(name);
+        view.last_judged_ = now;
+    }
 }
 
 std::string fingerprint(std::string_view workspace, std::string_view route, std::string_view body)
--- /dev/null
+++ b/tests/coordination/quarantine_test.cpp
@@ -0,0 +1,346 @@
+#include <auburnchute/quarantine.hpp>
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <vector>
+
+using namespace auburnchute;
+
+namespace {
+
+constexpr std::size_t daemons = 4;
+constexpr std::size_t upstreams = 3;
+constexpr millis tick{100};
+
+/// Daemons that run requests on shared upstreams, with one fold each that lags behind the log.
+struct crash_world {
+    struct request {
+        std::string fingerprint_;
+        std::size_t daemon_{};
+        std::size_t upstream_{upstreams}; ///< `upstreams`: waits.
+        bool poison_{};
+        bool isolated_{};
+        millis left_{}; ///< Run time left; a poison crashes at its end.
+        millis length_{};
+    };
+    struct daemon_model {
+        fleet_state state_;
+        quarantine_view view_;
+        std::size_t folded_{};
+        std::uint64_t sequence_{};
+        std::int64_t refused_{};
+    };
+    struct entry {
+        record record_;
+        millis at_{};
+    };
+
+    std::vector<daemon_model> daemons_{daemons};
+    std::vector<entry> log_;
+    std::vector<request> requests_;
+    std::map<std::size_t, millis> back_; ///< Upstreams that are down, and until when.
+    std::set<std::string> innocent_refused_;
+    std::mt19937_64 random_{1};
+    millis now_{1'000'000};
+    millis log_delay_{300};
+    std::int64_t crashes_{};
+    std::int64_t poison_sent_{};
+    std::int64_t poison_refused_{};
+    std::int64_t finished_{};
+    millis poison_next_{-1}; ///< When its caller sends it next; below 0: it is out or the caller has stopped.
+    bool poison_caller_{};
+
+    std::size_t pick(std::size_t below) { return random_() % below; }
+
+    void append(std::size_t d, record_body body)
+    {
+        log_.push_back({{{"e" + std::to_string(d), 1}, ++daemons_[d].sequence_, std::move(body)}, now_});
+    }
+
+    void fold(std::size_t d)
+    {
+        auto& daemon = daemons_[d];
+        while (daemon.folded_ < log_.size() && log_[daemon.folded_].at_ + log_delay_ <= now_) {
+            auto const& rec = log_[daemon.folded_].record_;
+            apply(daemon.state_, rec, daemon.folded_++, now_);
+            if (auto const* const seen = std::get_if<crash_seen>(&rec.body_)) {
+                book_folded(daemon.state_, daemon.view_, seen->fingerprint_, now_);
+            } else if (auto const* const cleared = std::get_if<crash_cleared>(&rec.body_)) {
+                book_folded(daemon.state_, daemon.view_, cleared->fingerprint_, now_);
+            }
+        }
+    }
+
+    void start(request& q)
+    {
+        auto& d = daemons_[q.daemon_];
+        auto const verdict = judge(d.state_, d.view_, q.fingerprint_);
+        if (verdict == crash_verdict::confirmed) {
+            q.left_ = {-1};
+            ++d.refused_;
+            if (q.poison_) {
+                ++poison_refused_;
+                poison_next_ = now_ + millis{500};
+            } else {
+                innocent_refused_.insert(q.fingerprint_);
+            }
+            return;
+        }
+        bool const suspect = verdict == crash_verdict::suspect;
+        if (suspect && !may_run_isolated(d.state_, d.view_, q.fingerprint_, now_)) {
+            return;
+        }
+        auto const first = pick(upstreams);
+        for (std::size_t i = 0; i < upstreams; ++i) {
+            auto const u = (first + i) % upstreams;
+            bool const meets_suspect =
+                suspect && std::any_of(requests_.begin(), requests_.end(), [&](request const& other) {
+                    return other.daemon_ == q.daemon_ && other.upstream_ == u && other.isolated_;
+                });
+            if (!back_.contains(u) && !meets_suspect) {
+                q.upstream_ = u;
+                q.isolated_ = suspect;
+                q.left_ = q.length_;
+                return;
+            }
+        }
+    }
+
+    void crash(std::size_t u)
+    {
+        ++crashes_;
+        back_[u] = now_ + millis{2'000};
+        for (std::size_t d = 0; d < daemons; ++d) {
+            std::vector<std::string> in_flight;
+            std::string isolated;
+            for (auto& q : requests_) {
+                if (q.daemon_ == d && q.upstream_ == u) {
+                    in_flight.push_back(q.fingerprint_);
+                    isolated = q.isolated_ ? q.fingerprint_ : isolated;
+                    q.upstream_ = upstreams; // The daemon retries it.
+                    q.isolated_ = false;
+                    q.left_ = {};
+                }
+            }
+            if (!in_flight.empty()) {
+                for (auto const& rec :
+                     book_crash(daemons_[d].view_, "u" + std::to_string(u), in_flight, isolated, now_)) {
+                    append(d, rec);
+                }
+            }
+        }
+    }
+
+    void step()
+    {
+        now_ += tick;
+        std::erase_if(back_, [this](auto const& item) { return item.second <= now_; });
+        for (std::size_t d = 0; d < daemons; ++d) {
+            fold(d);
+        }
+        if (poison_caller_ && poison_next_ >= millis{} && poison_next_ <= now_) {
+            poison_next_ = {-1};
+            ++poison_sent_;
+            requests_.push_back({"poison",
+                                 pick(daemons),
+                                 upstreams,
+                                 true,
+                                 false,
+                                 {},
+                                 millis{200 + static_cast<std::int64_t>(pick(1'500))}});
+        }
+        std::set<std::size_t> dead;
+        for (auto& q : requests_) {
+            if (q.upstream_ == upstreams) {
+                start(q);
+                continue;
+            }
+            q.left_ = q.left_ - tick;
+            if (q.left_ <= millis{} && q.poison_) {
+                dead.insert(q.upstream_);
+            }
+        }
+        for (auto const u : dead) {
+            crash(u);
+        }
+        for (auto& q : requests_) {
+            if (q.upstream_ != upstreams && q.left_ <= millis{}) {
+                auto& d = daemons_[q.daemon_];
+                if (book_finish(d.state_, d.view_, q.fingerprint_)) {
+                    append(q.daemon_, crash_cleared{q.fingerprint_});
+                }
+                q.left_ = {-1};
+                ++finished_;
+            }
+        }
+        std::erase_if(requests_, [](request const& q) { return q.left_ < millis{}; });
+    }
+
+    void send_innocents(int number)
+    {
+        for (int i = 0; i < number; ++i) {
+            requests_.push_back({fingerprint("w", "r", std::to_string(random_())),
+                                 pick(daemons),
+                                 upstreams,
+                                 false,
+                                 false,
+                                 {},
+                                 millis{300 + static_cast<std::int64_t>(pick(3'000))}});
+        }
+    }
+};
+
+struct crash_oracle {
+    bool poison_{};
+};
+using crash_command = rc::state::Command<crash_oracle, crash_world>;
+
+struct pass_time : crash_command {
+    int ticks_ = *rc::gen::inRange(1, 60);
+    void apply(crash_oracle&) const override {}
+    void run(crash_oracle const&, crash_world& w) const override
+    {
+        for (int i = 0; i < ticks_; ++i) {
+            w.step();
+        }
+        RC_ASSERT(w.innocent_refused_.empty());
+    }
+    void show(std::ostream& os) const override { os << "pass " << ticks_; }
+};
+
+struct send_innocents : crash_command {
+    int number_ = *rc::gen::inRange(1, 12);
+    void apply(crash_oracle&) const override {}
+    void run(crash_oracle const&, crash_world& w) const override { w.send_innocents(number_); }
+    void show(std::ostream& os) const override { os << "innocents " << number_; }
+};
+
+struct send_poison : crash_command {
+    void checkPreconditions(crash_oracle const& oracle) const override { RC_PRE(!oracle.poison_); }
+    void apply(crash_oracle& oracle) const override { oracle.poison_ = true; }
+    void run(crash_oracle const&, crash_world& w) const override
+    {
+        w.poison_caller_ = true;
+        w.poison_next_ = w.now_;
+    }
+    void show(std::ostream& os) const override { os << "poison"; }
+};
+
+struct set_log_delay : crash_command {
+    int delay_ = *rc::gen::element(0, 300, 800);
+    void apply(crash_oracle&) const override {}
+    void run(crash_oracle const&, crash_world& w) const override { w.log_delay_ = {delay_}; }
+    void show(std::ostream& os) const override { os << "log delay " << delay_; }
+};
+
+} // namespace
+
+// Guards against a request that crashes one upstream after the other, and against refusing the requests that
+// were in flight with it.
+TEST_CASE("a poison request is stopped after few crashes and the others finish",
+          "[quarantine][promise-3][promise-9]")
+{
+    CHECK(rc::check("quarantine", [] {
+        crash_world w;
+        w.random_.seed(*rc::gen::arbitrary<std::uint64_t>());
+        rc::state::check(crash_oracle{}, w,
+                         rc::state::gen::execOneOfWithArgs<pass_time, send_innocents, send_innocents,
+                                                           send_poison, set_log_delay>());
+        w.log_delay_ = {300};
+        for (int i = 0; i < 4'000 && (!w.requests_.empty() || w.poison_refused_ < 3); ++i) {
+            w.step();
+            if (!w.poison_caller_ && w.requests_.empty()) {
+                break;
+            }
+        }
+        RC_ASSERT(w.innocent_refused_.empty());
+        // One crash makes it a suspect, one confirms it; a daemon that has not read the confirmation yet may
+        // run it once more when the caller sends it again within the delay of the log.
+        RC_ASSERT(w.crashes_ <= 3);
+        w.poison_caller_ = false;
+        for (int i = 0; i < 3'000 && !w.requests_.empty(); ++i) {
+            w.step();
+        }
+        RC_ASSERT(w.requests_.empty());
+        if (w.poison_sent_ > 0) {
+            for (auto const& d : w.daemons_) {
+                RC_ASSERT(judge(d.state_, d.view_, "poison") == crash_verdict::confirmed);
+            }
+        }
+    }));
+}
+
+// Guards against verdicts that forget the evidence of the other side.
+TEST_CASE("the verdict joins the fold's evidence with this daemon's", "[quarantine]")
+{
+    struct row {
+        int folded_; ///< 0: none, 1: suspect, 2: confirmed.
+        int local_;
+        crash_verdict expected_;
+    };
+    auto const r = GENERATE(row{0, 0, crash_verdict::clear}, row{1, 0, crash_verdict::suspect},
+                            row{0, 1, crash_verdict::suspect}, row{2, 0, crash_verdict::confirmed},
+                            row{0, 2, crash_verdict::confirmed}, row{1, 2, crash_verdict::confirmed},
+                            row{2, 1, crash_verdict::confirmed});
+    fleet_state state;
+    quarantine_view view;
+    if (r.folded_ > 0) {
+        apply(state, {{"e0", 1}, 1, crash_seen{"f", "u0", "", r.folded_ == 2}}, 0, {1'000});
+    }
+    if (r.local_ > 0) {
+        book_peer_evidence(view, {"f", "u0", "", r.local_ == 2}, {1'000});
+    }
+    CHECK(judge(state, view, "f") == r.expected_);
+    CHECK(judge(state, view, "g") == crash_verdict::clear);
+    CHECK(book_finish(state, view, "f") == (r.expected_ == crash_verdict::suspect));
+    CHECK_FALSE(book_finish(state, view, "g"));
+}
+
+// Guards against an older record that, when it is folded, takes away a confirmation that is still on its way.
+TEST_CASE("a confirmation outlasts the folding of an earlier crash", "[quarantine]")
+{
+    fleet_state state;
+    quarantine_view view;
+    auto const first = book_crash(view, "u0", {"f"}, "", {});
+    auto const second = book_crash(view, "u1", {"f"}, "f", {1'000});
+    apply(state, {{"e0", 1}, 1, first.at(0)}, 0, {2'000});
+    book_folded(state, view, "f", {});
+    CHECK(judge(state, view, "f") == crash_verdict::confirmed);
+    apply(state, {{"e0", 1}, 2, second.at(0)}, 1, {3'000});
+    book_folded(state, view, "f", {});
+    CHECK(judge(state, view, "f") == crash_verdict::confirmed);
+    CHECK(view.local_.empty());
+}
+
+// Guards against blaming the requests that ran beside an isolated suspect, and against counting one death
+// twice.
+TEST_CASE("one death is booked once for each fingerprint, and on the isolated suspect alone", "[quarantine]")
+{
+    quarantine_view view;
+    CHECK(book_crash(view, "u0", {"a", "b", "a"}, "", {}).size() == 2);
+    CHECK(view.local_.at("a").crashes_ == 1);
+    auto const records = book_crash(view, "u1", {"a", "b", "c"}, "b", {});
+    REQUIRE(records.size() == 1);
+    CHECK(records[0].fingerprint_ == "b");
+    CHECK(records[0].isolated_);
+    CHECK_FALSE(view.local_.contains("c"));
+    CHECK_FALSE(view.local_.at("a").confirmed_);
+}
+
+// Guards against two requests that share a fingerprint and against one that shows its content.
+TEST_CASE("fingerprints differ by each part and show none of them", "[quarantine][promise-5]")
+{
+    std::set<std::string> const all{fingerprint("a", "b", "c"), fingerprint("ab", "", "c"),
+                                    fingerprint("a", "bc", ""), fingerprint("", "ab", "c"),
+                                    fingerprint("a", "b", "d"), fingerprint("a", "b", "c\n")};
+    CHECK(all.size() == 6);
+    auto const text = fingerprint("workspace", "route", "secret");
+    CHECK(text == fingerprint("workspace", "route", "secret"));
+    CHECK(text.size() == 64);
+    CHECK(text.find("secret") == std::string::npos);
+}
