Check keys again after the wait, and notice crashes of engines that restart

Cause: a request that waited in a queue was sent although its key had been withdrawn meanwhile, and an engine that restarts within a second answered the check after a broken connection, so its crash was never booked. Change: the key is checked again before a request is sent; the check after a broken connection also asks whether the replica is still there.

--- a/src/transport/fleet_control.cpp
+++ b/src/transport/fleet_control.cpp
@@ -296,7 +296,8 @@
     }
 }
 
-void fleet_control::connection_broke(std::string const& upstream, std::string const& request)
+void fleet_control::connection_broke(std::string const& upstream, std::string const& replica,
+                                     std::string const& request)
 {
     std::string address;
     {
@@ -312,9 +313,16 @@
         }
         address = entry->second.address_;
     }
-    // A broken connection alone is no crash: the upstream must also have stopped answering.
-    if (read_report(address)) {
-        return;
+    // A broken connection alone is no crash: the upstream must also have stopped answering, or have restarted
+    // without its replicas.
+    if (auto const report = read_report(address)) {
+        auto const& held = report->replicas_;
+        bool const alive =
+            replica.empty() || std::any_of(held.begin(), held.end(),
+                                           [&replica](auto const& r) { return r.replica_ == replica; });
+        if (alive) {
+            return;
+        }
     }
     std::vector<crash_seen> crashes;
     {
--- a/src/transport/fleet_control.hpp
+++ b/src/transport/fleet_control.hpp
@@ -102,7 +102,9 @@
 
     /// \brief Reports that the connection to an upstream broke. Checks whether the upstream died and books
     /// the crash once.
-    void connection_broke(std::string const& upstream, std::string const& request);
+    /// \param replica The replica that ran the request; empty for a service.
+    void connection_broke(std::string const& upstream, std::string const& replica,
+                          std::string const& request);
 
     /// \brief Reports that a suspect finished.
     void suspect_finished(std::string const& fingerprint);
--- a/src/transport/fleet_placement.cpp
+++ b/src/transport/fleet_placement.cpp
@@ -24,6 +24,20 @@
     return {replica.pool_, replica.model_, replica.adapter_};
 }
 
+/// The source as one word for explanations.
+std::string source_name(load_source source)
+{
+    switch (source) {
+    case load_source::memory_cache:
+        return "memory-cache";
+    case load_source::disk_cache:
+        return "disk-cache";
+    case load_source::store:
+        break;
+    }
+    return "weight-store";
+}
+
 void add_demand(model_demand& sum, model_demand const& part)
 {
     sum.waiting_ += part.waiting_;
@@ -277,18 +291,28 @@
         wake_.wait_for(lock, std::chrono::milliseconds{200 << tries});
     }
     decision_trail trail{replica, "load", "", to_string(row), {}};
-    trail.events_.push_back({"load", model + " on " + entry.upstream_, to_string(row), started});
+    trail.events_.push_back({"place",
+                             "decided " + model + " " + entry.upstream_ + " " + source_name(entry.source_) +
+                                 " " + std::to_string(entry.memory_mb_),
+                             to_string(row), started});
+    trail.events_.push_back({"order", "sent " + entry.upstream_, to_string(row), started});
     if (result == order_result::done) {
         metrics_.observe("auburnchute_load_ms", entry.adapter_.empty() ? "checkpoint" : "adapter",
                          now(clock_) - started);
         trail.outcome_ = "loaded";
+        trail.events_.push_back({"order", "loaded " + std::to_string((now(clock_) - started).count_),
+                                 to_string(row), now(clock_)});
         submit(replica_loaded{replica, all_known});
     } else {
         log_fault("load", entry.upstream_, "replica " + replica + " was not loaded");
         trail.outcome_ = "failed";
+        trail.events_.push_back({"order",
+                                 result == order_result::refused ? "refused " + entry.upstream_
+                                                                 : "failed the upstream did not answer",
+                                 to_string(row), now(clock_)});
         submit(load_failed{replica, all_known});
     }
-    trail.events_.push_back({"load", trail.outcome_, to_string(row), now(clock_)});
+
     trails_.put(std::move(trail));
     // The order stays listed until the result is folded, so that it is not started again.
     std::unique_lock lock{mutex_};
@@ -321,8 +345,13 @@
         self = self_;
     }
     auto const released = submit_and_wait(replica_released{replica, self}, {5'000});
-    decision_trail trail{replica, "unload", released.known_ ? "unloaded" : "unknown", to_string(row), {}};
-    trail.events_.push_back({"unload", entry.model_ + " from " + entry.upstream_, to_string(row), started});
+    bool const freed = released.known_ && released.verdict_.verdict_ == verdict::accepted;
+    decision_trail trail{replica, "unload", freed ? "unloaded" : "pending", to_string(row), {}};
+    trail.events_.push_back({"unload", "sent " + entry.upstream_, to_string(row), started});
+    if (freed) {
+        trail.events_.push_back(
+            {"unload", "released " + std::to_string(entry.memory_mb_), to_string(row), now(clock_)});
+    }
     trails_.put(std::move(trail));
 }
 
--- a/src/transport/model_call.cpp
+++ b/src/transport/model_call.cpp
@@ -105,6 +105,12 @@
         refused->execution_ = ran_;
         return refused;
     }
+    // The key may have been withdrawn while the request waited.
+    if (auto ended = must_end(services_, context_)) {
+        services_.queue_.release(wanted_, grant_, {1});
+        ended->execution_ = ran_;
+        return ended;
+    }
     in_try_ = true;
     ++tries_;
     try_started_ = now(services_.control_.time_source());
@@ -237,7 +243,7 @@
         reader_.join();
     }
     if (broke) {
-        services_.control_.connection_broke(grant_.upstream_, context_.id_);
+        services_.control_.connection_broke(grant_.upstream_, grant_.replica_, context_.id_);
     }
     services_.control_.request_ended(grant_.upstream_, context_.id_);
     services_.queue_.release(wanted_, grant_, now(services_.control_.time_source()) - try_started_);
--- a/src/transport/request_context.cpp
+++ b/src/transport/request_context.cpp
@@ -220,7 +220,10 @@
     if (context.workspace_.empty()) {
         return std::nullopt;
     }
-    if (services.control_.reserve_tokens(context.workspace_, tokens, context.deadline_)) {
+    auto const started = wall_now();
+    bool const granted = services.control_.reserve_tokens(context.workspace_, tokens, context.deadline_);
+    write_step_span(services, context, "limit", started);
+    if (granted) {
         context.reserved_ = tokens;
         note(services, context, "limit", "granted " + context.workspace_ + " " + std::to_string(tokens));
         return std::nullopt;
--- a/src/transport/service_call.cpp
+++ b/src/transport/service_call.cpp
@@ -123,7 +123,7 @@
     services.control_.request_started(grant.upstream_, context.id_, context.fingerprint_, context.suspect_);
     auto result = call_service(services, context, grant, request);
     if (result.result_ == try_result::cut_before_answer) {
-        services.control_.connection_broke(grant.upstream_, context.id_);
+        services.control_.connection_broke(grant.upstream_, grant.replica_, context.id_);
     } else if (result.result_ == try_result::not_sent) {
         grant.counters_->refused_connections_.fetch_add(1, std::memory_order_relaxed);
     } else if (context.suspect_) {
@@ -150,6 +150,13 @@
             end_request(services, context, ran == execution::not_run ? "refused" : "failed");
             return;
         }
+        if (auto ended = must_end(services, context)) {
+            services.queue_.release(wanted, grant, {1});
+            ended->execution_ = ran;
+            answer_problem(*ended, response);
+            end_request(services, context, ran == execution::not_run ? "refused" : "failed");
+            return;
+        }
         auto const result = try_once(services, context, wanted, grant, request);
         ran = execution_after(ran, result.result_);
         if (ran != execution::not_run) {
