Test each rule of placement; keep idle replicas of a higher class

Cause: the table of rules found that an idle replica of a higher class was unloaded for a waiting model of a lower one ("neither a busy, a young, a higher nor a minimum replica makes room"). Ruled out: aging the victim; an idle model does not wait. Change: the victim's class is the lower of its row's and its aged class. Conclusion: the table passes; aging still lets a long wait win.

--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -737,7 +737,7 @@
                 continue;
             }
             auto const& need = needs_[held.entry_->model_];
-            if (need.idle_class_ < wanted.class_ && need.class_ < wanted.class_) {
+            if (std::min(need.idle_class_, need.class_) < wanted.class_) {
                 continue;
             }
             if (base) {
--- a/tests/coordination/placement_test.cpp
+++ b/tests/coordination/placement_test.cpp
@@ -311,3 +311,303 @@
     }
     CHECK(w.loads_ >= 1);
 }
+
+namespace {
+
+/// A fleet of one pool and what its planner proposes.
+struct small_fleet {
+    fleet_state state_;
+    std::map<model_key, model_demand> demand_;
+    std::map<std::string, cached_weights> caches_;
+    std::map<std::string, std::int64_t> load_;
+    std::map<std::string, millis> last_used_;
+    std::map<std::string, millis> loaded_at_;
+    std::vector<std::string> leaving_;
+    std::vector<failed_load> failed_;
+    std::uint64_t sequence_{};
+    std::uint64_t next_{1};
+    member_id const self_{"e0", 1};
+    millis now_{1'000'000};
+
+    small_fleet()
+    {
+        write(member_joined{self_, "za", "h", "p"});
+        for (int i = 0; i < 3; ++i) {
+            write(upstream_seen{"u" + std::to_string(i), "i", "a:1", i == 2 ? "zb" : "za", 40'000, true,
+                                false});
+        }
+        tables t;
+        pool_row pool;
+        pool.name_ = "p";
+        pool.upstreams_ = {"u*"};
+        for (std::string const name : {"a", "b", "c"}) {
+            model_row model;
+            model.name_ = name;
+            model.memory_mb_ = name == "c" ? 39'000 : 20'000;
+            model.max_replicas_ = 2;
+            model.adapters_ = {{"x", 2'000}, {"y", 2'000}};
+            pool.models_.push_back(model);
+        }
+        t.pools_ = {pool};
+        publish(t);
+    }
+
+    verdict write(record_body body)
+    {
+        return apply(state_, {self_, ++sequence_, std::move(body)}, state_.next_offset_, now_).verdict_;
+    }
+
+    void publish(tables t)
+    {
+        REQUIRE(write(tables_published{state_.tables_->version_, std::move(t)}) == verdict::accepted);
+    }
+
+    tables edited() const { return *state_.tables_; }
+
+    std::string load(std::string const& model, std::string const& upstream, std::string const& adapter = {})
+    {
+        auto const id = model + ":" + adapter + "@" + upstream;
+        auto const memory = !adapter.empty() ? 2'000 : model == "c" ? 39'000 : 20'000;
+        load_decided const decided{id,
+                                   "p",
+                                   model,
+                                   adapter,
+                                   upstream,
+                                   memory,
+                                   load_source::disk_cache,
+                                   self_,
+                                   replica_count(state_, "p", model, adapter)};
+        REQUIRE(write(decided) == verdict::accepted);
+        REQUIRE(write(replica_loaded{id, true}) == verdict::accepted);
+        loaded_at_[id] = now_ - millis{30'000};
+        last_used_[id] = now_ - millis{20'000};
+        return id;
+    }
+
+    void wait_for(std::string const& model, std::string const& adapter, std::int64_t waiting,
+                  priority highest = priority::normal)
+    {
+        auto& d = demand_[{"p", model, adapter}];
+        d.waiting_ = waiting;
+        d.highest_ = highest;
+        d.oldest_wait_ = {100};
+    }
+
+    /// \returns The plan in words, for example `load a on u0 from 2`; all of it must be accepted.
+    std::vector<std::string> plan()
+    {
+        placement_input const input{state_,     demand_,  caches_, load_, last_used_,
+                                    loaded_at_, leaving_, self_,   now_,  failed_};
+        std::vector<std::string> words;
+        for (auto const& action : plan_pool(input, state_.tables_->pools_[0], next_)) {
+            if (auto const* const l = std::get_if<load_decided>(&action)) {
+                words.push_back("load " + l->model_ + ":" + l->adapter_ + " on " + l->upstream_ + " from " +
+                                std::to_string(static_cast<int>(l->source_)));
+            } else if (auto const* const u = std::get_if<unload_decided>(&action)) {
+                words.push_back("unload " + u->replica_);
+            } else {
+                words.push_back("give up " + std::get<load_failed>(action).replica_);
+            }
+            CHECK(write(std::visit([](auto const& a) { return record_body{a}; }, action)) ==
+                  verdict::accepted);
+        }
+        return words;
+    }
+};
+
+using words = std::vector<std::string>;
+
+} // namespace
+
+// Guards against plans that do not follow the rows of the pools table.
+TEST_CASE("each rule of placement decides as the rows say", "[placement][promise-1][promise-11]")
+{
+    small_fleet f;
+    SECTION("one load for a burst that one replica carries")
+    {
+        f.wait_for("a", "", 8);
+        CHECK(f.plan().size() == 1);
+        CHECK(f.plan().empty());
+    }
+    SECTION("a second load when the demand exceeds the first replica")
+    {
+        f.wait_for("a", "", 9);
+        CHECK(f.plan().size() == 2);
+    }
+    SECTION("memory cache before disk cache before store")
+    {
+        f.caches_["u1"].by_model_["a"] = load_source::disk_cache;
+        f.caches_["u2"].by_model_["a"] = load_source::memory_cache;
+        f.wait_for("a", "", 9);
+        CHECK(f.plan() == words{"load a: on u2 from 0", "load a: on u1 from 1"});
+    }
+    SECTION("the highest class takes the last transfer")
+    {
+        auto t = f.edited();
+        t.store_.checkpoint_transfers_ = 1;
+        f.publish(t);
+        f.wait_for("a", "", 1, priority::low);
+        f.wait_for("b", "", 1, priority::urgent);
+        CHECK(f.plan() == words{"load b: on u0 from 2"});
+    }
+    SECTION("a required availability zone is a filter")
+    {
+        auto t = f.edited();
+        t.pools_[0].availability_zones_ = {"zb"};
+        t.pools_[0].locality_ = locality::require;
+        f.publish(t);
+        f.wait_for("a", "", 9);
+        CHECK(f.plan() == words{"load a: on u2 from 2"});
+    }
+    SECTION("leaving and drained upstreams get nothing and give up idle replicas")
+    {
+        auto const id = f.load("a", "u0");
+        auto const other = f.load("b", "u1");
+        f.load_[other] = 1;
+        f.leaving_ = {"u0"};
+        f.write(drain_set{"u1", true});
+        f.wait_for("a", "", 1);
+        CHECK(f.plan() == words{"unload " + id, "load a: on u2 from 2"});
+    }
+    SECTION("a failed replica is unloaded and the model loaded again elsewhere")
+    {
+        f.wait_for("a", "", 1);
+        REQUIRE(f.plan() == words{"load a: on u0 from 2"});
+        f.write(load_failed{"e0-1-r1", false});
+        f.failed_.push_back({"u0", "a", "", f.now_});
+        CHECK(f.plan() == words{"unload e0-1-r1", "load a: on u1 from 2"});
+    }
+    SECTION("an upstream on which the load failed comes last")
+    {
+        f.failed_.push_back({"u0", "a", "", f.now_ - millis{1'000}});
+        f.wait_for("a", "", 1);
+        CHECK(f.plan() == words{"load a: on u1 from 2"});
+    }
+    SECTION("a model that left the tables is unloaded, its adapters first")
+    {
+        auto const base = f.load("a", "u0");
+        auto const adapter = f.load("a", "u0", "x");
+        auto t = f.edited();
+        t.pools_[0].models_.erase(t.pools_[0].models_.begin());
+        f.publish(t);
+        CHECK(f.plan() == words{"unload " + adapter});
+        REQUIRE(f.write(replica_released{adapter, f.self_}) == verdict::accepted);
+        CHECK(f.plan() == words{"unload " + base});
+    }
+    SECTION("a lowered maximum unloads the replica with the least work")
+    {
+        auto const busy = f.load("a", "u0");
+        auto const idle = f.load("a", "u1");
+        f.load_[busy] = 3;
+        auto t = f.edited();
+        t.pools_[0].models_[0].max_replicas_ = 1;
+        f.publish(t);
+        CHECK(f.plan() == words{"unload " + idle});
+        CHECK(f.plan().empty());
+    }
+    SECTION("min_replicas are loaded without demand and stay when idle")
+    {
+        auto t = f.edited();
+        t.pools_[0].models_[0].min_replicas_ = 1;
+        f.publish(t);
+        CHECK(f.plan() == words{"load a: on u0 from 2"});
+        f.write(replica_loaded{"e0-1-r1", true});
+        f.loaded_at_["e0-1-r1"] = f.now_ - millis{3'600'000};
+        CHECK(f.plan().empty());
+    }
+    SECTION("an idle replica is unloaded after its keep-alive")
+    {
+        auto const id = f.load("a", "u0");
+        f.demand_[{"p", "a", ""}].mean_interval_ = {60'000};
+        CHECK(f.plan().empty());
+        f.now_ += millis{40'001};
+        CHECK(f.plan() == words{"unload " + id});
+    }
+    SECTION("an idle replica makes room for a waiting model, the least recently used first")
+    {
+        auto const older = f.load("a", "u0");
+        f.last_used_[older] = f.now_ - millis{25'000};
+        f.load("b", "u1");
+        f.load("a", "u1");
+        f.load("b", "u2");
+        f.wait_for("c", "", 1);
+        CHECK(f.plan() == words{"unload " + older});
+        CHECK(f.plan().empty()); // The memory is on its way; no second victim.
+        f.write(replica_released{older, f.self_});
+        CHECK(f.plan() == words{"load c: on u0 from 2"});
+    }
+    SECTION("neither a busy, a young, a higher nor a minimum replica makes room")
+    {
+        auto const a0 = f.load("a", "u0");
+        auto const b1 = f.load("b", "u1");
+        auto const b2 = f.load("b", "u2");
+        auto const reason = GENERATE(0, 1, 2, 3);
+        f.load_[a0] = reason == 0 ? 1 : 0;
+        f.load_[b1] = f.load_[b2] = 1;
+        f.loaded_at_[a0] = reason == 1 ? f.now_ - millis{9'999} : f.loaded_at_[a0];
+        f.last_used_[a0] = reason == 1 ? f.now_ - millis{9'999} : f.last_used_[a0];
+        f.demand_[{"p", "a", ""}].highest_ = reason == 2 ? priority::urgent : priority::low;
+        f.demand_[{"p", "a", ""}].mean_interval_ = {1'000};
+        if (reason == 3) {
+            auto t = f.edited();
+            t.pools_[0].models_[0].min_replicas_ = 1;
+            f.publish(t);
+        }
+        f.wait_for("c", "", 1);
+        CHECK(f.plan().empty());
+    }
+    SECTION("an adapter waits for its base and is loaded beside it")
+    {
+        f.wait_for("a", "x", 1);
+        CHECK(f.plan() == words{"load a: on u0 from 2"});
+        CHECK(f.plan().empty());
+        f.write(replica_loaded{"e0-1-r1", true});
+        CHECK(f.plan() == words{"load a:x on u0 from 2"});
+    }
+    SECTION("a base model goes where its waiting adapter fits too")
+    {
+        f.load("b", "u0");
+        f.load("b", "u1");
+        f.write(upstream_seen{"u3", "i", "a:1", "za", 20'000, true, false});
+        f.caches_["u3"].by_model_["a"] = load_source::memory_cache;
+        f.wait_for("a", "x", 1);
+        CHECK(f.plan() == words{"load a: on u2 from 2"});
+    }
+    SECTION("the unload of a dead daemon is taken over and its load given up")
+    {
+        member_id const dead{"e1", 9};
+        f.write(member_joined{dead, "za", "h", "p"});
+        auto const id = f.load("a", "u0");
+        REQUIRE(f.write(unload_decided{id, dead}) == verdict::accepted);
+        REQUIRE(f.write(load_decided{"r9", "p", "b", "", "u1", 20'000, load_source::store, dead, 0}) ==
+                verdict::accepted);
+        CHECK(f.plan().empty());
+        f.write(member_gone{dead, gone_evidence::vm_absent});
+        CHECK(f.plan() == words{"unload " + id, "give up r9", "unload r9"});
+    }
+    SECTION("replicas of a pool that left the tables are unloaded")
+    {
+        auto const id = f.load("a", "u0");
+        auto t = f.edited();
+        t.pools_.clear();
+        f.publish(t);
+        placement_input const input{f.state_,     f.demand_,  f.caches_, f.load_, f.last_used_,
+                                    f.loaded_at_, f.leaving_, f.self_,   f.now_};
+        auto const actions = plan_removed_pools(input);
+        REQUIRE(actions.size() == 1);
+        CHECK(std::get<unload_decided>(actions[0]).replica_ == id);
+    }
+}
+
+// Guards against a keep-alive that exceeds the row or falls to nothing.
+TEST_CASE("the keep-alive shrinks with the arrival interval and stays within the row", "[placement]")
+{
+    model_row model;
+    model.load_time_ = {20'000};
+    model.idle_unload_ = {60'000};
+    auto const row = GENERATE(table<std::int64_t, std::int64_t>(
+        {{0, 60'000}, {1'000, 60'000}, {400'000, 60'000}, {600'000, 40'000}, {100'000'000, 20'000}}));
+    CHECK(keep_alive(model, {std::get<0>(row)}) == millis{std::get<1>(row)});
+    model.idle_unload_ = {5'000};
+    CHECK(keep_alive(model, {std::get<0>(row)}) <= millis{5'000});
+}
