--- a/standins/standin-engine.cpp
+++ b/standins/standin-engine.cpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <atomic>
-#include <cmath>
 #include <condition_variable>
 #include <memory>
 #include <openssl/crypto.h>
@@ -364,7 +363,8 @@
             return refusal(409, "out_of_memory",
                            std::to_string(settings_.memory_mb_ - memory_used()) + " MB are free");
         }
-        if (source != "store" && !in_cache(source == "memory_cache" ? memory_cache_ : disk_cache_, name)) {
+        if (source != "store" && !cached_adapters_.contains(name) &&
+            !in_cache(source == "memory_cache" ? memory_cache_ : disk_cache_, name)) {
             return refusal(409, "not_cached", name + " is not in " + source);
         }
         return std::nullopt;
@@ -410,6 +410,10 @@
 
     void keep_in_caches(std::string const& name)
     {
+        if (name.find(':') != std::string::npos) { // Adapters are small: all of them are kept.
+            cached_adapters_.insert(name);
+            return;
+        }
         keep(memory_cache_, name, settings_.memory_cache_);
         keep(disk_cache_, name, settings_.disk_cache_);
     }
@@ -473,6 +477,9 @@
                 cached.push_back({{"model", name}, {"source", "disk_cache"}});
             }
         }
+        for (auto const& name : cached_adapters_) {
+            cached.push_back({{"model", name}, {"source", "memory_cache"}});
+        }
         std::int64_t waiting = 0;
         for (auto const& [base, count] : waiting_) {
             waiting += count;
@@ -497,6 +504,7 @@
     std::map<std::string, std::uint64_t> fencing_;
     std::deque<std::string> memory_cache_; ///< Least recently loaded first.
     std::deque<std::string> disk_cache_;
+    std::set<std::string> cached_adapters_;
     std::multimap<std::string, std::shared_ptr<running_request>> running_; ///< By request, waiting ones too.
     std::map<std::string, std::set<std::pair<std::int64_t, std::uint64_t>>> queues_; ///< Priority, arrival.
     std::map<std::string, std::int64_t> waiting_;
--- a/standins/standin-log.cpp
+++ b/standins/standin-log.cpp
@@ -1,6 +1,5 @@
 #include "standin.hpp"
 
-#include <cmath>
 #include <condition_variable>
 #include <openssl/evp.h>
 #include <optional>
