--- a/standins/standin-log.cpp
+++ b/standins/standin-log.cpp
@@ -106,7 +106,7 @@
     bool take_append()
     {
         // A quarter of a second's appends may come at once.
-        auto const capacity = std::max(1.0, rate_ / 4);
+        auto const capacity = rate_ > 0 ? std::max(1.0, rate_ / 4) : 0.0;
         auto const now = steady_now();
         tokens_ =
             std::min(capacity, tokens_ + rate_ * static_cast<double>((now - refilled_).count_) / 1000.0);
