--- a/src/transport/fleet_log.cpp
+++ b/src/transport/fleet_log.cpp
@@ -60,6 +60,11 @@
     if (page->first_ > from) {
         return restore_from_snapshot(page->first_, page->next_);
     }
+    std::int64_t bytes = 0;
+    for (auto const& entry : page->entries_) {
+        bytes += static_cast<std::int64_t>(entry.data_.size());
+    }
+    metrics_.count("auburnchute_control_bytes_total", "log_read", bytes);
     fold_entries(page->entries_);
     {
         std::lock_guard const lock{mutex_};
@@ -298,7 +303,10 @@
                 continue;
             }
         }
-        bool const acknowledged = log_.append(encode_batch(batch));
+        auto const data = encode_batch(batch);
+        metrics_.count("auburnchute_control_bytes_total", "log_appended",
+                       static_cast<std::int64_t>(data.size()));
+        bool const acknowledged = log_.append(data);
         metrics_.count("auburnchute_log_appends_total", acknowledged ? "acknowledged" : "unknown");
         std::lock_guard const lock{mutex_};
         append_returned(writer_, acknowledged, now(clock_));
--- a/src/transport/fleet_peers.cpp
+++ b/src/transport/fleet_peers.cpp
@@ -138,6 +138,10 @@
             continue;
         }
         metrics_.count("auburnchute_heartbeats_total", "answered");
+        metrics_.count("auburnchute_control_bytes_total", "heartbeat_sent",
+                       static_cast<std::int64_t>(request.ByteSizeLong()));
+        metrics_.count("auburnchute_control_bytes_total", "heartbeat_received",
+                       static_cast<std::int64_t>(reply->ByteSizeLong()));
         std::lock_guard const lock{mutex_};
         auto const member = from_message(reply->sender());
         if (member != link->member_) {
