--- a/src/state/tables_yaml.cpp
+++ b/src/state/tables_yaml.cpp
@@ -500,7 +500,22 @@
     YAML::Emitter out_;
 };
 
-/// Adds the faults between rows, except on fields that already have a fault of their own.
+/// True if the path is one of the faulty ones or lies within one of them.
+bool is_within(std::set<std::string> const& faulty, std::string path)
+{
+    for (;;) {
+        if (faulty.contains(path)) {
+            return true;
+        }
+        auto const end = path.find_last_of(".[");
+        if (end == std::string::npos) {
+            return false;
+        }
+        path.resize(end);
+    }
+}
+
+/// Adds the faults between rows, except on fields and rows that already have a fault of their own.
 void add_row_faults(parsed_tables& result, std::string_view routes_name, document_reader const& routes,
                     std::string_view pools_name, document_reader const& pools)
 {
@@ -509,7 +524,7 @@
         faulty.insert(fault.field_);
     }
     for (auto& fault : validate(result.tables_)) {
-        if (faulty.contains(fault.field_)) {
+        if (is_within(faulty, fault.field_)) {
             continue;
         }
         bool const in_routes = fault.field_.starts_with("routes") || fault.field_.starts_with("workspaces");
