Keep a virtual time for each model in the wait queue

Ruled out: advancing the time only to the least backlogged workspace; a workspace that uses a fast model would then be postponed without bound for a slow one. Change: wait_queue::clocks_ by model, kept while requests of the model wait; workspace_finish_ and virtual_time_ go.

--- a/include/auburnchute/admission.hpp
+++ b/include/auburnchute/admission.hpp
@@ -25,17 +25,23 @@
     millis deadline_{}; ///< Served or refused by then.
 };
 
+/// \brief Weighted fair queueing among the workspaces that wait for one model.
+struct fair_clock {
+    double time_{}; ///< Virtual start of the last request taken.
+    /// Virtual finish of each workspace's last request taken, if ahead of the time.
+    std::map<std::string, double, std::less<>> finish_;
+};
+
 /// \brief Requests of one pool that wait, in no order. Plain data; the functions below change it.
 ///
 /// A workspace is charged when its request is taken, not when it is queued: requests that expire or are
-/// cancelled cost it nothing.
+/// cancelled cost it nothing. Each model has its own virtual time: with one for the pool, requests taken for
+/// one model made all workspaces even that waited for another.
 struct wait_queue {
     std::vector<waiting_request> waiting_;
-    std::map<std::string, double, std::less<>>
-        workspace_finish_;  ///< Virtual finish of each workspace's last request taken, if ahead of the time.
-    double virtual_time_{}; ///< Virtual start of the last request taken.
-    std::size_t limit_{
-        4096}; ///< A workspace may queue as many as are free, so it never fills the queue alone.
+    std::map<std::string, fair_clock, std::less<>> clocks_; ///< By model, while requests of it wait.
+    /// A workspace may queue as many as are free, so it never fills the queue alone.
+    std::size_t limit_{4096};
     millis aging_{10'000};
 };
 
--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -17,11 +17,17 @@
 
 /// The virtual time from which the workspace's next request is charged. A workspace that was idle starts at
 /// the present virtual time, so that it saves up no claim.
-double virtual_start(wait_queue const& queue, std::string_view workspace) noexcept
+double virtual_start(fair_clock const& fair, std::string_view workspace) noexcept
 {
-    auto const found = queue.workspace_finish_.find(workspace);
-    return found == queue.workspace_finish_.end() ? queue.virtual_time_
-                                                  : std::max(queue.virtual_time_, found->second);
+    auto const found = fair.finish_.find(workspace);
+    return found == fair.finish_.end() ? fair.time_ : std::max(fair.time_, found->second);
+}
+
+fair_clock const& clock_of(wait_queue const& queue, std::string_view model) noexcept
+{
+    static fair_clock const fresh;
+    auto const found = queue.clocks_.find(model);
+    return found == queue.clocks_.end() ? fresh : found->second;
 }
 
 waiting_request remove_at(wait_queue& queue, std::size_t index)
@@ -59,7 +65,8 @@
             entry.cost_ += cost(other);
         }
     }
-    auto start = virtual_start(queue, request.workspace_);
+    auto const& fair = clock_of(queue, request.model_);
+    auto start = virtual_start(fair, request.workspace_);
     if (auto const own = same_class.find(request.workspace_); own != same_class.end()) {
         ahead += static_cast<double>(own->second.requests_);
         start += own->second.cost_;
@@ -68,7 +75,7 @@
         if (workspace == request.workspace_) {
             continue;
         }
-        auto const before = start - virtual_start(queue, workspace);
+        auto const before = start - virtual_start(fair, workspace);
         if (before > 0) {
             ahead += std::min(static_cast<double>(entry.requests_),
                               std::ceil(before / entry.cost_ * static_cast<double>(entry.requests_)));
@@ -113,28 +120,34 @@
 std::optional<waiting_request> take_next(wait_queue& queue, std::string_view model, millis now)
 {
     std::optional<std::size_t> best;
+    std::size_t of_model = 0;
+    auto const& known = clock_of(queue, model);
     auto const rank = [&](waiting_request const& request) {
         return std::tuple{effective_class(request, queue.aging_, now),
-                          virtual_start(queue, request.workspace_), request.arrived_, request.ticket_};
+                          virtual_start(known, request.workspace_), request.arrived_, request.ticket_};
     };
     for (std::size_t i = 0; i < queue.waiting_.size(); ++i) {
         auto const& request = queue.waiting_[i];
         if (request.model_ != model || request.deadline_ <= now) {
             continue;
         }
+        ++of_model;
         if (!best || rank(request) < rank(queue.waiting_[*best])) {
             best = i;
         }
     }
-    if (!best) {
-        return std::nullopt;
+    if (of_model <= 1) {
+        // Nobody is left to be fair to.
+        if (auto const found = queue.clocks_.find(model); found != queue.clocks_.end()) {
+            queue.clocks_.erase(found);
+        }
+        return best ? std::optional{remove_at(queue, *best)} : std::nullopt;
     }
     auto taken = remove_at(queue, *best);
-    auto const start = virtual_start(queue, taken.workspace_);
-    queue.virtual_time_ = start;
-    queue.workspace_finish_[taken.workspace_] = start + cost(taken);
-    std::erase_if(queue.workspace_finish_,
-                  [&](auto const& entry) { return entry.second <= queue.virtual_time_; });
+    auto& fair = queue.clocks_[taken.model_];
+    fair.time_ = virtual_start(fair, taken.workspace_);
+    fair.finish_[taken.workspace_] = fair.time_ + cost(taken);
+    std::erase_if(fair.finish_, [&](auto const& entry) { return entry.second <= fair.time_; });
     return taken;
 }
 
