--- a/src/transport/fleet_control.cpp
+++ b/src/transport/fleet_control.cpp
@@ -88,6 +88,12 @@
     publish();
 }
 
+bool fleet_control::is_stopping() const
+{
+    std::lock_guard const lock{mutex_};
+    return stopping_;
+}
+
 void fleet_control::finish_stop(millis limit)
 {
     auto const deadline = now(clock_) + limit;
@@ -235,6 +241,12 @@
     return all;
 }
 
+millis fleet_control::log_age() const
+{
+    std::lock_guard const lock{mutex_};
+    return now(clock_) - authority_.log_tail_read_;
+}
+
 void fleet_control::publish()
 {
     std::lock_guard const one_publisher{publish_mutex_};
@@ -284,7 +296,8 @@
     }
 }
 
-void fleet_control::connection_broke(std::string const& upstream, std::string const& request)
+void fleet_control::connection_broke(std::string const& upstream, std::string const& replica,
+                                     std::string const& request)
 {
     std::string address;
     {
@@ -300,9 +313,16 @@
         }
         address = entry->second.address_;
     }
-    // A broken connection alone is no crash: the upstream must also have stopped answering.
-    if (read_report(address)) {
-        return;
+    // A broken connection alone is no crash: the upstream must also have stopped answering, or have restarted
+    // without its replicas.
+    if (auto const report = read_report(address)) {
+        auto const& held = report->replicas_;
+        bool const alive =
+            replica.empty() || std::any_of(held.begin(), held.end(),
+                                           [&replica](auto const& r) { return r.replica_ == replica; });
+        if (alive) {
+            return;
+        }
     }
     std::vector<crash_seen> crashes;
     {
--- a/src/transport/fleet_control.hpp
+++ b/src/transport/fleet_control.hpp
@@ -67,12 +67,15 @@
     /// \brief Begins a planned stop: this VM leaves the entry list and new share versions.
     void begin_stop();
 
+    /// \returns True after a planned stop has begun, by a signal or by a drain.
+    [[nodiscard]] bool is_stopping() const;
+
     /// \brief Ends the membership after the last request, and all threads. Waits up to `limit` for the log.
     void finish_stop(millis limit);
 
     /// \brief Reads the published view. The reference is valid only within `use`.
     template <typename F>
-    decltype(auto) read(F&& use) const
+    auto read(F&& use) const
     {
         return view_.read(std::forward<F>(use));
     }
@@ -99,7 +102,9 @@
 
     /// \brief Reports that the connection to an upstream broke. Checks whether the upstream died and books
     /// the crash once.
-    void connection_broke(std::string const& upstream, std::string const& request);
+    /// \param replica The replica that ran the request; empty for a service.
+    void connection_broke(std::string const& upstream, std::string const& replica,
+                          std::string const& request);
 
     /// \brief Reports that a suspect finished.
     void suspect_finished(std::string const& fingerprint);
@@ -109,6 +114,9 @@
     /// \returns True if a suspect may start its isolated run now; otherwise ask again later.
     [[nodiscard]] bool may_start_isolated(std::string const& fingerprint) const;
 
+    /// \returns How long ago the log was known to be read to its tail.
+    [[nodiscard]] millis log_age() const;
+
     [[nodiscard]] clock const& time_source() const noexcept { return clock_; }
 
 private:
