--- a/src/transport/fleet_log.cpp
+++ b/src/transport/fleet_log.cpp
@@ -60,6 +60,11 @@
     if (page->first_ > from) {
         return restore_from_snapshot(page->first_, page->next_);
     }
+    std::int64_t bytes = 0;
+    for (auto const& entry : page->entries_) {
+        bytes += static_cast<std::int64_t>(entry.data_.size());
+    }
+    metrics_.count("auburnchute_control_bytes_total", "log_read", bytes);
     fold_entries(page->entries_);
     {
         std::lock_guard const lock{mutex_};
@@ -227,13 +232,20 @@
         }
         joined_ = true;
         body.member_ = self_;
+        body.read_to_ = fold_.next_offset_;
     }
     body.availability_zone_ = config_.availability_zone_;
     body.http_ = config_.advertised_callers_;
     body.peer_ = config_.advertised_peers_;
     body.admin_ = config_.advertised_admin_;
     log_change("join", to_string(body.member_), "registers as a member");
-    submit(std::move(body));
+    submit(std::move(body), [this](submit_result const& answer) {
+        if (answer.known_ && answer.verdict_.verdict_ == verdict::rejected) {
+            // Another incarnation joined on this VM after the last read; the next try has read its join.
+            std::lock_guard const lock{mutex_};
+            joined_ = false;
+        }
+    });
 }
 
 void fleet_control::after_fold()
@@ -298,7 +310,10 @@
                 continue;
             }
         }
-        bool const acknowledged = log_.append(encode_batch(batch));
+        auto const data = encode_batch(batch);
+        metrics_.count("auburnchute_control_bytes_total", "log_appended",
+                       static_cast<std::int64_t>(data.size()));
+        bool const acknowledged = log_.append(data);
         metrics_.count("auburnchute_log_appends_total", acknowledged ? "acknowledged" : "unknown");
         std::lock_guard const lock{mutex_};
         append_returned(writer_, acknowledged, now(clock_));
