Let answers of the engine stand-in differ by prompt; show a stream's end in the demo

Cause: the low bits of FNV-1a picked the words, so that answers to different prompts differed in the first token only; a crossed or mixed answer could pass for the right one.

--- a/standins/standin-engine.cpp
+++ b/standins/standin-engine.cpp
@@ -128,7 +128,9 @@
         std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(digest));
         return text;
     }
-    auto const word = hash_of(std::to_string(digest) + '/' + std::to_string(index)) % vocabulary.size();
+    // The low bits of FNV-1a depend on the low bits of the text only.
+    auto const word =
+        (hash_of(std::to_string(digest) + '/' + std::to_string(index)) >> 40) % vocabulary.size();
     return std::string{" "} + vocabulary[word];
 }
 
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -223,8 +223,14 @@
 }
 show() { # title
   printf '\n%s\n  status %s, %s s, row %s\n' "$1" "$code" "$seconds" "${row:-none}"
-  head -c 700 "$work/body" | sed 's/^/  /'
-  echo
+  if grep -q '^data: ' "$work/body"; then
+    grep '^data: ' "$work/body" | sed -n '1,3p' | sed 's/^/  /'
+    echo "  ..."
+    grep '^data: ' "$work/body" | tail -n 3 | sed 's/^/  /'
+  else
+    head -c 700 "$work/body" | sed 's/^/  /'
+    echo
+  fi
 }
 expect() { # what command...
   local what=$1
