--- a/apps/auburncheck.cpp
+++ b/apps/auburncheck.cpp
@@ -2,6 +2,7 @@
 #include "protocol/admin_view.hpp"
 #include "protocol/settings.hpp"
 #include "protocol/text_file.hpp"
+#include "short_usage.hpp"
 
 #include <auburnchute/error.hpp>
 #include <auburnchute/tables_yaml.hpp>
@@ -87,7 +88,9 @@
     }
     auto const routes = arguments.at("ROUTES").asString();
     auto const pools = arguments.at("POOLS").asString();
-    return show(parse_tables(routes, read_file(routes), pools, read_file(pools)).faults_, as_json);
+    auto const routes_text = read_file(routes);
+    auto const pools_text = read_file(pools);
+    return show(parse_tables(routes, routes_text, pools, pools_text).faults_, as_json);
 }
 
 } // namespace
@@ -103,7 +106,7 @@
         std::cout << "auburncheck " AUBURNCHUTE_VERSION "\n";
         return 0;
     } catch (docopt::DocoptArgumentError const& fault) {
-        std::cerr << fault.what() << "\n\n" << usage_text;
+        std::cerr << "auburncheck: " << fault.what() << "\n\n" << short_usage(usage_text) << '\n';
     } catch (std::exception const& fault) {
         std::cerr << "auburncheck: " << fault.what() << '\n';
     }
--- a/apps/auburnctl.cpp
+++ b/apps/auburnctl.cpp
@@ -5,6 +5,7 @@
 #include "protocol/caller_key.hpp"
 #include "protocol/table_diff.hpp"
 #include "protocol/text_file.hpp"
+#include "short_usage.hpp"
 
 #include <auburnchute/clock.hpp>
 #include <auburnchute/error.hpp>
@@ -33,7 +34,7 @@
 constexpr char const* usage_text = R"usage(auburnctl - controls the entry VMs of auburnchute
 
 Usage:
-  auburnctl check ROUTES POOLS [--json]
+  auburnctl check ROUTES POOLS [options]
   auburnctl fetch ROUTES POOLS [options]
   auburnctl diff ROUTES POOLS [options]
   auburnctl publish ROUTES POOLS --message TEXT [--base N] [--author NAME] [--wait] [options]
@@ -687,7 +688,7 @@
         std::cout << "auburnctl " AUBURNCHUTE_VERSION "\n";
         return 0;
     } catch (docopt::DocoptArgumentError const& fault) {
-        std::cerr << fault.what() << "\n\n" << usage_text;
+        std::cerr << "auburnctl: " << fault.what() << "\n\n" << short_usage(usage_text) << '\n';
         return static_cast<int>(exit_code::usage);
     } catch (command_end const& ended) {
         return finish(given, ended.code_, ended.message_, ended.details_);
