--- a/src/transport/request_context.cpp
+++ b/src/transport/request_context.cpp
@@ -138,12 +138,12 @@
             context.workspace_ = known->second.workspace_;
         }
         route_row const* route = nullptr;
-        bool matched = false;
+        route_row const* matched = nullptr;
         for (auto const& row : state.tables_->routes_) {
             if (!matches(row, query)) {
                 continue;
             }
-            matched = true;
+            matched = matched == nullptr ? &row : matched;
             if (allows(row, context.workspace_)) {
                 route = &row;
                 break;
@@ -172,10 +172,10 @@
              context.workspace_.empty() ? "open" : "workspace " + context.workspace_);
         if (route == nullptr) {
             note(services, context, "route", "none");
-            if (matched) {
+            if (matched != nullptr) {
+                context.row_ = {"routes", matched->name_, state.tables_->version_};
                 return make_problem(context, 403, "forbidden", "route",
-                                    "not run: no route lets workspace " + context.workspace_ +
-                                        " make this request");
+                                    "not run: the row does not name workspace " + context.workspace_);
             }
             return make_problem(context, 404, "no-route", "route",
                                 "not run: no route matches " +
