Let models idle between requests in the test of thrashing

Cause: the test of the bound on loads passed with min_residence ignored; its models were never idle, so none could be pushed out. Ruled out: a lower bound on the loads, which would not show thrashing. Change: requests come every three seconds; the slopes measurement asks for two more replicas of each waiting model.

--- a/measure/measure_slopes_placement.cpp
+++ b/measure/measure_slopes_placement.cpp
@@ -107,7 +107,8 @@
     for (std::size_t i = 0; i < s.waiting_; ++i) {
         auto& d = f.demand_[{"p", numbered("m", i % s.models_),
                              i < s.models_ ? std::string{} : numbered("a", i / s.models_ - 1)}];
-        d.waiting_ = 2'000;
+        // Two more replicas than are loaded.
+        d.waiting_ = static_cast<std::int64_t>(8 * (s.replicas_ / s.models_ + 1) + 9);
         d.oldest_wait_ = {static_cast<std::int64_t>(i)};
     }
     return f;
--- a/tests/coordination/placement_test.cpp
+++ b/tests/coordination/placement_test.cpp
@@ -295,8 +295,11 @@
     for (int tick = 0; tick < 1'200; ++tick) {
         w.now_ += millis{500};
         for (int m = 0; m < models; ++m) {
-            w.requests_.push_back(
-                {{"reviews", "m" + std::to_string(m), ""}, priority::normal, w.now_, {}, {}});
+            // Between two requests every model is idle, so that each could push out the others at once.
+            if (tick % 6 == m) {
+                w.requests_.push_back(
+                    {{"reviews", "m" + std::to_string(m), ""}, priority::normal, w.now_, {}, {}});
+            }
         }
         w.move_orders();
         w.move_unloads();
