--- a/src/state/fleet_state.cpp
+++ b/src/state/fleet_state.cpp
@@ -96,6 +96,12 @@
     return fenced || load_order_ended(state, replica);
 }
 
+void keep_as_failed(replica_entry& replica)
+{
+    replica.status_ = replica_status::failed;
+    replica.was_loaded_ = false;
+}
+
 /// Frees what a lost VM held. A load whose order may still arrive keeps its reservation, because a new VM may
 /// take over the address, and neither an engine that ignores fencing numbers nor one that has just started
 /// refuses the order.
@@ -107,13 +113,23 @@
         } else if (load_order_ended(state, it->second)) {
             it = state.replicas_.erase(it);
         } else {
-            it->second.status_ = replica_status::failed;
-            it->second.was_loaded_ = false;
+            keep_as_failed(it->second);
             ++it;
         }
     }
 }
 
+/// A load that was decided for the old VM instance may have reached the new one before the log knew of it, so
+/// its replicas keep their memory until they are unloaded from the new one.
+void move_replicas_of(fleet_state& state, std::string const& upstream)
+{
+    for (auto& [id, replica] : state.replicas_) {
+        if (replica.upstream_ == upstream) {
+            keep_as_failed(replica);
+        }
+    }
+}
+
 /// Replicas whose unload was decided while a load order could still arrive after it.
 std::vector<std::string> unsettled_unloads(fleet_state const& state)
 {
@@ -345,7 +361,7 @@
         if (it != state_.upstreams_.end()) {
             retire(body.upstream_, it->second.vm_instance_);
         }
-        free_replicas_of(state_, body.upstream_);
+        move_replicas_of(state_, body.upstream_);
         state_.upstreams_[body.upstream_] = {body.vm_instance_,       body.address_,
                                              body.availability_zone_, body.memory_mb_,
                                              body.honours_fencing_,   body.checks_sender_};
