--- a/tests/transport/fleet.hpp
+++ b/tests/transport/fleet.hpp
@@ -153,14 +153,17 @@
 
     /// \brief Sends a model request and waits for the whole answer.
     [[nodiscard]] fleet_answer ask(std::size_t daemon, std::string const& model, std::string const& prompt,
-                                   int tokens = 3, bool stream = false) const
+                                   int tokens = 3, bool stream = false,
+                                   std::string const& key = fleet_key) const
     {
         nlohmann::json const body{{"model", model},
                                   {"max_tokens", tokens},
                                   {"stream", stream},
                                   {"messages", {{{"role", "user"}, {"content", prompt}}}}};
         auto client = client_of(callers_[daemon]);
-        client.set_bearer_token_auth(fleet_key);
+        if (!key.empty()) {
+            client.set_bearer_token_auth(key);
+        }
         return read(client.Post("/v1/chat/completions", body.dump(), "application/json"));
     }
 
@@ -264,9 +267,9 @@
             {"author", author},
             {"message", "test"},
             {"routes",
-             "workspaces: [{name: w, rate: " + std::to_string(options_.rate_) +
+             "workspaces:\n  - {name: w, rate: " + std::to_string(options_.rate_) +
                  ", burst: " + std::to_string(options_.burst_) +
-                 "}]\nroutes:\n"
+                 "}\n  - {name: x, rate: 1000, burst: 10000}\nroutes:\n"
                  "  - {name: r, workspaces: [w], model: m, pool: p, deadline_ms: 20000, max_tokens: 4000}\n"
                  "  - {name: cold, workspaces: [w], model: c, pool: p, deadline_ms: 20000, max_tokens: 100}\n"
                  "  - {name: buy, workspaces: [w], path: /orders/, pool: d, repeatable: false, deadline_ms: "
@@ -396,7 +399,7 @@
             auto const seen = status(i);
             if (seen.value("tables_version", 0) != 1 || seen["members"].size() != daemons_.size() ||
                 seen.value("share_pending", 1) != 0 || seen["upstreams"].size() != vms_.size() ||
-                seen["workspaces"].size() != 1 || seen["workspaces"][0]["tokens"] == 0 ||
+                seen["workspaces"].size() != 2 || seen["workspaces"][0]["tokens"] == 0 ||
                 seen["log"].value("next_offset", 0) < 4) {
                 return false;
             }
--- a/tests/transport/fleet_test.cpp
+++ b/tests/transport/fleet_test.cpp
@@ -237,6 +237,32 @@
     }
 }
 
+// Guards against a key that opens routes of another workspace.
+TEST_CASE("a key opens only the routes of its workspace", "[promise-4][process]")
+{
+    fleet f{{}};
+    std::string const other_key = "key-of-workspace-x";
+    REQUIRE(f.admin_post(0, "/admin/v1/keys",
+                         {{"digest", key_digest(fleet_salt, other_key)}, {"workspace", "x"}, {"name", "k"}})
+                .status_ == 200);
+    struct row {
+        std::string key_;
+        int status_;
+    };
+    for (auto const& r : {row{other_key, 403}, row{"a-key-that-was-never-granted", 401}, row{"", 401}}) {
+        for (std::size_t i = 0; i < f.daemons(); ++i) {
+            fleet_answer answer;
+            CHECK(eventually(9s, [&] {
+                answer = f.ask(i, "m", "not-for-you", 3, false, r.key_);
+                return answer.status_ == r.status_;
+            }));
+            CHECK(said_not_run(answer));
+        }
+    }
+    CHECK(f.received().find("not-for-you") == std::string::npos);
+    CHECK(f.ask(0, "m", "for-me").status_ == 200);
+}
+
 // Guards against caller keys that reach an upstream in any header or body.
 TEST_CASE("no upstream receives a caller's key", "[promise-5][process]")
 {
