Start no work on a view from before a pause of the process

Cause: after SIGCONT request threads ran on the last published view, whose authority was still fresh, until the reader published the next one. Change: views carry their time; new work needs one younger than 2 s, and open streams end when it is older than the grace after which others use the share.

--- a/src/transport/fleet_control.cpp
+++ b/src/transport/fleet_control.cpp
@@ -269,6 +269,7 @@
         view->self_ = self_;
         view->authority_ = judged;
         view->lapsed_since_ = lapsed_since_;
+        view->published_at_ = time;
         view->ready_ = ready_ && joined_ && !is_gone(*state_, self_);
         view->stopping_ = stopping_;
         for (auto& [name, status] : view->upstreams_) {
--- a/src/transport/fleet_view.hpp
+++ b/src/transport/fleet_view.hpp
@@ -40,6 +40,7 @@
     member_id self_;
     authority authority_{authority::lapsed};
     millis lapsed_since_{}; ///< When the authority lapsed; 0 while it is fresh.
+    millis published_at_{}; ///< An old view means that the process was paused; it proves nothing any more.
     bool ready_{};          ///< The log was read to its tail once.
     bool stopping_{};
 };
@@ -48,4 +49,14 @@
 /// daemon's share: `suspect_after` and `suspicion_grace` less 10% clock drift, counted from the last contact.
 inline constexpr millis stream_grace{6'000};
 
+/// \brief Views are published several times a second; after a pause of the process no new work starts until
+/// the next one.
+inline constexpr millis max_view_age{2'000};
+
+/// \returns True if new work may start on this view.
+[[nodiscard]] inline bool is_usable(fleet_view const& view, millis now) noexcept
+{
+    return view.authority_ != authority::lapsed && now - view.published_at_ < max_view_age;
+}
+
 } // namespace auburnchute
--- a/src/transport/http_front.cpp
+++ b/src/transport/http_front.cpp
@@ -458,6 +458,14 @@
             }
             body["data"].push_back(
                 {{"id", route.model_}, {"object", "model"}, {"created", 0}, {"owned_by", route.pool_}});
+            auto const* const pool = find_pool(*state.tables_, route.pool_);
+            auto const* const model = pool == nullptr ? nullptr : find_model(*pool, route.model_);
+            for (auto const& adapter : model == nullptr ? std::vector<adapter_row>{} : model->adapters_) {
+                body["data"].push_back({{"id", route.model_ + ":" + adapter.name_},
+                                        {"object", "model"},
+                                        {"created", 0},
+                                        {"owned_by", route.pool_}});
+            }
         }
     });
     response.set_content(body.dump(), "application/json");
--- a/src/transport/request_context.cpp
+++ b/src/transport/request_context.cpp
@@ -124,7 +124,7 @@
             made.retry_after_s_ = 1;
             return made;
         }
-        if (view.authority_ == authority::lapsed) {
+        if (!is_usable(view, now(services.control_.time_source()))) {
             note(services, context, "authority", "lapsed");
             auto made = make_problem(context, 503, "not-ready", "authenticate",
                                      "not run: this VM cannot confirm its configuration");
@@ -319,9 +319,10 @@
             return make_problem(context, 401, "unauthorized", "relay", "the key was withdrawn",
                                 execution::ran);
         }
-        bool const overdue = view.authority_ == authority::lapsed && view.lapsed_since_.count_ > 0 &&
-                             now(services.control_.time_source()) >= view.lapsed_since_ + stream_grace;
-        if (overdue) {
+        auto const time = now(services.control_.time_source());
+        bool const lapsed = view.authority_ == authority::lapsed && view.lapsed_since_.count_ > 0 &&
+                            time >= view.lapsed_since_ + stream_grace;
+        if (lapsed || time >= view.published_at_ + stream_grace) {
             return make_problem(context, 503, "not-ready", "relay",
                                 "this VM cannot confirm its configuration", execution::ran);
         }
@@ -329,6 +330,19 @@
     });
 }
 
+std::optional<problem> must_not_start(request_services& services, request_context const& context)
+{
+    if (auto ended = must_end(services, context)) {
+        return ended;
+    }
+    bool const usable = services.control_.read(
+        [&](fleet_view const& view) { return is_usable(view, now(services.control_.time_source())); });
+    if (usable) {
+        return std::nullopt;
+    }
+    return make_problem(context, 503, "not-ready", "wait", "this VM cannot confirm its configuration");
+}
+
 void end_request(request_services& services, request_context& context, std::string_view outcome)
 {
     return_tokens(services, context);
--- a/src/transport/request_context.hpp
+++ b/src/transport/request_context.hpp
@@ -91,6 +91,11 @@
 /// others.
 [[nodiscard]] std::optional<problem> must_end(request_services& services, request_context const& context);
 
+/// \returns Why a request that has waited may not start, or none. Stricter than `must_end`, since it has not
+/// run yet.
+[[nodiscard]] std::optional<problem> must_not_start(request_services& services,
+                                                    request_context const& context);
+
 /// \brief Makes a problem with the context's row and id.
 [[nodiscard]] problem make_problem(request_context const& context, int status, std::string_view type,
                                    std::string_view step, std::string detail,
--- a/src/transport/service_call.cpp
+++ b/src/transport/service_call.cpp
@@ -150,7 +150,7 @@
             end_request(services, context, ran == execution::not_run ? "refused" : "failed");
             return;
         }
-        if (auto ended = must_end(services, context)) {
+        if (auto ended = must_not_start(services, context)) {
             services.queue_.release(wanted, grant, {1});
             ended->execution_ = ran;
             answer_problem(*ended, response);
@@ -358,8 +358,9 @@
     }
     write_step_span(services, context, "claim", started);
     bool const may_call = services.control_.read([&](fleet_view const& view) {
-        return view.authority_ == authority::fresh_log && view.self_ == self &&
-               view.state_->keys_.contains(context.key_digest_);
+        return view.authority_ == authority::fresh_log &&
+               is_usable(view, now(services.control_.time_source())) && view.self_ == self &&
+               (context.route_.open_ || view.state_->keys_.contains(context.key_digest_));
     });
     service_result result;
     if (may_call) {
