Name a row in an explanation only when it changes

The daemon notes the row with every event, so every sentence ended with the same row. A run of two daemons against the stand-ins showed it.

--- a/apps/auburnctl.cpp
+++ b/apps/auburnctl.cpp
@@ -58,7 +58,7 @@
   keys list      List the keys in force by their digests.
   keys withdraw  Withdraw a key, named by its digest or at least the first 8 digits.
   status         Show members, pools, replicas, memory, shares and the position in the log.
-  drain          Give an upstream or entry VM no new work; --undo ends this.
+  drain          Give an upstream no new work, or stop an entry VM as planned; --undo ends this.
   explain        Tell in plain sentences how a request, load or unload came to its outcome.
 
 Options:
--- a/src/protocol/explain.cpp
+++ b/src/protocol/explain.cpp
@@ -27,7 +27,7 @@
     phrase{"authenticate", "unknown_key", "The key that came with it is not known here, so it was refused."},
     phrase{"authenticate", "withdrawn_key",
            "The key that came with it had been withdrawn, so it was refused."},
-    phrase{"route", "matched", "The request falls under a row of the tables."},
+    phrase{"route", "matched", "The tables allow this request."},
     phrase{"route", "none",
            "No row of the tables allows this workspace to make this request, so it was refused."},
     phrase{"limit", "granted",
@@ -235,7 +235,8 @@
     return text.append(row.substr(0, slash)).append(", version ").append(row.substr(at + 1));
 }
 
-std::string show_event(decision_event const& event)
+/// \param named The row that was named last; a row is named again only when it changes.
+std::string show_event(decision_event const& event, std::string& named)
 {
     auto const words = split(event.what_);
     std::string sentence;
@@ -251,7 +252,8 @@
         sentence =
             "At the step " + event.step_ + ": " + (event.what_.empty() ? "no detail" : event.what_) + ".";
     }
-    if (!event.row_.empty()) {
+    if (!event.row_.empty() && event.row_ != named) {
+        named = event.row_;
         sentence += " This was decided by the " + show_row(event.row_) + ".";
     }
     return sentence;
@@ -283,8 +285,9 @@
         first += " It falls under the " + show_row(trail.row_) + ".";
     }
     sentences.push_back(std::move(first));
+    auto named = trail.row_;
     for (auto const& event : trail.events_) {
-        sentences.push_back(show_event(event));
+        sentences.push_back(show_event(event, named));
     }
     sentences.push_back(show_ending(trail));
     return sentences;
