--- a/src/transport/request_context.cpp
+++ b/src/transport/request_context.cpp
@@ -124,7 +124,7 @@
             made.retry_after_s_ = 1;
             return made;
         }
-        if (view.authority_ == authority::lapsed) {
+        if (!is_usable(view, now(services.control_.time_source()))) {
             note(services, context, "authority", "lapsed");
             auto made = make_problem(context, 503, "not-ready", "authenticate",
                                      "not run: this VM cannot confirm its configuration");
@@ -138,12 +138,12 @@
             context.workspace_ = known->second.workspace_;
         }
         route_row const* route = nullptr;
-        bool matched = false;
+        route_row const* matched = nullptr;
         for (auto const& row : state.tables_->routes_) {
             if (!matches(row, query)) {
                 continue;
             }
-            matched = true;
+            matched = matched == nullptr ? &row : matched;
             if (allows(row, context.workspace_)) {
                 route = &row;
                 break;
@@ -172,10 +172,10 @@
              context.workspace_.empty() ? "open" : "workspace " + context.workspace_);
         if (route == nullptr) {
             note(services, context, "route", "none");
-            if (matched) {
+            if (matched != nullptr) {
+                context.row_ = {"routes", matched->name_, state.tables_->version_};
                 return make_problem(context, 403, "forbidden", "route",
-                                    "not run: no route lets workspace " + context.workspace_ +
-                                        " make this request");
+                                    "not run: the row does not name workspace " + context.workspace_);
             }
             return make_problem(context, 404, "no-route", "route",
                                 "not run: no route matches " +
@@ -319,9 +319,10 @@
             return make_problem(context, 401, "unauthorized", "relay", "the key was withdrawn",
                                 execution::ran);
         }
-        bool const overdue = view.authority_ == authority::lapsed && view.lapsed_since_.count_ > 0 &&
-                             now(services.control_.time_source()) >= view.lapsed_since_ + stream_grace;
-        if (overdue) {
+        auto const time = now(services.control_.time_source());
+        bool const lapsed = view.authority_ == authority::lapsed && view.lapsed_since_.count_ > 0 &&
+                            time >= view.lapsed_since_ + stream_grace;
+        if (lapsed || time >= view.published_at_ + stream_grace) {
             return make_problem(context, 503, "not-ready", "relay",
                                 "this VM cannot confirm its configuration", execution::ran);
         }
@@ -329,6 +330,19 @@
     });
 }
 
+std::optional<problem> must_not_start(request_services& services, request_context const& context)
+{
+    if (auto ended = must_end(services, context)) {
+        return ended;
+    }
+    bool const usable = services.control_.read(
+        [&](fleet_view const& view) { return is_usable(view, now(services.control_.time_source())); });
+    if (usable) {
+        return std::nullopt;
+    }
+    return make_problem(context, 503, "not-ready", "wait", "this VM cannot confirm its configuration");
+}
+
 void end_request(request_services& services, request_context& context, std::string_view outcome)
 {
     return_tokens(services, context);
