--- a/src/transport/fleet_control.hpp
+++ b/src/transport/fleet_control.hpp
@@ -140,6 +140,8 @@
     bool read_log();
     bool fetch_from_peers();
     void fold_entries(std::span<log_entry const> entries);
+    /// \pre `mutex_` is held; the record is not folded yet.
+    void note_failed_load(record const& rec);
     [[nodiscard]] bool restore_from_snapshot(std::uint64_t first, std::uint64_t next);
     void resolve(std::uint64_t sequence, submit_result const& result);
     void after_fold();
@@ -217,7 +219,7 @@
     std::map<std::string, int> absent_reads_;
     std::map<std::string, cached_weights> caches_;
     std::map<std::string, millis> loaded_at_;
-    std::map<model_key, millis> last_used_;
+    std::vector<failed_load> failed_loads_;
     std::set<std::uint64_t> open_proposals_;
     std::uint64_t next_replica_{1};
     std::set<std::string> running_orders_;
--- a/src/transport/fleet_log.cpp
+++ b/src/transport/fleet_log.cpp
@@ -128,6 +128,7 @@
         }
         folded += static_cast<std::int64_t>(batch.size());
         for (auto const& rec : batch) {
+            note_failed_load(rec);
             auto result = apply(fold_, rec, entry.offset_, entry.log_time_);
             if (rec.writer_ == self_) {
                 (void)read_back(writer_, rec.sequence_);
@@ -166,6 +167,17 @@
     writer_wake_.notify_all();
 }
 
+void fleet_control::note_failed_load(record const& rec)
+{
+    auto const* const failed = std::get_if<load_failed>(&rec.body_);
+    auto const replica = failed == nullptr ? fold_.replicas_.end() : fold_.replicas_.find(failed->replica_);
+    if (replica != fold_.replicas_.end()) {
+        auto const time = now(clock_);
+        std::erase_if(failed_loads_, [time](failed_load const& old) { return old.at_ + failed_load_memory < time; });
+        failed_loads_.push_back({replica->second.upstream_, replica->second.model_, replica->second.adapter_, time});
+    }
+}
+
 bool fleet_control::restore_from_snapshot(std::uint64_t first, std::uint64_t next)
 {
     std::shared_ptr<fleet_state const> newest;
@@ -254,7 +266,8 @@
     auto const folded = state();
     {
         std::lock_guard const lock{mutex_};
-        if (is_gone(*state_, self_) && !stopping_) {
+        // The fold takes the next join as proof that this process ended, so all its orders must have ended first.
+        if (is_gone(*state_, self_) && !stopping_ && running_orders_.empty()) {
             // Voted out: the records of this incarnation are void, so the daemon joins again as a new one.
             log_change("join", to_string(self_), "was removed by votes; joins again with a new incarnation");
             std::random_device device;
--- a/src/transport/http_front.cpp
+++ b/src/transport/http_front.cpp
@@ -24,6 +24,12 @@
 /// An idle connection holds a thread, so it is closed soon.
 constexpr time_t keep_alive_seconds = 5;
 
+/// The library closes connections after 5 requests by default, which costs busy callers a new one each time.
+constexpr std::size_t max_requests_per_connection = 100'000;
+
+/// The library's backlog of 5 drops connections during bursts; each drop costs the caller a second.
+constexpr int listen_backlog = 1'024;
+
 std::string bearer_key(httplib::Request const& request)
 {
     constexpr std::string_view scheme = "Bearer ";
@@ -145,11 +151,13 @@
     server_->new_task_queue = [limit] { return new connection_threads{limit}; };
     server_->set_payload_max_length(static_cast<std::size_t>(config.max_body_bytes_));
     server_->set_keep_alive_timeout(keep_alive_seconds);
+    server_->set_keep_alive_max_count(max_requests_per_connection);
     server_->set_tcp_nodelay(true);
     // The library shares ports by default; a second daemon on the address must fail to start.
-    server_->set_socket_options([](socket_t socket) {
+    server_->set_socket_options([listening = listening_](socket_t socket) {
         int const yes = 1;
         setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+        *listening = socket;
     });
     add_routes();
 }
@@ -171,6 +179,7 @@
     if (port <= 0) {
         throw error{"listen", to_string(address), "the address for callers cannot be bound"};
     }
+    ::listen(*listening_, listen_backlog);
     listener_ = std::jthread{[this] { server_->listen_after_bind(); }};
     return port;
 }
@@ -231,6 +240,7 @@
         response.set_content(ready ? "ready\n" : "not ready\n", "text/plain");
     });
     server_->Get("/metrics", [this](httplib::Request const&, httplib::Response& response) {
+        update_gauges();
         response.set_content(services_.metrics_.text(), "text/plain; version=0.0.4");
     });
     auto const service = [this](httplib::Request const& request, httplib::Response& response) {
@@ -274,6 +284,21 @@
         });
 }
 
+void http_front::update_gauges() const
+{
+    auto& counters = services_.metrics_;
+    counters.gauge("auburnchute_open_requests", {}, open_.load());
+    counters.gauge("auburnchute_log_age_ms", {}, static_cast<double>(services_.control_.log_age().count_));
+    counters.gauge("auburnchute_spans_dropped", {}, static_cast<double>(services_.spans_.dropped()));
+    for (auto const& [pool, queue] : services_.queue_.status()) {
+        counters.gauge("auburnchute_waiting", pool, static_cast<double>(queue.waiting_));
+    }
+    services_.control_.read([&](fleet_view const& view) {
+        counters.gauge("auburnchute_members", {}, static_cast<double>(live_members(*view.state_).size()));
+        counters.gauge("auburnchute_replicas", {}, static_cast<double>(view.state_->replicas_.size()));
+    });
+}
+
 void http_front::serve_model(httplib::Request const& request, httplib::Response& response)
 {
     auto const guard = std::make_shared<open_guard>(open_);
--- a/src/transport/http_front.hpp
+++ b/src/transport/http_front.hpp
@@ -42,6 +42,7 @@
     void add_routes();
     void serve_model(httplib::Request const& request, httplib::Response& response);
     void serve_service(httplib::Request const& request, httplib::Response& response);
+    void update_gauges() const;
     void serve_entries(httplib::Response& response) const;
     void serve_models(httplib::Request const& request, httplib::Response& response) const;
     [[nodiscard]] bool refuse_if_full(request_context const& context, httplib::Response& response) const;
@@ -49,6 +50,7 @@
     request_services services_;
     retry_budgets budgets_;
     std::unique_ptr<httplib::Server> server_;
+    std::shared_ptr<int> listening_{std::make_shared<int>(-1)}; ///< The listening socket, once it is bound.
     std::atomic<int> open_{};
     std::atomic<bool> draining_{};
     std::jthread listener_;
--- a/src/transport/request_queue.cpp
+++ b/src/transport/request_queue.cpp
@@ -160,25 +160,24 @@
             !key.adapter_.empty() && replica_count(*view.state_, key.pool_, key.model_, "") > 0;
         result.load_remaining_ = base_loaded ? millis{50} : model->load_time_;
     }
-    auto const usage = pool.usage_.find(key);
-    if (loaded > 0 && usage != pool.usage_.end() && usage->second.mean_service_ms_ > 0) {
+    auto const known = pool.usage_.find(key);
+    if (loaded > 0 && model != nullptr && known != pool.usage_.end() && known->second.mean_service_ms_ > 0) {
         result.served_per_second_ =
-            static_cast<double>(loaded * model->slots_) * 1'000.0 / usage->second.mean_service_ms_;
+            static_cast<double>(loaded * model->slots_) * 1'000.0 / known->second.mean_service_ms_;
     }
     return result;
 }
 
-void request_queue::note_arrival(pool_queue& pool, slot_request const& request)
+void request_queue::book_arrival(fleet_view const& view, pool_queue& pool, slot_request const& request)
 {
     auto const time = now(control_.time_source());
-    auto& usage = pool.usage_[request.key_];
-    if (usage.last_arrival_.count_ > 0) {
-        auto const interval = time - usage.last_arrival_;
-        usage.mean_interval_ = (usage.mean_interval_ * 7 + interval) / 8;
+    auto& used = pool.usage_[request.key_];
+    used.last_used_ = time;
+    used.highest_ = request.priority_;
+    auto const* const row = find_pool(*view.state_->tables_, request.key_.pool_);
+    if (auto const* const model = row == nullptr ? nullptr : find_model(*row, request.key_.model_)) {
+        note_arrival(pool.arrivals_[{request.key_.pool_, request.key_.model_, {}}], *model, time);
     }
-    usage.last_arrival_ = time;
-    usage.last_used_ = time;
-    usage.highest_ = request.priority_;
 }
 
 slot_grant request_queue::acquire(slot_request const& request)
@@ -191,7 +190,7 @@
     bool queued = false;
     control_.read([&](fleet_view const& view) {
         std::lock_guard const lock{pool.mutex_};
-        note_arrival(pool, request);
+        book_arrival(view, pool, request);
         if (pool.waiters_.empty() && take_place(view, request, grant)) {
             ++pool.usage_[request.key_].running_;
             return;
@@ -284,12 +283,11 @@
     auto& pool = queue_of(request.key_.pool_);
     control_.read([&](fleet_view const& view) {
         std::lock_guard const lock{pool.mutex_};
-        auto& usage = pool.usage_[request.key_];
-        --usage.running_;
-        usage.last_used_ = now(control_.time_source());
+        auto& used = pool.usage_[request.key_];
+        --used.running_;
+        used.last_used_ = now(control_.time_source());
         auto const duration = static_cast<double>(std::max<std::int64_t>(1, served_for.count_));
-        usage.mean_service_ms_ =
-            usage.mean_service_ms_ == 0 ? duration : usage.mean_service_ms_ * 0.9 + duration * 0.1;
+        used.mean_service_ms_ = used.mean_service_ms_ == 0 ? duration : used.mean_service_ms_ * 0.9 + duration * 0.1;
         dispatch(view, pool);
     });
 }
@@ -312,26 +310,30 @@
     std::lock_guard const lock{mutex_};
     for (auto const& [name, pool] : pools_) {
         std::lock_guard const pool_lock{pool->mutex_};
-        for (auto const& [key, usage] : pool->usage_) {
+        for (auto const& [key, arrivals] : pool->arrivals_) {
+            auto& entry = all[key];
+            entry.mean_interval_ = arrivals.mean_interval_;
+            entry.last_used_ = arrivals.last_used_;
+        }
+        for (auto const& [key, used] : pool->usage_) {
             if (key.model_.empty()) {
                 continue;
             }
             auto& entry = all[key];
-            entry.running_ = usage.running_;
-            entry.last_used_ = usage.running_ > 0 ? time : usage.last_used_;
-            entry.mean_interval_ = usage.mean_interval_;
-            entry.highest_ = usage.highest_;
-            if (time < usage.missed_at_ + missed_lifetime) {
+            entry.running_ = used.running_;
+            entry.last_used_ = std::max(entry.last_used_, used.running_ > 0 ? time : used.last_used_);
+            entry.highest_ = used.highest_;
+            if (time < used.missed_at_ + missed_lifetime) {
                 entry.waiting_ = 1;
-                entry.oldest_wait_ = time - usage.missed_at_;
+                entry.oldest_wait_ = time - used.missed_at_;
             }
         }
         for (auto const& [ticket, entry] : pool->waiters_) {
-            auto& demand = all[entry->request_.key_];
-            ++demand.waiting_;
-            demand.oldest_wait_ = std::max(demand.oldest_wait_, time - entry->request_.arrived_);
-            demand.highest_ = std::min(demand.highest_, entry->request_.priority_);
-            demand.last_used_ = time;
+            auto& wanted = all[entry->request_.key_];
+            ++wanted.waiting_;
+            wanted.oldest_wait_ = std::max(wanted.oldest_wait_, time - entry->request_.arrived_);
+            wanted.highest_ = std::min(wanted.highest_, entry->request_.priority_);
+            wanted.last_used_ = time;
         }
     }
     return all;
--- a/src/transport/request_queue.hpp
+++ b/src/transport/request_queue.hpp
@@ -84,9 +84,9 @@
     struct usage {
         std::int64_t running_{};
         millis last_used_{};
-        millis last_arrival_{};
+        
         millis missed_at_{-3'600'000}; ///< A request was refused because the load would take too long.
-        millis mean_interval_{3'600'000};
+        
         double mean_service_ms_{};
         priority highest_{priority::low};
     };
@@ -95,6 +95,7 @@
         wait_queue queue_;
         std::map<std::uint64_t, std::shared_ptr<waiter>> waiters_;
         std::map<model_key, usage> usage_;
+        std::map<model_key, model_demand> arrivals_; ///< Of base models, with the arrivals for their adapters.
     };
 
     [[nodiscard]] pool_queue& queue_of(std::string const& pool);
@@ -107,7 +108,7 @@
     [[nodiscard]] wait_estimate estimate(fleet_view const& view, pool_queue const& pool,
                                          slot_request const& request, bool& cold) const;
     void dispatch(fleet_view const& view, pool_queue& pool);
-    void note_arrival(pool_queue& pool, slot_request const& request);
+    void book_arrival(fleet_view const& view, pool_queue& pool, slot_request const& request);
 
     fleet_control& control_;
     metrics& metrics_;
--- a/tests/coordination/placement_test.cpp
+++ b/tests/coordination/placement_test.cpp
@@ -579,7 +579,7 @@
     SECTION("the unload of a dead daemon is taken over and its load given up")
     {
         member_id const dead{"e1", 9};
-        f.write(member_joined{dead, "za", "h", "p"});
+        apply(f.state_, {dead, 1, member_joined{dead, "za", "h", "p", "a"}}, f.state_.next_offset_, f.now_);
         auto const id = f.load("a", "u0");
         REQUIRE(f.write(unload_decided{id, dead}) == verdict::accepted);
         REQUIRE(f.write(load_decided{"r9", "p", "b", "", "u1", 20'000, load_source::store, dead, 0}) ==
--- a/tests/coordination/quarantine_test.cpp
+++ b/tests/coordination/quarantine_test.cpp
@@ -55,6 +55,13 @@
     millis poison_next_{-1}; ///< When its caller sends it next; below 0: it is out or the caller has stopped.
     bool poison_caller_{};
 
+    crash_world()
+    {
+        for (std::size_t d = 0; d < daemons_.size(); ++d) {
+            append(d, member_joined{{"e" + std::to_string(d), 1}, "z", "h", "p", "a"});
+        }
+    }
+
     std::size_t pick(std::size_t below) { return random_() % below; }
 
     void append(std::size_t d, record_body body)
@@ -289,8 +296,10 @@
                             row{2, 1, crash_verdict::confirmed});
     fleet_state state;
     quarantine_view view;
+    member_id const writer{"e0", 1};
+    apply(state, {writer, 1, member_joined{writer, "z", "h", "p", "a"}}, 0, {500});
     if (r.folded_ > 0) {
-        apply(state, {{"e0", 1}, 1, crash_seen{"f", "u0", "", r.folded_ == 2}}, 0, {1'000});
+        apply(state, {writer, 2, crash_seen{"f", "u0", "", r.folded_ == 2}}, 1, {1'000});
     }
     if (r.local_ > 0) {
         book_peer_evidence(view, {"f", "u0", "", r.local_ == 2}, {1'000});
@@ -308,10 +317,12 @@
     quarantine_view view;
     auto const first = book_crash(view, "u0", {"f"}, "", {});
     auto const second = book_crash(view, "u1", {"f"}, "f", {1'000});
-    apply(state, {{"e0", 1}, 1, first.at(0)}, 0, {2'000});
+    member_id const writer{"e0", 1};
+    apply(state, {writer, 1, member_joined{writer, "z", "h", "p", "a"}}, 0, {1'500});
+    apply(state, {writer, 2, first.at(0)}, 1, {2'000});
     book_folded(state, view, "f", {});
     CHECK(judge(state, view, "f") == crash_verdict::confirmed);
-    apply(state, {{"e0", 1}, 2, second.at(0)}, 1, {3'000});
+    apply(state, {writer, 3, second.at(0)}, 2, {3'000});
     book_folded(state, view, "f", {});
     CHECK(judge(state, view, "f") == crash_verdict::confirmed);
     CHECK(view.local_.empty());
