--- a/include/auburnchute/routing.hpp
+++ b/include/auburnchute/routing.hpp
@@ -27,11 +27,12 @@
     std::uint64_t request_hash_{}; ///< Spreads daemons that hold the same stale report.
     std::string_view availability_zone_;
     bool zone_required_{};
-    bool isolated_{};         ///< The request is a suspect: it must not meet another suspect.
-    std::string_view avoid_;  ///< The upstream on which it last failed.
-    std::int64_t senders_{1}; ///< Daemons that send to these upstreams. Each is taken to have sent as many
-                              ///< requests since the report as this one; without that, the overload after a
-                              ///< report of 2 s age was three times as high (docs/measurements/fairness.md).
+    bool isolated_{};        ///< The request is a suspect: it must not meet another suspect.
+    std::string_view avoid_; ///< The upstream on which it last failed.
+    std::int64_t senders_{
+        1}; ///< Daemons that send to these upstreams. Each is taken to have sent as many
+            ///< requests since the report as this one; without that, the overload after a
+            ///< report of 2 s age was about 2.5 times as high (docs/measurements/fairness.md).
 };
 
 /// \returns Index of the upstream that takes the request; none if no candidate has a free slot. Thread
--- a/src/transport/fleet_log.cpp
+++ b/src/transport/fleet_log.cpp
@@ -173,8 +173,10 @@
     auto const replica = failed == nullptr ? fold_.replicas_.end() : fold_.replicas_.find(failed->replica_);
     if (replica != fold_.replicas_.end()) {
         auto const time = now(clock_);
-        std::erase_if(failed_loads_, [time](failed_load const& old) { return old.at_ + failed_load_memory < time; });
-        failed_loads_.push_back({replica->second.upstream_, replica->second.model_, replica->second.adapter_, time});
+        std::erase_if(failed_loads_,
+                      [time](failed_load const& old) { return old.at_ + failed_load_memory < time; });
+        failed_loads_.push_back(
+            {replica->second.upstream_, replica->second.model_, replica->second.adapter_, time});
     }
 }
 
@@ -266,7 +268,8 @@
     auto const folded = state();
     {
         std::lock_guard const lock{mutex_};
-        // The fold takes the next join as proof that this process ended, so all its orders must have ended first.
+        // The fold takes the next join as proof that this process ended, so all its orders must have ended
+        // first.
         if (is_gone(*state_, self_) && !stopping_ && running_orders_.empty()) {
             // Voted out: the records of this incarnation are void, so the daemon joins again as a new one.
             log_change("join", to_string(self_), "was removed by votes; joins again with a new incarnation");
--- a/src/transport/fleet_placement.cpp
+++ b/src/transport/fleet_placement.cpp
@@ -175,7 +175,8 @@
                 leaving.push_back(name);
             }
         }
-        placement_input const input{*state_, demand, caches_, load, last_used, loaded_at_, leaving, self_, time, failed_loads_};
+        placement_input const input{*state_,    demand,  caches_, load, last_used,
+                                    loaded_at_, leaving, self_,   time, failed_loads_};
         auto actions = plan_pool(input, pool, next_replica_);
         if (actions.empty()) {
             // Any planner may unload what removed pools left behind; the fold accepts the first.
--- a/src/transport/request_queue.cpp
+++ b/src/transport/request_queue.cpp
@@ -107,6 +107,7 @@
             candidate.accepts_work_ = candidate.accepts_work_ && allowed;
         }
     }
+    wanted.senders_ = std::max<std::int64_t>(1, static_cast<std::int64_t>(live_members(*view.state_).size()));
     auto const own = view.state_->members_.find(view.self_);
     if (own != view.state_->members_.end()) {
         wanted.availability_zone_ = own->second.availability_zone_;
@@ -287,7 +288,8 @@
         --used.running_;
         used.last_used_ = now(control_.time_source());
         auto const duration = static_cast<double>(std::max<std::int64_t>(1, served_for.count_));
-        used.mean_service_ms_ = used.mean_service_ms_ == 0 ? duration : used.mean_service_ms_ * 0.9 + duration * 0.1;
+        used.mean_service_ms_ =
+            used.mean_service_ms_ == 0 ? duration : used.mean_service_ms_ * 0.9 + duration * 0.1;
         dispatch(view, pool);
     });
 }
--- a/src/transport/request_queue.hpp
+++ b/src/transport/request_queue.hpp
@@ -84,9 +84,9 @@
     struct usage {
         std::int64_t running_{};
         millis last_used_{};
-        
+
         millis missed_at_{-3'600'000}; ///< A request was refused because the load would take too long.
-        
+
         double mean_service_ms_{};
         priority highest_{priority::low};
     };
@@ -95,7 +95,8 @@
         wait_queue queue_;
         std::map<std::uint64_t, std::shared_ptr<waiter>> waiters_;
         std::map<model_key, usage> usage_;
-        std::map<model_key, model_demand> arrivals_; ///< Of base models, with the arrivals for their adapters.
+        std::map<model_key, model_demand>
+            arrivals_; ///< Of base models, with the arrivals for their adapters.
     };
 
     [[nodiscard]] pool_queue& queue_of(std::string const& pool);
--- a/tests/coordination/placement_test.cpp
+++ b/tests/coordination/placement_test.cpp
@@ -334,7 +334,7 @@
 
     small_fleet()
     {
-        write(member_joined{self_, "za", "h", "p"});
+        write(member_joined{self_, "za", "h", "p", "a"});
         for (int i = 0; i < 3; ++i) {
             write(upstream_seen{"u" + std::to_string(i), "i", "a:1", i == 2 ? "zb" : "za", 40'000, true,
                                 false});
