--- a/src/protocol/metrics.cpp
+++ b/src/protocol/metrics.cpp
@@ -48,6 +48,12 @@
     description{"auburnchute_loans_asked_total", "", "Times this VM asked a peer for a part of its share."},
     description{"auburnchute_loans_given_total", "", "Times this VM lent a peer a part of its share."},
     description{"auburnchute_control_bytes_total", "kind", "Bytes spent on the log and on heartbeats."},
+    description{"auburnchute_open_requests", "", "Requests that are being answered."},
+    description{"auburnchute_log_age_ms", "", "Milliseconds since the log was known to be read to its tail."},
+    description{"auburnchute_members", "", "Live entry VMs."},
+    description{"auburnchute_replicas", "", "Replicas that are decided, loaded or being unloaded."},
+    description{"auburnchute_waiting", "pool", "Requests that wait at this VM."},
+    description{"auburnchute_spans_dropped", "", "Spans that were lost."},
 };
 
 description describe(std::string_view name)
