--- a/tests/coordination/log_writer_test.cpp
+++ b/tests/coordination/log_writer_test.cpp
@@ -139,7 +139,7 @@
         for (std::size_t k = 0; k < a.size(); ++k) {
             RC_ASSERT(w.submitted_[i].contains(a[k]));
             RC_ASSERT(!w.dropped_[i].contains(a[k]));
-            RC_ASSERT(k == 0U || a[k - 1] < a[k]);
+            RC_ASSERT((k == 0U || a[k - 1] < a[k])); // RC_ASSERT itself does not short-circuit.
         }
     }
 }
--- a/tests/state/fold_fuzz_test.cpp
+++ b/tests/state/fold_fuzz_test.cpp
@@ -70,8 +70,9 @@
     {
         if (auto const* const made = std::get_if<claim_made>(&rec.body_)) {
             auto const it = claims_.find(made->key_);
-            RC_ASSERT(it == claims_.end() || it->second.freed_ ||
-                      it->second.at_ + claim_lifetime < state.log_time_);
+            // RC_ASSERT itself does not short-circuit.
+            RC_ASSERT((it == claims_.end() || it->second.freed_ ||
+                       it->second.at_ + claim_lifetime < state.log_time_));
             claims_[made->key_] = {state.log_time_, made->daemon_, false};
         } else if (auto const* const outcome = std::get_if<claim_outcome>(&rec.body_)) {
             auto& held = claims_.at(outcome->key_);
