--- a/measure/measure_daemon.cpp
+++ b/measure/measure_daemon.cpp
@@ -241,14 +241,18 @@
 
 } // namespace
 
-int main()
+/// `measure_daemon control` measures the cost of control alone.
+int main(int argc, char** argv)
 {
+    bool const all = argc < 2 || std::string_view{argv[1]} != "control";
     std::cout << std::fixed << std::setprecision(2)
               << "# The daemon as a process\n\nCommand: `build/measure_daemon`, on one machine with "
               << std::thread::hardware_concurrency() << " cores, all processes on loopback.\n\n";
-    report_latency();
-    report_throughput();
-    report_streams();
+    if (all) {
+        report_latency();
+        report_throughput();
+        report_streams();
+    }
     report_control("Control cost over members", {{1, 3}, {3, 3}, {6, 3}, {9, 3}});
     report_control("Control cost over upstreams", {{3, 3}, {3, 12}, {3, 24}});
     return 0;
