--- a/apps/auburnchuted.cpp
+++ b/apps/auburnchuted.cpp
@@ -1,4 +1,5 @@
 #include "protocol/logging.hpp"
+#include "protocol/text_file.hpp"
 #include "transport/admin_front.hpp"
 #include "transport/http_front.hpp"
 
@@ -6,10 +7,9 @@
 
 #include <csignal>
 #include <docopt/docopt.h>
-#include <fstream>
+
 #include <iostream>
 #include <pthread.h>
-#include <sstream>
 
 namespace {
 
@@ -43,17 +43,6 @@
 
 constexpr millis leave_limit{10'000};
 
-std::string read_file(std::string const& path)
-{
-    std::ifstream in{path};
-    if (!in) {
-        throw error{"settings", path, "the file cannot be read"};
-    }
-    std::ostringstream text;
-    text << in.rdbuf();
-    return std::move(text).str();
-}
-
 /// Waits for a signal to stop; all threads inherit the blocked mask.
 void block_signals(sigset_t& signals)
 {
--- a/src/transport/admin_front.cpp
+++ b/src/transport/admin_front.cpp
@@ -82,13 +82,9 @@
 } // namespace
 
 admin_front::admin_front(request_services services)
-    : services_{services}, server_{std::make_unique<httplib::Server>()}
+    : services_{services}, server_{std::make_unique<httplib::Server>()}, listener_{*server_}
 {
     server_->set_payload_max_length(max_admin_body);
-    server_->set_socket_options([](socket_t socket) {
-        int const yes = 1;
-        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
-    });
     add_routes();
 }
 
@@ -99,26 +95,12 @@
 
 int admin_front::start()
 {
-    auto const& address = services_.config_.admin_;
-    int port = address.port_;
-    if (port == 0) {
-        port = server_->bind_to_any_port(address.ip_);
-    } else if (!server_->bind_to_port(address.ip_, port)) {
-        port = -1;
-    }
-    if (port <= 0) {
-        throw error{"listen", to_string(address), "the admin address cannot be bound"};
-    }
-    listener_ = std::jthread{[this] { server_->listen_after_bind(); }};
-    return port;
+    return listener_.start(services_.config_.admin_, "operators");
 }
 
 void admin_front::stop()
 {
-    server_->stop();
-    if (listener_.joinable()) {
-        listener_.join();
-    }
+    listener_.stop();
 }
 
 bool admin_front::authorized(httplib::Request const& request, httplib::Response& response) const
@@ -170,29 +152,39 @@
                  }));
 }
 
-void admin_front::write_record(record_body body, httplib::Response& response)
+std::optional<submit_result> admin_front::write(record_body body, std::string const& what, problem refused,
+                                                httplib::Response& response)
 {
     auto const judged = services_.control_.read([](fleet_view const& view) { return view.authority_; });
     if (judged != authority::fresh_log) {
         answer_problem(admin_problem(503, "log-unreachable", "The log service is not reachable",
                                      "not run: try again later"),
                        response);
-        return;
+        return std::nullopt;
     }
-    auto const result = services_.control_.submit_and_wait(std::move(body), write_limit);
+    auto result = services_.control_.submit_and_wait(std::move(body), write_limit);
     if (!result.known_) {
         answer_problem(admin_problem(503, "outcome-unknown",
-                                     "The log service did not confirm the change in time",
-                                     "the change may still take effect", execution::unknown),
+                                     "The log service did not confirm the " + what + " in time",
+                                     "the " + what + " may still take effect", execution::unknown),
                        response);
-        return;
+        return std::nullopt;
     }
     if (result.verdict_.verdict_ != verdict::accepted) {
-        answer_problem(admin_problem(422, "refused", "The change was refused", result.verdict_.reason_),
-                       response);
-        return;
+        refused.detail_ = result.verdict_.reason_;
+        answer_problem(refused, response);
+        return std::nullopt;
+    }
+    return result;
+}
+
+void admin_front::write_record(record_body body, httplib::Response& response)
+{
+    auto const result = write(std::move(body), "change",
+                              admin_problem(422, "refused", "The change was refused", ""), response);
+    if (result) {
+        response.set_content(dump({{"offset", result->offset_}}), "application/json");
     }
-    response.set_content(dump({{"offset", result.offset_}}), "application/json");
 }
 
 void admin_front::get_tables(httplib::Response& response) const
@@ -232,13 +224,6 @@
         response.set_content(dump(body), std::string{problem_content_type});
         return;
     }
-    auto const judged = services_.control_.read([](fleet_view const& view) { return view.authority_; });
-    if (judged != authority::fresh_log) {
-        answer_problem(admin_problem(503, "log-unreachable", "The log service is not reachable",
-                                     "not run: try again later"),
-                       response);
-        return;
-    }
     tables_published body;
     body.base_version_ = json["base_version"].get<std::uint64_t>();
     body.tables_ = std::move(parsed.tables_);
@@ -246,24 +231,16 @@
     body.tables_.message_ = json.value("message", "");
     auto const before =
         services_.control_.read([](fleet_view const& view) { return view.state_->tables_->version_; });
-    auto const result = services_.control_.submit_and_wait(std::move(body), write_limit);
-    if (!result.known_) {
-        answer_problem(admin_problem(503, "outcome-unknown",
-                                     "The log service did not confirm the tables in time",
-                                     "the tables may still come into force", execution::unknown),
-                       response);
-        return;
-    }
-    if (result.verdict_.verdict_ != verdict::accepted) {
-        answer_problem(
-            admin_problem(409, "version-conflict", "Another version is in force", result.verdict_.reason_),
-            response);
+    auto const result =
+        write(std::move(body), "tables",
+              admin_problem(409, "version-conflict", "Another version is in force", ""), response);
+    if (!result) {
         return;
     }
     auto const version =
         services_.control_.read([](fleet_view const& view) { return view.state_->tables_->version_; });
     response.set_content(
-        dump({{"version", version}, {"offset", result.offset_}, {"changed", version != before}}),
+        dump({{"version", version}, {"offset", result->offset_}, {"changed", version != before}}),
         "application/json");
 }
 
--- a/src/transport/admin_front.hpp
+++ b/src/transport/admin_front.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "transport/http_listener.hpp"
 #include "transport/request_context.hpp"
 
 #include <memory>
-#include <thread>
+#include <optional>
+#include <string>
 
 namespace httplib {
 struct Request;
@@ -37,12 +39,16 @@
     void post_drain(httplib::Request const& request, httplib::Response& response);
     void get_status(httplib::Response& response) const;
     void get_explanation(std::string const& id, httplib::Response& response) const;
+    /// \brief Writes a record and waits until it is folded. \returns None after the failure was answered.
+    /// \param what What is written, as shown in failures. \param refused The answer if the fold rejects it.
+    [[nodiscard]] std::optional<submit_result> write(record_body body, std::string const& what,
+                                                     problem refused, httplib::Response& response);
     void write_record(record_body body, httplib::Response& response);
     [[nodiscard]] bool authorized(httplib::Request const& request, httplib::Response& response) const;
 
     request_services services_;
     std::unique_ptr<httplib::Server> server_;
-    std::jthread listener_;
+    http_listener listener_;
 };
 
 } // namespace auburnchute
--- a/src/transport/fleet_control.cpp
+++ b/src/transport/fleet_control.cpp
@@ -20,12 +20,6 @@
 
 constexpr millis borrow_limit{300};
 
-std::uint64_t random_incarnation()
-{
-    std::random_device device;
-    return (std::uint64_t{device()} << 32U) | device();
-}
-
 std::unique_ptr<fleet_view const> empty_view()
 {
     return std::make_unique<fleet_view const>();
@@ -241,6 +235,12 @@
     return all;
 }
 
+std::uint64_t fleet_control::random_incarnation()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
 millis fleet_control::log_age() const
 {
     std::lock_guard const lock{mutex_};
@@ -266,6 +266,7 @@
         }
         view->state_ = state_;
         view->upstreams_ = upstreams_;
+        view->live_members_ = static_cast<std::int64_t>(live_members(*state_).size());
         view->self_ = self_;
         view->authority_ = judged;
         view->lapsed_since_ = lapsed_since_;
--- a/src/transport/fleet_control.hpp
+++ b/src/transport/fleet_control.hpp
@@ -180,6 +180,7 @@
     void run_order(std::string id, std::function<void()> work);
     [[nodiscard]] bool may_act() const;
 
+    [[nodiscard]] static std::uint64_t random_incarnation();
     void publish();
     [[nodiscard]] std::shared_ptr<fleet_state const> state() const;
     bool pause(std::stop_token const& stop, millis time);
--- a/src/transport/fleet_log.cpp
+++ b/src/transport/fleet_log.cpp
@@ -8,7 +8,7 @@
 #include <auburnchute/rendezvous.hpp>
 
 #include <algorithm>
-#include <random>
+
 #include <utility>
 
 namespace auburnchute {
@@ -193,8 +193,8 @@
             try {
                 for (auto const& rec : decode_batch(entry.data_)) {
                     auto const* const found = std::get_if<snapshot>(&rec.body_);
-                    if (found != nullptr && found->offset_ >= first && found->state_) {
-                        newest = found->state_;
+                    if (found != nullptr && found->offset_ >= first) {
+                        newest = std::make_shared<fleet_state const>(restore(*found));
                     }
                 }
             } catch (error const&) {
@@ -273,8 +273,7 @@
         if (is_gone(*state_, self_) && !stopping_ && running_orders_.empty()) {
             // Voted out: the records of this incarnation are void, so the daemon joins again as a new one.
             log_change("join", to_string(self_), "was removed by votes; joins again with a new incarnation");
-            std::random_device device;
-            self_.incarnation_ = (std::uint64_t{device()} << 32U) | device();
+            self_.incarnation_ = random_incarnation();
             lost.swap(pending_);
             writer_ = {};
             writer_.self_ = self_;
--- a/src/transport/fleet_view.hpp
+++ b/src/transport/fleet_view.hpp
@@ -37,6 +37,7 @@
 struct fleet_view {
     std::shared_ptr<fleet_state const> state_{std::make_shared<fleet_state const>()};
     std::map<std::string, upstream_status> upstreams_;
+    std::int64_t live_members_{}; ///< Counted once here, because each request needs it to pick an upstream.
     member_id self_;
     authority authority_{authority::lapsed};
     millis lapsed_since_{}; ///< When the authority lapsed; 0 while it is fresh.
--- a/src/transport/http_front.cpp
+++ b/src/transport/http_front.cpp
@@ -27,9 +27,6 @@
 /// The library closes connections after 5 requests by default, which costs busy callers a new one each time.
 constexpr std::size_t max_requests_per_connection = 100'000;
 
-/// The library's backlog of 5 drops connections during bursts; each drop costs the caller a second.
-constexpr int listen_backlog = 1'024;
-
 std::string bearer_key(httplib::Request const& request)
 {
     constexpr std::string_view scheme = "Bearer ";
@@ -153,12 +150,7 @@
     server_->set_keep_alive_timeout(keep_alive_seconds);
     server_->set_keep_alive_max_count(max_requests_per_connection);
     server_->set_tcp_nodelay(true);
-    // The library shares ports by default; a second daemon on the address must fail to start.
-    server_->set_socket_options([listening = listening_](socket_t socket) {
-        int const yes = 1;
-        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
-        *listening = socket;
-    });
+    listener_ = std::make_unique<http_listener>(*server_);
     add_routes();
 }
 
@@ -169,19 +161,7 @@
 
 int http_front::start()
 {
-    auto const& address = services_.config_.callers_;
-    int port = address.port_;
-    if (port == 0) {
-        port = server_->bind_to_any_port(address.ip_);
-    } else if (!server_->bind_to_port(address.ip_, port)) {
-        port = -1;
-    }
-    if (port <= 0) {
-        throw error{"listen", to_string(address), "the address for callers cannot be bound"};
-    }
-    ::listen(*listening_, listen_backlog);
-    listener_ = std::jthread{[this] { server_->listen_after_bind(); }};
-    return port;
+    return listener_->start(services_.config_.callers_, "callers");
 }
 
 void http_front::begin_drain() noexcept
@@ -196,10 +176,7 @@
 
 void http_front::stop()
 {
-    server_->stop();
-    if (listener_.joinable()) {
-        listener_.join();
-    }
+    listener_->stop();
 }
 
 bool http_front::refuse_if_full(request_context const& context, httplib::Response& response) const
@@ -294,7 +271,7 @@
         counters.gauge("auburnchute_waiting", pool, static_cast<double>(queue.waiting_));
     }
     services_.control_.read([&](fleet_view const& view) {
-        counters.gauge("auburnchute_members", {}, static_cast<double>(live_members(*view.state_).size()));
+        counters.gauge("auburnchute_members", {}, static_cast<double>(view.live_members_));
         counters.gauge("auburnchute_replicas", {}, static_cast<double>(view.state_->replicas_.size()));
     });
 }
--- a/src/transport/http_front.hpp
+++ b/src/transport/http_front.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "transport/http_listener.hpp"
 #include "transport/model_call.hpp"
 #include "transport/request_context.hpp"
 
 #include <atomic>
 #include <memory>
-#include <thread>
 
 namespace httplib {
 struct Request;
@@ -50,10 +50,10 @@
     request_services services_;
     retry_budgets budgets_;
     std::unique_ptr<httplib::Server> server_;
-    std::shared_ptr<int> listening_{std::make_shared<int>(-1)}; ///< The listening socket, once it is bound.
+
     std::atomic<int> open_{};
     std::atomic<bool> draining_{};
-    std::jthread listener_;
+    std::unique_ptr<http_listener> listener_;
 };
 
 } // namespace auburnchute
--- a/src/transport/peer_service.cpp
+++ b/src/transport/peer_service.cpp
@@ -1,13 +1,14 @@
 #include "transport/peer_service.hpp"
 
 #include "peer.grpc.pb.h"
+#include "protocol/text_file.hpp"
 
 #include <auburnchute/error.hpp>
 
 #include <chrono>
-#include <fstream>
+
 #include <grpcpp/grpcpp.h>
-#include <sstream>
+
 #include <utility>
 
 namespace auburnchute {
@@ -17,17 +18,6 @@
 /// Reconnects quickly: a peer that restarts is back within a second.
 constexpr int max_reconnect_backoff_ms = 500;
 
-std::string read_file(std::string const& path)
-{
-    std::ifstream in{path};
-    if (!in) {
-        throw error{"settings", path, "the file cannot be read"};
-    }
-    std::ostringstream text;
-    text << in.rdbuf();
-    return std::move(text).str();
-}
-
 std::shared_ptr<grpc::ServerCredentials> server_credentials(peer_security const& security)
 {
     if (security.certificate_.empty()) {
--- a/src/transport/request_queue.cpp
+++ b/src/transport/request_queue.cpp
@@ -107,7 +107,7 @@
             candidate.accepts_work_ = candidate.accepts_work_ && allowed;
         }
     }
-    wanted.senders_ = std::max<std::int64_t>(1, static_cast<std::int64_t>(live_members(*view.state_).size()));
+    wanted.senders_ = std::max<std::int64_t>(1, view.live_members_);
     auto const own = view.state_->members_.find(view.self_);
     if (own != view.state_->members_.end()) {
         wanted.availability_zone_ = own->second.availability_zone_;
