--- /dev/null
+++ b/apps/auburnchute-entry.cpp
@@ -0,0 +1,212 @@
+#include "exit_code.hpp"
+#include "platform/desired_state.hpp"
+#include "platform/entry_pages.hpp"
+#include "protocol/decision_log.hpp"
+#include "protocol/entry_settings.hpp"
+#include "protocol/metrics.hpp"
+#include "transport/entry/caller_session.hpp"
+#include "transport/entry/entry_node.hpp"
+#include "transport/entry/peer_exchange.hpp"
+#include "transport/entry/plain_server.hpp"
+#include "transport/entry/store_reader.hpp"
+
+#include <auburnchute/error.hpp>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <docopt/docopt.h>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <random>
+#include <sys/random.h>
+#include <thread>
+
+namespace {
+
+using namespace auburnchute;
+
+constexpr char const* usage = R"(Serves callers on an entry VM of the users' platform.
+
+Usage:
+  auburnchute-entry --settings FILE [--check]
+  auburnchute-entry --help
+  auburnchute-entry --version
+
+Options:
+  --settings FILE  The settings, in YAML; deploy/entry.yaml.in renders them.
+  --check          Reads the settings, says what is wrong, and ends.
+)";
+
+/// How long callers keep a directory answer; a VM that stops is forgotten within that time.
+constexpr millis directory_lifetime{2'000};
+
+/// Time before the kill at which a stopping daemon ends, whatever still runs.
+constexpr millis kill_margin{700};
+
+/// A stopping daemon without open requests waits this long for callers that have not asked the directory
+/// again.
+constexpr millis quiet_before_end{1'000};
+
+std::string read_settings_file(std::string const& name)
+{
+    std::ifstream file{name, std::ios::binary};
+    if (!file) {
+        throw error{"settings", name, "cannot be opened"};
+    }
+    return {std::istreambuf_iterator<char>{file}, {}};
+}
+
+entry_settings_file load_settings(std::string const& name)
+{
+    auto read = parse_entry_settings(name, read_settings_file(name));
+    for (auto const& key : read.unknown_) {
+        log_decision("settings-unknown-key", {{"key", key}});
+    }
+    return read;
+}
+
+std::uint64_t draw_incarnation()
+{
+    std::uint64_t drawn = 0;
+    if (getrandom(&drawn, sizeof drawn, 0) != sizeof drawn) {
+        drawn = std::random_device{}();
+    }
+    return drawn >> 1U | 1U; // positive in any codec
+}
+
+plain_response page(int status, std::string body, std::string_view type)
+{
+    plain_response answer;
+    answer.result(static_cast<unsigned>(status));
+    answer.set(boost::beast::http::field::content_type, boost::beast::string_view{type.data(), type.size()});
+    answer.body() = std::move(body);
+    return answer;
+}
+
+plain_response directory_page(entry_node& node)
+{
+    auto const addresses = ready_addresses(node, boot_now());
+    if (addresses.empty()) {
+        return page(503, "no entry is ready\n", "text/plain");
+    }
+    auto const lifetime = std::min(directory_lifetime, node.settings_.directory_lifetime_);
+    return page(200, platform::entry_addresses_body(addresses, lifetime), "application/json");
+}
+
+void serve_own_pages(entry_node& node)
+{
+    serve_pages(node.loop_, node.settings_.ready_listen_, [&node](plain_request const&) {
+        return is_ready(node, boot_now()) ? page(200, "ready\n", "text/plain")
+                                          : page(503, "not ready\n", "text/plain");
+    });
+    serve_pages(node.loop_, node.settings_.directory_listen_, [&node](plain_request const& request) {
+        return platform::asks_for_entries({request.target().data(), request.target().size()})
+                   ? directory_page(node)
+                   : page(404, "no such page\n", "text/plain");
+    });
+    if (node.settings_.metrics_port_ != 0) {
+        auto const address = node.settings_.ip_ + ":" + std::to_string(node.settings_.metrics_port_);
+        serve_pages(node.loop_, address, [&node](plain_request const&) {
+            node.counters_.gauge("auburnchute_open_requests", "", static_cast<double>(node.open_calls_));
+            return page(200, node.counters_.text(), "text/plain; version=0.0.4");
+        });
+    }
+}
+
+net::awaitable<void> stop_gracefully(entry_node& node)
+{
+    auto const began = boot_now();
+    node.stopping_ = true;
+    log_decision("stop", {{"open", node.open_calls_}});
+    node.send_state_();
+    auto const end = began + node.settings_.shutdown_grace_ - kill_margin;
+    auto const least = began + directory_lifetime * 2 + quiet_before_end;
+    while (boot_now() < end && (boot_now() < least || node.open_calls_ > 0)) {
+        co_await pause_for(millis{50});
+    }
+    log_decision("stopped", {{"open", node.open_calls_}, {"ms", (boot_now() - began).count_}});
+    node.loop_.stop();
+}
+
+net::awaitable<void> handle_signals(entry_node& node, std::string settings_file)
+{
+    boost::asio::signal_set signals{node.loop_, SIGTERM, SIGINT, SIGHUP};
+    while (true) {
+        error_code fault;
+        auto const signal = co_await signals.async_wait(outcome_in(fault));
+        if (fault) {
+            co_return;
+        }
+        if (signal == SIGHUP) {
+            try {
+                // Addresses and bounds hold for a process's life; a new file only has to be readable.
+                (void)load_settings(settings_file);
+                log_decision("settings-reloaded", {});
+            } catch (error const& failure) {
+                log_failure("settings-rejected", {{"fault", failure.what()}});
+            }
+        } else if (!node.stopping_) {
+            net::co_spawn(node.loop_, stop_gracefully(node), net::detached);
+        }
+    }
+}
+
+int run(entry_settings const& settings, std::string const& settings_file)
+{
+    metrics counters;
+    shared_view shared;
+    net::io_context loop{1};
+    net::io_context control_loop{1};
+    entry_node node{loop, settings, shared, counters};
+    node.incarnation_ = draw_incarnation();
+    node.started_at_ = boot_now();
+    node.retries_.limit_ = std::max<std::int64_t>(1'000, settings.retry_extra_ * 100);
+    node.retries_.balance_ = node.retries_.limit_;
+    log_decision(
+        "start",
+        {{"vm", settings.vm_}, {"incarnation", node.incarnation_}, {"version", AUBURNCHUTE_VERSION}});
+
+    store_reader reader{control_loop, settings, shared, counters, node.incarnation_, {}};
+    reader.changed_ = [&] {
+        net::post(loop, [&node, &shared] {
+            follow_members(node, shared.cell_.read([](entry_view const& view) { return view.members_; }));
+            wake_waiting(node);
+        });
+    };
+    serve_callers(node, settings.callers_listen_);
+    serve_own_pages(node);
+    exchange_with_peers(node);
+    net::co_spawn(loop, handle_signals(node, settings_file), net::detached);
+    start_reading(reader);
+    std::thread control{[&control_loop] { control_loop.run(); }};
+    loop.run();
+    control_loop.stop();
+    control.join();
+    return static_cast<int>(exit_code::done);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    auto const arguments =
+        docopt::docopt(usage, {argv + 1, argv + argc}, true, "auburnchute-entry " AUBURNCHUTE_VERSION);
+    std::signal(SIGPIPE, SIG_IGN);
+    init_decision_log();
+    try {
+        auto const file = arguments.at("--settings").asString();
+        auto const settings = load_settings(file);
+        if (arguments.at("--check").asBool()) {
+            std::cout << "settings of " << settings.values_.vm_ << " are valid\n";
+            return static_cast<int>(exit_code::done);
+        }
+        return run(settings.values_, file);
+    } catch (std::exception const& failure) {
+        log_failure("fatal", {{"fault", failure.what()}});
+        std::cerr << "auburnchute-entry: " << failure.what() << '\n';
+        return static_cast<int>(exit_code::usage);
+    }
+}
--- a/include/auburnchute/clock.hpp
+++ b/include/auburnchute/clock.hpp
@@ -42,6 +42,11 @@
 /// \brief Reads the clock. \returns Milliseconds since an arbitrary but fixed start.
 [[nodiscard]] millis now(clock const& clk) noexcept;
 
+/// \brief Reads the clock that also counts the time in which the VM was suspended. Leases and the age of
+/// knowledge are measured by it.
+/// \returns Milliseconds since the VM started. Thread safety: may be called from any thread.
+[[nodiscard]] millis boot_now() noexcept;
+
 /// \brief Moves a manual clock forward.
 /// \pre `clk` was made by `make_manual_clock`; `step` is not negative.
 void advance(clock& clk, millis step) noexcept;
--- /dev/null
+++ b/include/auburnchute/upstream_choice.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace auburnchute {
+
+/// \brief An upstream that could take a request, with what is known of its load over all VMs.
+struct upstream_option {
+    std::string_view id_;
+    std::int64_t running_{};        ///< Requests under way there.
+    std::int64_t slots_{1};         ///< Requests that it runs at the same time.
+    std::int64_t running_tokens_{}; ///< Prompt and output tokens of those requests.
+    std::int64_t kv_tokens_{};      ///< Its memory for them; 0: not an engine.
+    bool same_zone_{};
+    bool suspect_{}; ///< Failed lately.
+    bool used_{};    ///< This request was already sent there.
+};
+
+/// \brief What the choice depends on.
+struct choice_request {
+    std::int64_t prompt_tokens_{};
+    std::int64_t shared_tokens_{}; ///< Leading part of the prompt that other requests have too.
+    std::int64_t output_tokens_{}; ///< Expected.
+    std::uint64_t prefix_hash_{};  ///< Of the shared part; 0: nothing is shared.
+    std::uint64_t draw_{};         ///< Of the request; breaks ties.
+};
+
+/// \brief Chooses the upstream that should begin to answer first.
+///
+/// Requests with the same shared prompt prefer the same upstream on every VM, by rendezvous hashing, because
+/// it has read that part already. The preference yields when that upstream is busier by more than the reading
+/// would take.
+/// \returns None if all are full or were used. Thread safety: pure.
+[[nodiscard]] std::optional<std::size_t> choose_upstream(std::span<upstream_option const> options,
+                                                         choice_request const& request) noexcept;
+
+} // namespace auburnchute
--- /dev/null
+++ b/src/coordination/shared_bucket.cpp
@@ -0,0 +1,64 @@
+#include <auburnchute/shared_bucket.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace auburnchute {
+
+namespace {
+
+double needed(shared_bucket const& bucket, double units, double share) noexcept
+{
+    return std::min(units, bucket.burst_ * share);
+}
+
+} // namespace
+
+void set_limit(shared_bucket& bucket, double rate, double burst, millis now) noexcept
+{
+    bool const unlimited_before = bucket.rate_ <= 0;
+    bucket.rate_ = rate;
+    bucket.burst_ = burst;
+    if (unlimited_before) {
+        bucket.level_ = burst;
+        bucket.refilled_at_ = now;
+    }
+    bucket.level_ = std::min(bucket.level_, burst);
+}
+
+void refill(shared_bucket& bucket, double share, millis now) noexcept
+{
+    auto const elapsed = std::max<std::int64_t>(0, (now - bucket.refilled_at_).count_);
+    bucket.refilled_at_ = std::max(now, bucket.refilled_at_);
+    auto const earned = bucket.rate_ * share * static_cast<double>(elapsed) / 1'000.0;
+    bucket.level_ = std::min(bucket.burst_ * share, bucket.level_ + earned);
+}
+
+bool spend(shared_bucket& bucket, double units, double share, millis now) noexcept
+{
+    if (bucket.rate_ <= 0) {
+        return true;
+    }
+    refill(bucket, share, now);
+    if (bucket.level_ < needed(bucket, units, share)) {
+        return false;
+    }
+    bucket.level_ -= units;
+    return true;
+}
+
+void book_peer_use(shared_bucket& bucket, double units) noexcept
+{
+    bucket.level_ -= units;
+}
+
+millis time_until(shared_bucket const& bucket, double units, double share) noexcept
+{
+    if (bucket.rate_ <= 0) {
+        return {};
+    }
+    auto const missing = needed(bucket, units, share) - bucket.level_;
+    return {static_cast<std::int64_t>(std::ceil(std::max(0.0, missing) / (bucket.rate_ * share) * 1'000.0))};
+}
+
+} // namespace auburnchute
--- /dev/null
+++ b/src/coordination/upstream_choice.cpp
@@ -0,0 +1,81 @@
+#include <auburnchute/upstream_choice.hpp>
+
+#include <auburnchute/ids.hpp>
+
+#include <algorithm>
+
+namespace auburnchute {
+
+namespace {
+
+/// Prompt tokens that an engine reads in a millisecond; the order of the engines on the platform's sheets.
+constexpr double prompt_tokens_per_ms = 38.0;
+
+/// Delay that each request under way adds to the first token, in ms: its own prompt is read part of the time.
+constexpr double delay_per_running_ms = 40.0;
+
+/// Delay that an upstream outside the VM's availability zone adds, in ms.
+constexpr double other_zone_ms = 2.0;
+
+/// Disadvantage of an upstream that failed lately, in ms: it is used only if the others are very busy.
+constexpr double suspect_ms = 5'000.0;
+
+/// Plain services queue a few requests; more than this many for each slot are not sent.
+constexpr double plain_queue_factor = 1.5;
+
+bool is_full(upstream_option const& option, choice_request const& request) noexcept
+{
+    if (option.kv_tokens_ == 0) {
+        return static_cast<double>(option.running_) >=
+               plain_queue_factor * static_cast<double>(option.slots_);
+    }
+    auto const needed = request.prompt_tokens_ + request.output_tokens_;
+    bool const fits = option.running_ == 0 || option.running_tokens_ + needed <= option.kv_tokens_;
+    return option.running_ >= option.slots_ || !fits;
+}
+
+double expected_delay(upstream_option const& option, choice_request const& request, bool home) noexcept
+{
+    auto delay = (option.same_zone_ ? 0.0 : other_zone_ms) + (option.suspect_ ? suspect_ms : 0.0);
+    if (option.kv_tokens_ == 0) {
+        return delay + delay_per_running_ms * static_cast<double>(option.running_) /
+                           static_cast<double>(std::max<std::int64_t>(option.slots_, 1));
+    }
+    auto const unread = request.prompt_tokens_ - (home ? request.shared_tokens_ : 0);
+    return delay + static_cast<double>(std::max<std::int64_t>(unread, 0)) / prompt_tokens_per_ms +
+           delay_per_running_ms * static_cast<double>(option.running_);
+}
+
+} // namespace
+
+std::optional<std::size_t> choose_upstream(std::span<upstream_option const> options,
+                                           choice_request const& request) noexcept
+{
+    std::optional<std::size_t> home;
+    std::uint64_t home_weight = 0;
+    for (std::size_t i = 0; i < options.size() && request.prefix_hash_ != 0; ++i) {
+        auto const weight = stable_hash(options[i].id_, request.prefix_hash_);
+        if (!home || weight > home_weight) {
+            home = i;
+            home_weight = weight;
+        }
+    }
+    std::optional<std::size_t> best;
+    double best_delay = 0;
+    std::uint64_t best_draw = 0;
+    for (std::size_t i = 0; i < options.size(); ++i) {
+        if (options[i].used_ || is_full(options[i], request)) {
+            continue;
+        }
+        auto const delay = expected_delay(options[i], request, home == i);
+        auto const draw = stable_hash(options[i].id_, request.draw_);
+        if (!best || delay < best_delay || (delay == best_delay && draw > best_draw)) {
+            best = i;
+            best_delay = delay;
+            best_draw = draw;
+        }
+    }
+    return best;
+}
+
+} // namespace auburnchute
--- a/src/state/clock.cpp
+++ b/src/state/clock.cpp
@@ -1,6 +1,7 @@
 #include <auburnchute/clock.hpp>
 
 #include <chrono>
+#include <ctime>
 
 namespace auburnchute {
 
@@ -26,6 +27,13 @@
                        : read<std::chrono::steady_clock>();
 }
 
+millis boot_now() noexcept
+{
+    std::timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return {static_cast<std::int64_t>(time.tv_sec) * 1'000 + time.tv_nsec / 1'000'000};
+}
+
 void advance(clock& clk, millis step) noexcept
 {
     clk.manual_->fetch_add(step.count_, std::memory_order_acq_rel);
--- /dev/null
+++ b/src/state/fleet_config.cpp
@@ -0,0 +1,52 @@
+#include <auburnchute/fleet_config.hpp>
+
+#include <algorithm>
+
+namespace auburnchute {
+
+call_route const* find_call_route(fleet_config const& config, std::string_view host,
+                                  std::string_view path) noexcept
+{
+    call_route const* best = nullptr;
+    for (auto const& route : config.routes_) {
+        bool const matches = route.host_ == host && path.starts_with(route.path_prefix_);
+        if (matches && (best == nullptr || route.path_prefix_.size() > best->path_prefix_.size())) {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+std::string_view choose_service(call_route const& route, std::uint64_t draw) noexcept
+{
+    std::int64_t total = 0;
+    for (auto const& share : route.services_) {
+        total += std::max<std::int64_t>(share.weight_, 0);
+    }
+    if (total == 0) {
+        return route.services_.empty() ? std::string_view{} : route.services_.front().service_;
+    }
+    auto rest = static_cast<std::int64_t>(draw % static_cast<std::uint64_t>(total));
+    for (auto const& share : route.services_) {
+        rest -= std::max<std::int64_t>(share.weight_, 0);
+        if (rest < 0) {
+            return share.service_;
+        }
+    }
+    return route.services_.back().service_;
+}
+
+engine_profile const* find_engine(fleet_config const& config, std::string_view service) noexcept
+{
+    auto const found = config.services_.find(service);
+    return found != config.services_.end() && found->second.engine_ ? &*found->second.engine_ : nullptr;
+}
+
+hosted_model const* find_hosted_model(engine_profile const& engine, std::string_view name) noexcept
+{
+    auto const found = std::find_if(engine.models_.begin(), engine.models_.end(),
+                                    [name](hosted_model const& model) { return model.name_ == name; });
+    return found == engine.models_.end() ? nullptr : &*found;
+}
+
+} // namespace auburnchute
--- /dev/null
+++ b/src/transport/entry/async.cpp
@@ -0,0 +1,54 @@
+#include "transport/entry/async.hpp"
+
+#include <auburnchute/error.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <netinet/tcp.h>
+#include <string>
+#include <sys/socket.h>
+
+namespace auburnchute {
+
+namespace {
+
+/// Keep-alive probes: lost probes before the connection ends.
+constexpr int lost_probes = 3;
+
+void set_option(tcp::socket& socket, int level, int name, int value)
+{
+    // A kernel that refuses an option leaves the connection usable; request timeouts still end it.
+    (void)setsockopt(socket.native_handle(), level, name, &value, sizeof value);
+}
+
+} // namespace
+
+void set_liveness(tcp::socket& socket, millis silence)
+{
+    error_code ignored; // a socket that just failed is noticed by its next use
+    socket.set_option(tcp::no_delay{true}, ignored);
+    socket.set_option(net::socket_base::keep_alive{true}, ignored);
+    auto const seconds = static_cast<int>(std::max<std::int64_t>(1, silence.count_ / 1'000 / lost_probes));
+    set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, seconds);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, seconds);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, lost_probes);
+    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(silence.count_));
+}
+
+tcp::endpoint parse_endpoint(std::string_view address)
+{
+    auto const colon = address.rfind(':');
+    error_code fault;
+    auto const ip = net::ip::make_address(std::string{address.substr(0, colon)}, fault);
+    unsigned short port = 0;
+    if (colon != std::string_view::npos && !fault) {
+        auto const text = address.substr(colon + 1);
+        auto const [end, problem] = std::from_chars(text.data(), text.data() + text.size(), port);
+        if (problem == std::errc{} && end == text.data() + text.size()) {
+            return {ip, port};
+        }
+    }
+    throw error{"connect", address, "expected IP:PORT"};
+}
+
+} // namespace auburnchute
--- /dev/null
+++ b/src/transport/entry/caller_session.cpp
@@ -0,0 +1,773 @@
+#include "transport/entry/caller_session.hpp"
+
+#include "platform/headers.hpp"
+#include "protocol/decision_log.hpp"
+#include "transport/entry/event_stream.hpp"
+#include "transport/entry/forward_job.hpp"
+#include "transport/entry/listen.hpp"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+#include <sstream>
+#include <sys/socket.h>
+
+namespace auburnchute {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Longest time for connecting to an upstream; they answer within milliseconds or are gone.
+constexpr millis connect_limit{1'000};
+
+/// Upstreams that may refuse a connection before a request is given up.
+constexpr int max_connect_failures = 4;
+
+/// How long an upstream that failed is used only if the others are very busy.
+constexpr millis suspect_time{2'000};
+
+/// How long an upstream that said it is leaving, or is another one, gets nothing. Its entry follows by then.
+constexpr millis closed_time{3'000};
+
+/// Idle time up to which a kept connection is used for a request that may not be repeated: an upstream that
+/// closes it meanwhile would leave open whether the request ran.
+constexpr millis unsafe_idle{1'000};
+
+/// The same for requests that may be repeated.
+constexpr millis safe_idle{5'000};
+
+/// How long a kept connection lasts if the upstream does not say.
+constexpr millis default_keep_alive{4'000};
+
+/// Part of its announced idle time for which a connection is kept, so that it ends here first.
+constexpr millis keep_alive_margin{500};
+
+/// Answers to other requests that are skipped on one connection before it is given up.
+constexpr int max_stray_answers = 3;
+
+/// Largest answer of a plain service that is taken.
+constexpr std::uint64_t max_answer_bytes = 64 * 1024 * 1024;
+
+/// Shortest wait told to a caller whose request found no room.
+constexpr millis least_retry_after{200};
+
+/// Longest time in which a caller takes nothing of an answer.
+constexpr millis write_limit{10'000};
+
+/// Waiting requests look at the view again at least this often.
+constexpr millis wait_round{250};
+
+constexpr int misdirected = 421;
+constexpr int unavailable = 503;
+
+using answer_parser = http::response_parser<http::buffer_body>;
+
+/// Books the request at the upstream while it lives.
+class use_guard {
+public:
+    use_guard(entry_node& node, std::string id, std::int64_t tokens, need_key need)
+        : node_{node}, id_{std::move(id)}, tokens_{tokens}, need_{std::move(need)}
+    {
+        auto& use = node_.upstreams_[id_].use_;
+        ++use.requests_;
+        use.tokens_ += tokens_;
+        ++node_.needs_[need_].running_;
+    }
+    use_guard(use_guard const&) = delete;
+    use_guard& operator=(use_guard const&) = delete;
+    ~use_guard()
+    {
+        auto& use = node_.upstreams_[id_].use_;
+        --use.requests_;
+        use.tokens_ -= tokens_;
+        --node_.needs_[need_].running_;
+        if (!node_.waiting_.empty()) {
+            wake_waiting(node_);
+        }
+    }
+
+private:
+    entry_node& node_;
+    std::string id_;
+    std::int64_t tokens_;
+    need_key need_;
+};
+
+/// How one try at an upstream ended.
+struct try_outcome {
+    try_result result_{try_result::not_sent};
+    std::optional<upstream_answer> answer_; ///< A whole answer, if it is not a stream.
+    bool streamed_{};                       ///< The whole stream has gone to the caller.
+    int status_{};                          ///< Of the upstream's answer; 0: none.
+    bool upstream_gone_{};                  ///< The upstream stopped listening after the connection broke.
+    std::string fault_;
+};
+
+class caller_session : public std::enable_shared_from_this<caller_session> {
+public:
+    caller_session(entry_node& node, tcp::socket socket) : node_{node}, stream_{std::move(socket)} {}
+
+    net::awaitable<void> run();
+
+private:
+    net::awaitable<bool> read_request(caller_request& request);
+    net::awaitable<void> refuse_and_close(own_answer answer);
+    net::awaitable<bool> serve(caller_request& request);
+    net::awaitable<std::optional<own_answer>> dispatch(forward_job& job, caller_request const& request);
+    net::awaitable<std::optional<own_answer>> wait_for_upstream(forward_job& job, choice_fault fault);
+    net::awaitable<try_outcome> try_upstream(forward_job& job, caller_request const& request,
+                                             chosen_upstream const& upstream);
+    net::awaitable<void> read_answer(forward_job& job, upstream_connection& connection, try_outcome& outcome,
+                                     bool& reusable, millis& keep_alive);
+    net::awaitable<void> relay_stream(forward_job& job, upstream_connection& connection,
+                                      answer_parser& parser, try_outcome& outcome);
+    net::awaitable<bool> pass_events(forward_job& job, answer_parser& parser, std::string_view events,
+                                     bool& in_order);
+    net::awaitable<bool> write_caller(std::string bytes);
+    net::awaitable<bool> send_answer(upstream_answer answer);
+    net::awaitable<bool> send_own(own_answer answer, std::string request_id);
+    net::awaitable<void> watch_caller(std::uint64_t watch);
+    void start_watch();
+    void end_watch();
+    void note_result(forward_job const& job, chosen_upstream const& upstream, try_outcome const& outcome);
+    void log_end(forward_job const& job, std::string_view outcome, int status, std::string_view reason) const;
+
+    entry_node& node_;
+    boost::beast::tcp_stream stream_;
+    boost::beast::flat_buffer buffer_;
+    std::uint64_t watch_{};
+    bool watching_{};
+    bool gone_{};
+    bool keep_{};               ///< The connection stays open after the present request.
+    std::string last_upstream_; ///< Of the present request, for its log line.
+    int last_status_{};
+    std::function<void()> on_gone_; ///< Called once when the caller leaves.
+    wake_event* waiting_{};
+};
+
+net::awaitable<void> caller_session::run()
+{
+    set_liveness(stream_.socket(), millis{6'000});
+    while (true) {
+        caller_request request;
+        if (!co_await read_request(request) || !co_await serve(request)) {
+            break;
+        }
+    }
+    error_code ignored; // the caller may have closed first
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    stream_.socket().close(ignored);
+}
+
+net::awaitable<bool> caller_session::read_request(caller_request& request)
+{
+    auto const config = current_view(node_).config_;
+    auto const limits = config ? config->limits_ : caller_limits{};
+    error_code fault;
+    if (buffer_.size() == 0) {
+        stream_.expires_after(to_chrono(limits.idle_timeout_));
+        auto const size = co_await stream_.async_read_some(buffer_.prepare(4'096), outcome_in(fault));
+        buffer_.commit(size);
+        if (fault) {
+            co_return false;
+        }
+    }
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(limits.header_bytes_);
+    parser.body_limit(limits.body_bytes_);
+    stream_.expires_after(to_chrono(limits.header_timeout_));
+    co_await http::async_read_header(stream_, buffer_, parser, outcome_in(fault));
+    if (fault == http::error::header_limit) {
+        co_await refuse_and_close({431, "header-too-large", millis{-1}});
+        co_return false;
+    }
+    if (fault) {
+        bool const malformed = fault.category() == make_error_code(http::error::bad_method).category() &&
+                               fault != http::error::end_of_stream && fault != http::error::partial_message;
+        if (malformed) {
+            co_await refuse_and_close({400, "malformed-request", millis{-1}});
+        }
+        co_return false;
+    }
+    // A body whose end cannot be told could hide a second request.
+    bool const unclear = parser.get().find(http::field::transfer_encoding) != parser.get().end() &&
+                         (!parser.chunked() || parser.get().version() < 11);
+    if (unclear || parser.get().count(http::field::host) != 1) {
+        co_await refuse_and_close({400, "malformed-request", millis{-1}});
+        co_return false;
+    }
+    if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        if (!co_await write_caller("HTTP/1.1 100 Continue\r\n\r\n")) {
+            co_return false;
+        }
+    }
+    stream_.expires_after(to_chrono(limits.idle_timeout_));
+    co_await http::async_read(stream_, buffer_, parser, outcome_in(fault));
+    if (fault == http::error::body_limit) {
+        co_await refuse_and_close({413, "body-too-large", millis{-1}});
+        co_return false;
+    }
+    if (fault) {
+        co_return false;
+    }
+    keep_ = parser.keep_alive();
+    request = parser.release();
+    co_return true;
+}
+
+net::awaitable<void> caller_session::refuse_and_close(own_answer answer)
+{
+    keep_ = false;
+    co_await send_own(answer, "");
+    error_code ignored; // the caller may be gone
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    // Reads what is still coming, for a moment: closing with unread bytes would reset the answer away.
+    std::array<char, 4'096> sink{};
+    stream_.expires_after(std::chrono::milliseconds{500});
+    error_code ended;
+    while (!ended) {
+        co_await stream_.async_read_some(net::buffer(sink), outcome_in(ended));
+    }
+}
+
+void caller_session::start_watch()
+{
+    watching_ = true;
+    net::co_spawn(
+        node_.loop_, [self = shared_from_this(), watch = ++watch_] { return self->watch_caller(watch); },
+        net::detached);
+}
+
+void caller_session::end_watch()
+{
+    if (watching_) {
+        watching_ = false;
+        error_code ignored; // nothing but the watch is pending
+        stream_.socket().cancel(ignored);
+    }
+}
+
+net::awaitable<void> caller_session::watch_caller(std::uint64_t watch)
+{
+    error_code outcome;
+    co_await stream_.socket().async_wait(tcp::socket::wait_read, outcome_in(outcome));
+    if (!watching_ || watch != watch_) {
+        co_return;
+    }
+    char next{};
+    auto const size = recv(stream_.socket().native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (size > 0 || (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))) {
+        co_return; // the caller's next request
+    }
+    gone_ = true;
+    if (on_gone_) {
+        on_gone_();
+    }
+    if (waiting_ != nullptr) {
+        waiting_->notify();
+    }
+}
+
+net::awaitable<bool> caller_session::serve(caller_request& request)
+{
+    forward_job job;
+    job.arrived_ = boot_now();
+    job.config_ = current_view(node_).config_;
+    job.call_ = platform::read_call(request);
+    last_upstream_.clear();
+    last_status_ = 0;
+    if (node_.stopping_) {
+        keep_ = false;
+    }
+    ++node_.open_calls_;
+    std::optional<own_answer> own = admit(node_, job, request);
+    if (!own) {
+        note_need(node_, job, job.arrived_);
+        start_watch();
+        own = co_await dispatch(job, request);
+        end_watch();
+    }
+    --node_.open_calls_;
+    on_gone_ = nullptr;
+    if (own && job.execution_ == execution::not_run) {
+        refund(node_, job);
+    }
+    if (gone_) {
+        log_end(job, "caller-left", 0, "");
+        co_return false;
+    }
+    if (own && job.head_sent_) {
+        // The caller has part of a stream: only an unfinished answer is honest.
+        log_end(job, "cut", 0, own->reason_);
+        co_return false;
+    }
+    if (own) {
+        log_end(job, "own-answer", own->status_, own->reason_);
+        co_return co_await send_own(*own, job.call_.request_id_) && keep_;
+    }
+    log_end(job, "answered", last_status_, "");
+    co_return keep_;
+}
+
+net::awaitable<std::optional<own_answer>> caller_session::dispatch(forward_job& job,
+                                                                   caller_request const& request)
+{
+    earn(node_.retries_);
+    int connect_failures = 0;
+    while (!gone_) {
+        auto const now = boot_now();
+        if (now >= job.deadline_) {
+            bool const idle = job.execution_ == execution::not_run;
+            co_return own_answer{idle ? unavailable : 504, "deadline", idle ? least_retry_after : millis{-1}};
+        }
+        auto const chosen = choose(node_, job);
+        if (!chosen.upstream_) {
+            auto refusal = co_await wait_for_upstream(job, chosen.fault_);
+            if (refusal) {
+                co_return refusal;
+            }
+            continue;
+        }
+        auto outcome = co_await try_upstream(job, request, *chosen.upstream_);
+        last_upstream_ = chosen.upstream_->id_;
+        last_status_ = outcome.status_;
+        note_result(job, *chosen.upstream_, outcome);
+        if (gone_) {
+            break;
+        }
+        if (outcome.result_ == try_result::answered) {
+            if (outcome.streamed_) {
+                co_return std::nullopt;
+            }
+            bool const worth_repeating = job.route_->kind_ == call_kind::safe && outcome.status_ >= 500;
+            bool const again = worth_repeating &&
+                               static_cast<int>(job.used_.size()) < job.route_->max_upstreams_ &&
+                               try_again(node_.retries_, try_result::refused, true,
+                                         static_cast<int>(job.used_.size()), boot_now(), job.deadline_);
+            if (!again) {
+                if (!co_await send_answer(std::move(*outcome.answer_))) {
+                    gone_ = true;
+                }
+                co_return std::nullopt;
+            }
+            job.execution_ = execution_after(job.execution_, try_result::answered);
+            continue;
+        }
+        job.execution_ = execution_after(job.execution_, outcome.result_);
+        bool const ran_nowhere = outcome.result_ == try_result::not_sent;
+        bool const may_repeat = is_repeatable(job) || job.execution_ == execution::not_run;
+        bool const upstreams_left = static_cast<int>(job.used_.size()) < job.route_->max_upstreams_;
+        if (!ran_nowhere && (!may_repeat || !upstreams_left ||
+                             !try_again(node_.retries_, outcome.result_, true,
+                                        static_cast<int>(job.used_.size()), boot_now(), job.deadline_))) {
+            bool const idle = job.execution_ == execution::not_run;
+            co_return own_answer{idle ? unavailable : 502, idle ? "upstream-refused" : "upstream-failed",
+                                 idle ? least_retry_after : millis{-1}};
+        }
+        if (ran_nowhere && ++connect_failures >= max_connect_failures) {
+            bool const idle = job.execution_ == execution::not_run;
+            co_return own_answer{idle ? unavailable : 502, "upstreams-unreachable",
+                                 idle ? least_retry_after : millis{-1}};
+        }
+    }
+    co_return own_answer{502, "caller-left", millis{-1}};
+}
+
+net::awaitable<std::optional<own_answer>> caller_session::wait_for_upstream(forward_job& job,
+                                                                            choice_fault fault)
+{
+    auto const now = boot_now();
+    auto const left = job.deadline_ - now;
+    bool const idle = job.execution_ == execution::not_run;
+    if (!idle || !job.used_.empty()) {
+        co_return own_answer{idle ? unavailable : 502, "no-other-upstream",
+                             idle ? least_retry_after : millis{-1}};
+    }
+    if (fault == choice_fault::no_upstream) {
+        co_return own_answer{unavailable, "no-upstream", millis{500}};
+    }
+    if (fault == choice_fault::not_loaded) {
+        if (auto const load = load_remaining(node_, job); load && *load > left) {
+            co_return own_answer{unavailable, "load-too-late", *load};
+        }
+    } else if (now - job.arrived_ > (job.deadline_ - job.arrived_) / 2) {
+        co_return own_answer{unavailable, "upstreams-full", least_retry_after};
+    }
+    wake_event wake{node_.loop_};
+    waiting_call entry{job.urgency_, job.arrived_, job.deadline_, need_of(job), &wake};
+    node_.waiting_.push_back(&entry);
+    auto& need = node_.needs_[entry.need_];
+    if (++need.waiting_ == 1 && node_.need_changed_) {
+        node_.need_changed_();
+    }
+    waiting_ = &wake;
+    co_await wake.wait_for(std::min(wait_round, left));
+    waiting_ = nullptr;
+    --node_.needs_[entry.need_].waiting_;
+    node_.waiting_.remove(&entry);
+    co_return std::nullopt;
+}
+
+net::awaitable<try_outcome> caller_session::try_upstream(forward_job& job, caller_request const& request,
+                                                         chosen_upstream const& upstream)
+{
+    try_outcome outcome;
+    auto const& from = job.call_;
+    use_guard const use{node_, upstream.id_, from.prompt_tokens_ + from.output_tokens_, need_of(job)};
+    auto const now = boot_now();
+    auto connection = node_.pool_.take_idle(upstream.id_, is_repeatable(job) ? safe_idle : unsafe_idle);
+    if (!connection) {
+        error_code fault;
+        connection = co_await node_.pool_.open(upstream.id_, upstream.address_,
+                                               std::min(connect_limit, job.deadline_ - now), fault);
+        if (!connection) {
+            outcome.fault_ = "connect: " + fault.message();
+            co_return outcome;
+        }
+    }
+    if (gone_) {
+        co_return outcome;
+    }
+    on_gone_ = [connection] {
+        error_code ignored; // its reader notices
+        connection->stream_.socket().close(ignored);
+    };
+    auto const left = job.deadline_ - boot_now();
+    if (left <= millis{0}) {
+        co_return outcome;
+    }
+    platform::forward_plan plan{.upstream_id_ = upstream.id_,
+                                .address_ = upstream.address_,
+                                .workspace_ = job.workspace_ != nullptr
+                                                  ? std::string_view{job.workspace_->name_}
+                                                  : std::string_view{},
+                                .time_left_ = left,
+                                .urgency_ = std::nullopt,
+                                .resume_after_ = job.last_event_};
+    if (job.engine_ != nullptr) {
+        plan.urgency_ = static_cast<int>(std::clamp<std::int64_t>(job.urgency_, 0, 9));
+    }
+    auto sent = std::make_shared<caller_request>(platform::forward_head(request.base(), plan));
+    sent->body() = request.body();
+    // A request without a body carries no length, as the caller sent none.
+    if (!sent->body().empty() || request.find(http::field::content_length) != request.end()) {
+        sent->prepare_payload();
+    }
+    log_decision("forward", {{"id", from.request_id_},
+                             {"upstream", upstream.id_},
+                             {"running", upstream.known_running_},
+                             {"left_ms", left.count_},
+                             {"config", job.config_->version_},
+                             {"config_age_ms", (boot_now() - fresh_at(node_)).count_},
+                             {"reused", connection->reused_}});
+    job.used_.push_back(upstream.id_);
+    // The answer may come before a long body is written, so both run at the same time.
+    auto written = std::make_shared<bool>(false);
+    connection->stream_.expires_after(to_chrono(left));
+    net::co_spawn(
+        node_.loop_,
+        [connection, sent, written]() -> net::awaitable<void> {
+            error_code fault; // the reader meets the same fault
+            co_await http::async_write(connection->stream_, *sent, outcome_in(fault));
+            *written = !fault;
+        },
+        net::detached);
+    bool reusable = false;
+    millis keep_alive = default_keep_alive;
+    co_await read_answer(job, *connection, outcome, reusable, keep_alive);
+    on_gone_ = nullptr;
+    if (reusable && *written && !gone_) {
+        node_.pool_.keep(connection, keep_alive);
+    } else {
+        error_code ignored; // a broken connection may be closed already
+        connection->stream_.socket().close(ignored);
+    }
+    bool const broke =
+        outcome.result_ == try_result::cut_before_answer || outcome.result_ == try_result::cut_in_answer;
+    if (broke && !gone_ && boot_now() < job.deadline_) {
+        error_code fault;
+        auto const probe = co_await node_.pool_.open(upstream.id_, upstream.address_, millis{300}, fault);
+        outcome.upstream_gone_ = !probe && fault == net::error::connection_refused;
+        if (outcome.upstream_gone_) {
+            ++node_.crashes_[fingerprint_of(job, request)];
+        }
+    }
+    co_return outcome;
+}
+
+net::awaitable<void> caller_session::read_answer(forward_job& job, upstream_connection& connection,
+                                                 try_outcome& outcome, bool& reusable, millis& keep_alive)
+{
+    outcome.result_ = try_result::cut_before_answer;
+    error_code fault;
+    for (int stray = 0; stray <= max_stray_answers; ++stray) {
+        auto head = std::make_unique<http::response_parser<http::empty_body>>();
+        co_await http::async_read_header(connection.stream_, connection.buffer_, *head, outcome_in(fault));
+        if (fault) {
+            outcome.fault_ = "answer: " + fault.message();
+            bool const malformed = fault.category() == make_error_code(http::error::bad_method).category() &&
+                                   fault != http::error::end_of_stream;
+            outcome.result_ = malformed ? try_result::wrong_answer : try_result::cut_before_answer;
+            co_return;
+        }
+        auto const status = static_cast<int>(head->get().result_int());
+        if (status < 200) {
+            --stray;
+            continue;
+        }
+        auto const reply = platform::read_reply(head->get().base());
+        if (!reply.request_id_.empty() && reply.request_id_ != job.call_.request_id_) {
+            http::response_parser<http::string_body> skipped{std::move(*head)};
+            skipped.body_limit(max_answer_bytes);
+            co_await http::async_read(connection.stream_, connection.buffer_, skipped, outcome_in(fault));
+            node_.counters_.count("auburnchute_stray_answers_total");
+            if (fault || !skipped.keep_alive()) {
+                outcome.fault_ = "only an answer to another request came";
+                outcome.result_ = try_result::wrong_answer;
+                co_return;
+            }
+            continue;
+        }
+        outcome.status_ = status;
+        if (reply.closing_) {
+            keep_alive = millis{0};
+        } else if (reply.keep_alive_) {
+            keep_alive = *reply.keep_alive_ - keep_alive_margin;
+        }
+        bool const is_stream = job.route_->kind_ == call_kind::stream && status == 200;
+        if (is_stream && !reply.not_run_) {
+            answer_parser parser{std::move(*head)};
+            co_await relay_stream(job, connection, parser, outcome);
+            reusable = outcome.result_ == try_result::answered && parser.keep_alive() &&
+                       keep_alive > millis{0} && connection.buffer_.size() == 0;
+            co_return;
+        }
+        http::response_parser<http::string_body> parser{std::move(*head)};
+        parser.body_limit(max_answer_bytes);
+        outcome.result_ = try_result::cut_in_answer;
+        co_await http::async_read(connection.stream_, connection.buffer_, parser, outcome_in(fault));
+        if (fault) {
+            outcome.fault_ = "answer: " + fault.message();
+            co_return;
+        }
+        reusable = parser.keep_alive() && keep_alive > millis{0} && connection.buffer_.size() == 0;
+        if (reply.not_run_) {
+            outcome.result_ = try_result::refused;
+            outcome.fault_ = "the upstream did not run it: " + std::to_string(status);
+            co_return;
+        }
+        if (reply.request_id_.empty() && status < 300) {
+            outcome.result_ = try_result::wrong_answer;
+            outcome.fault_ = "an answer that names no request";
+            co_return;
+        }
+        outcome.result_ = try_result::answered;
+        outcome.answer_ = parser.release();
+        co_return;
+    }
+    outcome.fault_ = "too many answers to other requests";
+    outcome.result_ = try_result::wrong_answer;
+}
+
+net::awaitable<void> caller_session::relay_stream(forward_job& job, upstream_connection& connection,
+                                                  answer_parser& parser, try_outcome& outcome)
+{
+    outcome.result_ = try_result::cut_in_answer;
+    event_cutter cutter;
+    std::array<char, 8'192> chunk{};
+    error_code fault;
+    bool in_order = true;
+    while (!parser.is_done()) {
+        auto& body = parser.get().body();
+        body.data = chunk.data();
+        body.size = chunk.size();
+        co_await http::async_read_some(connection.stream_, connection.buffer_, parser, outcome_in(fault));
+        if (fault == http::error::need_buffer) {
+            fault = {};
+        }
+        auto const size = chunk.size() - body.size;
+        auto events = feed_events(cutter, {chunk.data(), size});
+        if (parser.is_done() && !fault) {
+            events += std::exchange(cutter.pending_, {}); // the last event may lack its blank line
+        }
+        if (!events.empty() && !co_await pass_events(job, parser, events, in_order)) {
+            gone_ = true;
+            co_return;
+        }
+        if (fault || !in_order || gone_) {
+            outcome.fault_ = fault ? "stream: " + fault.message() : "events out of order";
+            co_return;
+        }
+    }
+    if (!job.head_sent_ && !co_await pass_events(job, parser, {}, in_order)) {
+        gone_ = true;
+        co_return;
+    }
+    if (!co_await write_caller("0\r\n\r\n")) {
+        gone_ = true;
+        co_return;
+    }
+    outcome.result_ = try_result::answered;
+    outcome.streamed_ = true;
+}
+
+net::awaitable<bool> caller_session::pass_events(forward_job& job, answer_parser& parser,
+                                                 std::string_view events, bool& in_order)
+{
+    std::string passed;
+    while (!events.empty() && in_order) {
+        auto const event = next_event(events);
+        if (auto const id = event_id(event)) {
+            auto const number = event_number(*id);
+            auto const last = event_number(job.last_event_);
+            if (number && last && *number <= *last) {
+                continue; // the caller has it from the upstream before
+            }
+            if (number && last && job.used_.size() > 1 && *number > *last + 1) {
+                in_order = false;
+                break;
+            }
+            job.last_event_ = *id;
+        }
+        passed += event;
+    }
+    std::string bytes;
+    if (!job.head_sent_) {
+        auto head = platform::answer_head(parser.get().base());
+        head.erase(http::field::content_length);
+        http::response<http::empty_body> answer{std::move(head)};
+        answer.chunked(true);
+        answer.keep_alive(keep_);
+        std::ostringstream text;
+        text << answer.base();
+        bytes = text.str();
+        job.head_sent_ = true;
+        job.first_event_at_ = boot_now();
+    }
+    if (!passed.empty()) {
+        std::ostringstream size;
+        size << std::hex << passed.size();
+        bytes += size.str() + "\r\n" + passed + "\r\n";
+    }
+    co_return bytes.empty() || co_await write_caller(std::move(bytes));
+}
+
+net::awaitable<bool> caller_session::write_caller(std::string bytes)
+{
+    error_code fault;
+    stream_.expires_after(to_chrono(write_limit));
+    co_await net::async_write(stream_, net::buffer(bytes), outcome_in(fault));
+    co_return !fault;
+}
+
+net::awaitable<bool> caller_session::send_answer(upstream_answer answer)
+{
+    upstream_answer passed{platform::answer_head(answer.base())};
+    passed.body() = std::move(answer.body());
+    passed.prepare_payload();
+    passed.keep_alive(keep_);
+    error_code fault;
+    stream_.expires_after(to_chrono(write_limit));
+    co_await http::async_write(stream_, passed, outcome_in(fault));
+    co_return !fault;
+}
+
+net::awaitable<bool> caller_session::send_own(own_answer answer, std::string request_id)
+{
+    auto message = to_message(answer, request_id);
+    message.keep_alive(keep_);
+    error_code fault;
+    stream_.expires_after(to_chrono(write_limit));
+    co_await http::async_write(stream_, message, outcome_in(fault));
+    node_.counters_.count("auburnchute_refusals_total", answer.reason_);
+    co_return !fault;
+}
+
+void caller_session::note_result(forward_job const& job, chosen_upstream const& upstream,
+                                 try_outcome const& outcome)
+{
+    auto& own = node_.upstreams_[upstream.id_];
+    auto const now = boot_now();
+    switch (outcome.result_) {
+    case try_result::answered:
+        own.suspect_until_ = {};
+        break;
+    case try_result::refused:
+        if (outcome.status_ == misdirected && job.engine_ == nullptr) {
+            own.closed_until_ = now + closed_time;
+            node_.pool_.forget(upstream.id_);
+        } else {
+            own.suspect_until_ = now + millis{300};
+        }
+        break;
+    default:
+        own.suspect_until_ = now + suspect_time;
+        node_.pool_.forget(upstream.id_);
+    }
+    if (outcome.result_ != try_result::answered) {
+        log_failure("try-failed", {{"id", job.call_.request_id_},
+                                   {"upstream", upstream.id_},
+                                   {"peer", upstream.address_},
+                                   {"status", outcome.status_},
+                                   {"fault", outcome.fault_},
+                                   {"tries", job.used_.size()}});
+    }
+}
+
+void caller_session::log_end(forward_job const& job, std::string_view outcome, int status,
+                             std::string_view reason) const
+{
+    auto const now = boot_now();
+    auto const route = job.route_ != nullptr ? std::string_view{job.route_->name_} : "";
+    auto const workspace = job.workspace_ != nullptr ? std::string_view{job.workspace_->name_} : "";
+    auto const first = job.first_event_at_ > millis{0} ? job.first_event_at_ - job.arrived_ : millis{-1};
+    node_.counters_.count("auburnchute_requests_total", outcome);
+    auto const write = outcome == "answered" ? log_decision : log_failure;
+    write("request", {{"id", job.call_.request_id_},
+                      {"route", route},
+                      {"workspace", workspace},
+                      {"model", job.call_.model_},
+                      {"adapter", job.call_.adapter_},
+                      {"outcome", outcome},
+                      {"status", status},
+                      {"reason", reason},
+                      {"upstream", last_upstream_},
+                      {"tries", job.used_.size()},
+                      {"first_ms", first.count_},
+                      {"ms", (now - job.arrived_).count_},
+                      {"allowed_ms", (job.deadline_ - job.arrived_).count_},
+                      {"config", job.config_ ? job.config_->version_ : 0}});
+}
+
+void report_end(std::exception_ptr const& failure)
+{
+    if (!failure) {
+        return;
+    }
+    try {
+        std::rethrow_exception(failure);
+    } catch (std::exception const& problem) {
+        log_failure("session-failed", {{"fault", problem.what()}});
+    }
+}
+
+} // namespace
+
+void serve_callers(entry_node& node, std::string const& address)
+{
+    accept_connections(node.loop_, address, [&node](tcp::socket socket) {
+        auto session = std::make_shared<caller_session>(node, std::move(socket));
+        net::co_spawn(
+            node.loop_, [session] { return session->run(); }, report_end);
+    });
+}
+
+} // namespace auburnchute
--- /dev/null
+++ b/src/transport/entry/entry_node.cpp
@@ -0,0 +1,128 @@
+#include "transport/entry/entry_node.hpp"
+
+#include <algorithm>
+
+namespace auburnchute {
+
+namespace {
+
+/// A peer that sent nothing for this long is not counted as heard: five messages.
+constexpr millis peer_silence{1'000};
+
+/// A peer that sent nothing for this long no longer keeps its part of the rates. It is longer than the bound
+/// on keys, after which a peer that is cut off spends nothing.
+constexpr millis peer_share_kept{15'000};
+
+/// How long the holder's notices count after its last message.
+constexpr millis notice_lifetime{10'000};
+
+} // namespace
+
+request_view current_view(entry_node const& node)
+{
+    return node.shared_.cell_.read([](entry_view const& view) {
+        return request_view{view.config_, view.upstreams_, view.config_next_};
+    });
+}
+
+millis fresh_at(entry_node const& node) noexcept
+{
+    return std::max(millis{node.shared_.config_read_at_.load(std::memory_order_acquire)},
+                    node.handed_freshness_);
+}
+
+bool keys_are_fresh(entry_node const& node, millis now) noexcept
+{
+    auto const at = fresh_at(node);
+    return at > millis{0} && now - at < freshness_bound(node.settings_.key_withdrawal_);
+}
+
+double heard_share(entry_node const& node, millis now) noexcept
+{
+    int heard = 1;
+    int counted = 1;
+    for (auto const& [vm, peer] : node.peers_) {
+        if (peer.heard_at_ == millis{0}) {
+            continue; // never alive in this daemon's time
+        }
+        auto const silence = now - peer.heard_at_;
+        heard += silence < peer_silence ? 1 : 0;
+        counted += silence < peer_share_kept ? 1 : 0;
+    }
+    return static_cast<double>(heard) / static_cast<double>(counted);
+}
+
+upstream_use fleet_use(entry_node const& node, std::string_view upstream_id, millis now)
+{
+    upstream_use sum;
+    if (auto const own = node.upstreams_.find(upstream_id); own != node.upstreams_.end()) {
+        sum = own->second.use_;
+    }
+    for (auto const& [vm, peer] : node.peers_) {
+        if (now - peer.heard_at_ >= peer_silence) {
+            continue;
+        }
+        auto const found = peer.state_.upstreams_.find(upstream_id);
+        if (found != peer.state_.upstreams_.end()) {
+            sum.requests_ += found->second.requests_;
+            sum.tokens_ += found->second.tokens_;
+        }
+    }
+    return sum;
+}
+
+placement_notice const* find_notice(entry_node const& node, std::string_view upstream_id) noexcept
+{
+    if (boot_now() - node.placements_at_ > notice_lifetime) {
+        return nullptr;
+    }
+    auto const found = std::find_if(node.placements_.begin(), node.placements_.end(),
+                                    [&](auto const& notice) { return notice.upstream_id_ == upstream_id; });
+    return found == node.placements_.end() ? nullptr : &*found;
+}
+
+bool is_ready(entry_node const& node, millis now)
+{
+    return !node.stopping_ && current_view(node).config_ != nullptr && keys_are_fresh(node, now);
+}
+
+int crash_count(entry_node const& node, std::string_view fingerprint)
+{
+    int count = 0;
+    if (auto const own = node.crashes_.find(fingerprint); own != node.crashes_.end()) {
+        count += own->second;
+    }
+    for (auto const& [vm, peer] : node.peers_) {
+        auto const found = peer.state_.crashes_.find(fingerprint);
+        count += found == peer.state_.crashes_.end() ? 0 : found->second;
+    }
+    return count;
+}
+
+void wake_waiting(entry_node& node)
+{
+    node.waiting_.sort([](waiting_call const* a, waiting_call const* b) {
+        return std::tie(a->urgency_, a->arrived_) < std::tie(b->urgency_, b->arrived_);
+    });
+    for (auto* const call : node.waiting_) {
+        call->wake_->notify();
+    }
+}
+
+void follow_limits(entry_node& node, fleet_config const& config, millis now)
+{
+    if (node.limits_version_ == config.version_) {
+        return;
+    }
+    node.limits_version_ = config.version_;
+    for (auto const& workspace : config.workspaces_) {
+        auto const [found, fresh] = node.workspaces_.try_emplace(workspace.name_);
+        set_limit(found->second.bucket_, workspace.rate_, workspace.burst_, now);
+        if (fresh && !node.settings_.first_start_) {
+            // What the fleet spent before this daemon started is not known until a peer tells.
+            found->second.bucket_.level_ /= 2;
+        }
+    }
+}
+
+} // namespace auburnchute
--- /dev/null
+++ b/src/transport/entry/entry_view.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <auburnchute/clock.hpp>
+#include <auburnchute/fleet_config.hpp>
+#include <auburnchute/snapshot_cell.hpp>
+#include <auburnchute/upstream.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace auburnchute {
+
+/// \brief Another entry daemon, as it registered itself in the store.
+struct entry_member {
+    std::string vm_;
+    std::uint64_t incarnation_{};
+    std::string peer_address_; ///< `IP:PORT` for messages between daemons.
+
+    friend bool operator==(entry_member const&, entry_member const&) = default;
+};
+
+/// \brief What the control thread knows; replaced as a whole.
+struct entry_view {
+    std::shared_ptr<fleet_config const> config_; ///< Null until one was read.
+    std::shared_ptr<std::string const>
+        config_text_;             ///< As the operator wrote it, for peers that are cut off.
+    std::uint64_t config_next_{}; ///< Offset after the newest record of it that was read.
+    std::shared_ptr<upstream_map const> upstreams_{std::make_shared<upstream_map const>()};
+    std::vector<entry_member> members_;
+};
+
+/// \brief What the control thread shares with the thread that serves requests.
+///
+/// Thread safety: all members may be used from both threads.
+struct shared_view {
+    snapshot_cell<entry_view> cell_{std::make_unique<entry_view const>()};
+    /// When the read was sent that last reached the end of the configuration's topic; boot clock. 0: never.
+    std::atomic<std::int64_t> config_read_at_{0};
+};
+
+/// \brief How long a request's key may be honoured after the last proof that no newer configuration exists.
+/// Less than the bound, for the way to the upstream.
+[[nodiscard]] inline millis freshness_bound(millis key_withdrawal) noexcept
+{
+    constexpr millis forwarding_time{500};
+    return key_withdrawal - forwarding_time;
+}
+
+} // namespace auburnchute
--- /dev/null
+++ b/src/transport/entry/forward_job.cpp
@@ -0,0 +1,238 @@
+#include "transport/entry/forward_job.hpp"
+
+#include <auburnchute/ids.hpp>
+#include <auburnchute/upstream_choice.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace auburnchute {
+
+namespace {
+
+/// Upstreams that a request may crash before it is refused.
+constexpr int crashes_before_refusal = 3;
+
+/// Time constant of the smoothed request rates; a model that fell silent is forgotten within a minute.
+constexpr double rate_memory_ms = 10'000.0;
+
+/// When a caller may come back to a VM that lost the store: the store's usual outages last some seconds.
+constexpr millis stale_retry_after{1'000};
+
+/// When a caller may come back to a VM that has just started.
+constexpr millis start_retry_after{500};
+
+constexpr int unauthorized = 401;
+constexpr int not_found = 404;
+constexpr int too_many_requests = 429;
+constexpr int unavailable = 503;
+
+double cost_of(forward_job const& job)
+{
+    if (!job.workspace_->in_tokens_) {
+        return 1;
+    }
+    return static_cast<double>(job.call_.states_tokens_ ? job.call_.prompt_tokens_ + job.call_.output_tokens_
+                                                        : job.workspace_->plain_tokens_);
+}
+
+/// The leading parts of the prompt that other requests have too: all but the last.
+std::int64_t shared_tokens(call const& from)
+{
+    std::int64_t tokens = 0;
+    for (std::size_t i = 0; i + 1 < from.parts_.size(); ++i) {
+        tokens += from.parts_[i].tokens_;
+    }
+    return tokens;
+}
+
+std::uint64_t prefix_hash(forward_job const& job)
+{
+    if (job.call_.parts_.size() < 2) {
+        return 0;
+    }
+    auto const shared = job.call_.parts_[job.call_.parts_.size() - 2].id_;
+    return stable_hash(job.call_.model_ + "/" + job.call_.adapter_, shared) | 1U;
+}
+
+bool any_crashes(entry_node const& node)
+{
+    return !node.crashes_.empty() ||
+           std::any_of(node.peers_.begin(), node.peers_.end(),
+                       [](auto const& peer) { return !peer.second.state_.crashes_.empty(); });
+}
+
+std::optional<own_answer> charge(entry_node& node, forward_job& job, millis now)
+{
+    auto& use = node.workspaces_[job.workspace_->name_];
+    auto const units = cost_of(job);
+    auto const share = heard_share(node, now);
+    if (!spend(use.bucket_, units, share, now)) {
+        return own_answer{too_many_requests, "rate-limited", time_until(use.bucket_, units, share)};
+    }
+    job.charged_ = units;
+    use.used_ += static_cast<std::int64_t>(units);
+    return std::nullopt;
+}
+
+} // namespace
+
+bool is_repeatable(forward_job const& job) noexcept
+{
+    return job.route_->kind_ == call_kind::safe ||
+           (job.route_->kind_ == call_kind::stream && job.route_->resumable_);
+}
+
+std::optional<own_answer> admit(entry_node& node, forward_job& job, caller_request const& request)
+{
+    auto const now = boot_now();
+    if (!job.config_) {
+        return own_answer{unavailable, "starting", start_retry_after};
+    }
+    follow_limits(node, *job.config_, now);
+    bool const fresh = keys_are_fresh(node, now);
+    job.route_ = find_call_route(*job.config_, job.call_.host_, job.call_.path_);
+    if (job.route_ == nullptr) {
+        // A VM without the newest configuration cannot know that there is no such route.
+        return fresh ? own_answer{not_found, "no-route", millis{-1}}
+                     : own_answer{unavailable, "configuration-stale", stale_retry_after};
+    }
+    if (!job.route_->open_ && !job.config_->workspaces_.empty()) {
+        if (!fresh) {
+            return own_answer{unavailable, "keys-stale", stale_retry_after};
+        }
+        auto const key = job.config_->keys_.find(job.call_.key_);
+        if (key == job.config_->keys_.end()) {
+            return own_answer{unauthorized, "unknown-key", millis{-1}};
+        }
+        job.workspace_ = &job.config_->workspaces_[key->second];
+    }
+    job.service_ = choose_service(*job.route_, stable_hash(job.call_.request_id_));
+    job.engine_ = find_engine(*job.config_, job.service_);
+    auto left = job.route_->timeout_ > millis{0} ? job.route_->timeout_ : millis{30'000};
+    if (job.call_.time_left_) {
+        left = std::min(left, *job.call_.time_left_);
+    }
+    job.deadline_ = job.arrived_ + left;
+    job.urgency_ = job.workspace_ != nullptr && job.workspace_->priority_ ? *job.workspace_->priority_
+                                                                          : job.route_->priority_;
+    job.last_event_ = job.call_.resume_after_;
+    if (any_crashes(node) && crash_count(node, fingerprint_of(job, request)) >= crashes_before_refusal) {
+        return own_answer{unavailable, "crashes-upstreams", left};
+    }
+    if (job.workspace_ != nullptr) {
+        return charge(node, job, now);
+    }
+    return std::nullopt;
+}
+
+void refund(entry_node& node, forward_job& job)
+{
+    if (job.charged_ <= 0) {
+        return;
+    }
+    auto& use = node.workspaces_[job.workspace_->name_];
+    use.used_ -= static_cast<std::int64_t>(job.charged_);
+    book_peer_use(use.bucket_, -job.charged_);
+    job.charged_ = 0;
+}
+
+choice choose(entry_node const& node, forward_job const& job)
+{
+    auto const view = current_view(node);
+    auto const now = boot_now();
+    std::vector<upstream_option> options;
+    std::vector<upstream const*> entries;
+    choice chosen;
+    bool service_there = false;
+    for (auto const& [id, entry] : *view.upstreams_) {
+        if (entry.service_ != job.service_ || entry.leaving_) {
+            continue;
+        }
+        auto const own = node.upstreams_.find(id);
+        bool const known = own != node.upstreams_.end();
+        if (known && own->second.closed_until_ > now) {
+            continue;
+        }
+        service_there = true;
+        if (job.engine_ != nullptr && !job.call_.model_.empty() &&
+            !is_usable(entry, find_notice(node, id), job.call_.model_, job.call_.adapter_)) {
+            continue;
+        }
+        auto const use = fleet_use(node, id, now);
+        options.push_back({.id_ = id,
+                           .running_ = use.requests_,
+                           .slots_ = entry.slots_,
+                           .running_tokens_ = use.tokens_,
+                           .kv_tokens_ = job.engine_ != nullptr ? job.engine_->kv_tokens_ : 0,
+                           .same_zone_ = entry.availability_zone_ == node.settings_.availability_zone_,
+                           .suspect_ = known && own->second.suspect_until_ > now,
+                           .used_ = std::find(job.used_.begin(), job.used_.end(), id) != job.used_.end()});
+        entries.push_back(&entry);
+    }
+    if (options.empty()) {
+        chosen.fault_ = service_there ? choice_fault::not_loaded : choice_fault::no_upstream;
+        return chosen;
+    }
+    auto const& from = job.call_;
+    choice_request const wanted{
+        .prompt_tokens_ = from.prompt_tokens_,
+        .shared_tokens_ = shared_tokens(from),
+        .output_tokens_ = std::min(from.output_tokens_, from.output_hint_.value_or(from.output_tokens_)),
+        .prefix_hash_ = prefix_hash(job),
+        .draw_ = stable_hash(from.request_id_)};
+    auto const best = choose_upstream(options, wanted);
+    if (!best) {
+        chosen.fault_ = choice_fault::all_full;
+        return chosen;
+    }
+    chosen.upstream_ =
+        chosen_upstream{entries[*best]->id_, entries[*best]->address_, options[*best].running_};
+    return chosen;
+}
+
+std::optional<millis> load_remaining(entry_node const& node, forward_job const& job)
+{
+    std::optional<millis> least;
+    auto const passed = boot_now() - node.placements_at_;
+    for (auto const& notice : node.placements_) {
+        for (auto const& load : notice.loading_) {
+            bool const wanted = load.model_ == job.call_.model_ &&
+                                (load.adapter_.empty() || load.adapter_ == job.call_.adapter_);
+            auto const left = std::max(millis{0}, load.remaining_ - passed);
+            if (wanted && (!least || left < *least)) {
+                least = left;
+            }
+        }
+    }
+    return least;
+}
+
+need_key need_of(forward_job const& job)
+{
+    return {job.service_, job.call_.model_, job.call_.adapter_};
+}
+
+double decayed_rate(own_need const& need, millis now) noexcept
+{
+    auto const age = static_cast<double>((now - need.rated_at_).count_);
+    return need.rate_ * std::exp(-age / rate_memory_ms);
+}
+
+void note_need(entry_node& node, forward_job const& job, millis now)
+{
+    auto& need = node.needs_[need_of(job)];
+    need.rate_ = decayed_rate(need, now) + 1'000.0 / rate_memory_ms;
+    need.rated_at_ = now;
+}
+
+std::string fingerprint_of(forward_job const& job, caller_request const& request)
+{
+    auto const workspace = job.workspace_ != nullptr ? std::string_view{job.workspace_->name_} : "";
+    auto const target = std::string_view{request.target().data(), request.target().size()};
+    auto const hash = stable_hash(request.body(),
+                                  stable_hash(target, stable_hash(job.call_.host_, stable_hash(workspace))));
+    return std::to_string(hash);
+}
+
+} // namespace auburnchute
--- /dev/null
+++ b/src/transport/entry/forward_job.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "transport/entry/entry_node.hpp"
+#include "transport/entry/own_answer.hpp"
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace auburnchute {
+
+using caller_request = boost::beast::http::request<boost::beast::http::string_body>;
+using upstream_answer = boost::beast::http::response<boost::beast::http::string_body>;
+
+/// \brief One caller's request on its way.
+struct forward_job {
+    call call_;
+    std::shared_ptr<fleet_config const> config_; ///< The version that decides about this request.
+    call_route const* route_{};
+    std::string service_;
+    workspace_limit const* workspace_{}; ///< Null on a route open to all.
+    engine_profile const* engine_{};     ///< Null for a plain service.
+    millis arrived_{};
+    millis deadline_{};
+    std::int64_t urgency_{};
+    double charged_{}; ///< Units taken from the workspace's bucket.
+    execution execution_{execution::not_run};
+    std::vector<std::string> used_; ///< Upstreams that it was sent to.
+    std::string last_event_;        ///< Id of the last event passed on to the caller.
+    bool head_sent_{};              ///< The head of the answer has gone to the caller.
+    millis first_event_at_{};
+};
+
+/// \returns Whether the request may run more than once. Thread safety: pure.
+[[nodiscard]] bool is_repeatable(forward_job const& job) noexcept;
+
+/// \brief Checks key, route, limits and age of knowledge, and charges the workspace.
+/// \returns The refusal, or none if the request may go on.
+[[nodiscard]] std::optional<own_answer> admit(entry_node& node, forward_job& job,
+                                              caller_request const& request);
+
+/// \brief Gives back what was charged for a request that has not run.
+void refund(entry_node& node, forward_job& job);
+
+/// \brief The upstream that should take the request now.
+struct chosen_upstream {
+    std::string id_;
+    std::string address_;
+    std::int64_t known_running_{};
+};
+
+enum class choice_fault : std::uint8_t {
+    no_upstream, ///< The service has none that accepts work.
+    not_loaded,  ///< No upstream holds the model or adapter.
+    all_full,    ///< Those that could take it have no room, or were used already.
+};
+
+struct choice {
+    std::optional<chosen_upstream> upstream_;
+    choice_fault fault_{choice_fault::no_upstream}; ///< If no upstream was chosen.
+};
+
+/// \brief Chooses the upstream of a request from the current view.
+[[nodiscard]] choice choose(entry_node const& node, forward_job const& job);
+
+/// \returns When the model or adapter of the request should be loaded, as far as the holder of the placement
+/// lease has told; none if no load is known.
+[[nodiscard]] std::optional<millis> load_remaining(entry_node const& node, forward_job const& job);
+
+/// \returns The key under which the request needs its model.
+[[nodiscard]] need_key need_of(forward_job const& job);
+
+/// \brief Books an arrival in the smoothed rates of the request's model and adapter.
+void note_need(entry_node& node, forward_job const& job, millis now);
+
+/// \returns The smoothed rate as of now. Thread safety: pure.
+[[nodiscard]] double decayed_rate(own_need const& need, millis now) noexcept;
+
+/// \returns What identifies a request that comes again: caller, path and body.
+[[nodiscard]] std::string fingerprint_of(forward_job const& job, caller_request const& request);
+
+} // namespace auburnchute
--- /dev/null
+++ b/src/transport/entry/http_peer.cpp
@@ -0,0 +1,75 @@
+#include "transport/entry/http_peer.hpp"
+
+#include <auburnchute/error.hpp>
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace auburnchute {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Largest answer taken: a page of the newest records holds up to 1 MB and base64 adds a third.
+constexpr std::uint64_t max_answer_bytes = 16 * 1024 * 1024;
+
+/// Silence after which a connection counts as lost.
+constexpr millis connection_silence{2'000};
+
+} // namespace
+
+net::awaitable<plain_response> http_peer::exchange(plain_request const& request, millis limit,
+                                                   error_code& fault)
+{
+    if (!stream_) {
+        stream_ = std::make_unique<boost::beast::tcp_stream>(*loop_);
+        buffer_.clear();
+        stream_->expires_after(to_chrono(limit));
+        co_await stream_->async_connect(parse_endpoint(address_), outcome_in(fault));
+        if (fault) {
+            co_return plain_response{};
+        }
+        set_liveness(stream_->socket(), connection_silence);
+    }
+    stream_->expires_after(to_chrono(limit));
+    co_await http::async_write(*stream_, request, outcome_in(fault));
+    if (fault) {
+        co_return plain_response{};
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(max_answer_bytes);
+    co_await http::async_read(*stream_, buffer_, parser, outcome_in(fault));
+    if (fault) {
+        co_return plain_response{};
+    }
+    bool const keep = parser.keep_alive() && buffer_.size() == 0;
+    auto answer = parser.release();
+    if (!keep) {
+        stream_.reset();
+    }
+    co_return answer;
+}
+
+net::awaitable<plain_response> http_peer::call(plain_request request, millis limit, bool repeatable)
+{
+    request.version(11);
+    request.set(http::field::host, address_);
+    request.prepare_payload();
+    bool const reused = stream_ != nullptr;
+    error_code fault;
+    auto answer = co_await exchange(request, limit, fault);
+    if (fault && reused && repeatable && fault != boost::beast::error::timeout) {
+        stream_.reset();
+        fault = {};
+        answer = co_await exchange(request, limit, fault);
+    }
+    if (fault) {
+        stream_.reset();
+        throw error{"call", address_, fault.message()};
+    }
+    co_return answer;
+}
+
+} // namespace auburnchute
--- /dev/null
+++ b/src/transport/entry/http_peer.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "transport/entry/async.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <string>
+
+namespace auburnchute {
+
+using plain_request = boost::beast::http::request<boost::beast::http::string_body>;
+using plain_response = boost::beast::http::response<boost::beast::http::string_body>;
+
+/// \brief One kept connection to a service, for calls one after the other.
+///
+/// Thread safety: calls come from the loop's thread; one call at a time.
+class http_peer {
+public:
+    http_peer(net::io_context& loop, std::string address) : loop_{&loop}, address_{std::move(address)} {}
+
+    /// \brief Sends a request and reads the whole answer. A kept connection that ended meanwhile is replaced
+    /// once if `repeatable`. \throws error with step `call` and the address if no answer comes within the
+    /// limit.
+    net::awaitable<plain_response> call(plain_request request, millis limit, bool repeatable);
+
+    [[nodiscard]] std::string const& address() const noexcept { return address_; }
+
+private:
+    net::awaitable<plain_response> exchange(plain_request const& request, millis limit, error_code& fault);
+
+    net::io_context* loop_;
+    std::string address_;
+    std::unique_ptr<boost::beast::tcp_stream> stream_;
+    boost::beast::flat_buffer buffer_;
+};
+
+} // namespace auburnchute
--- /dev/null
+++ b/src/transport/entry/peer_exchange.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "transport/entry/entry_node.hpp"
+
+namespace auburnchute {
+
+/// \brief Exchanges state with the other entry daemons by datagrams until the loop stops.
+/// \throws error with step `listen` if the port cannot be had.
+void exchange_with_peers(entry_node& node);
+
+/// \brief Takes over the members that the control thread read. Thread safety: the loop's thread.
+void follow_members(entry_node& node, std::vector<entry_member> const& members);
+
+/// \returns The needs of all VMs that are heard, this one included.
+[[nodiscard]] need_map fleet_needs(entry_node const& node, millis now);
+
+/// \returns Addresses for callers of the VMs that take them, this one included.
+[[nodiscard]] std::vector<std::string> ready_addresses(entry_node const& node, millis now);
+
+} // namespace auburnchute
--- /dev/null
+++ b/src/transport/entry/plain_server.cpp
@@ -0,0 +1,69 @@
+#include "transport/entry/plain_server.hpp"
+
+#include "transport/entry/listen.hpp"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace auburnchute {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Idle time after which a connection to an own page is closed.
+constexpr millis page_idle{20'000};
+
+net::awaitable<void> serve_connection(tcp::socket socket, page_handler handler)
+{
+    boost::beast::tcp_stream stream{std::move(socket)};
+    boost::beast::flat_buffer buffer;
+    error_code fault;
+    while (!fault) {
+        plain_request request;
+        stream.expires_after(to_chrono(page_idle));
+        co_await http::async_read(stream, buffer, request, outcome_in(fault));
+        if (fault) {
+            break;
+        }
+        auto answer = handler(request);
+        answer.version(11);
+        answer.keep_alive(request.keep_alive());
+        answer.prepare_payload();
+        co_await http::async_write(stream, answer, outcome_in(fault));
+        if (!request.keep_alive()) {
+            break;
+        }
+    }
+    error_code ignored; // the peer may have closed first
+    stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+}
+
+} // namespace
+
+void serve_pages(net::io_context& loop, std::string const& address, page_handler handler)
+{
+    accept_connections(loop, address, [&loop, handler = std::move(handler)](tcp::socket socket) {
+        net::co_spawn(loop, serve_connection(std::move(socket), handler), net::detached);
+    });
+}
+
+std::string_view query_value(std::string_view target, std::string_view name) noexcept
+{
+    auto const mark = target.find('?');
+    if (mark == std::string_view::npos) {
+        return {};
+    }
+    target.remove_prefix(mark + 1);
+    while (!target.empty()) {
+        auto const end = std::min(target.find('&'), target.size());
+        auto const field = target.substr(0, end);
+        if (field.size() > name.size() && field.starts_with(name) && field[name.size()] == '=') {
+            return field.substr(name.size() + 1);
+        }
+        target.remove_prefix(std::min(end + 1, target.size()));
+    }
+    return {};
+}
+
+} // namespace auburnchute
--- /dev/null
+++ b/src/transport/entry/store_reader.cpp
@@ -0,0 +1,334 @@
+#include "transport/entry/store_reader.hpp"
+
+#include "platform/desired_state.hpp"
+#include "protocol/decision_log.hpp"
+
+#include <auburnchute/error.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace auburnchute {
+
+namespace {
+
+/// Longest wait of one read for a newer configuration. Each read also proves that there was none when it was
+/// sent, so this bounds the age of that proof.
+constexpr millis config_wait{1'500};
+
+/// Pause between reads of the upstreams' entries, and the longest wait of one: entries change several times a
+/// second, and each read costs.
+constexpr millis upstream_pause{600};
+constexpr millis upstream_wait{1'000};
+
+/// The same for the members, which change rarely.
+constexpr millis member_pause{300};
+constexpr millis member_wait{20'000};
+
+/// Pause after a failed call, before the next.
+constexpr millis failure_pause{150};
+
+/// How long a known upstream whose entry is gone is still used after the store was away: those that live are
+/// back within two seconds.
+constexpr millis regained_grace{2'500};
+
+void note_call(store_reader& reader, bool reachable, std::string_view fault)
+{
+    if (reader.store_reachable_ == reachable) {
+        return;
+    }
+    reader.store_reachable_ = reachable;
+    if (reachable) {
+        reader.store_back_at_ = boot_now();
+        log_decision("store-regained", {});
+    } else {
+        log_failure("store-lost", {{"fault", fault}});
+    }
+    reader.counters_.count("auburnchute_store_changes_total", reachable ? "regained" : "lost");
+}
+
+/// Books a proof that the configuration in force was the newest when a read was sent.
+void note_fresh(store_reader& reader, millis sent_at)
+{
+    reader.shared_.config_read_at_.store(sent_at.count_, std::memory_order_release);
+}
+
+void take_config(store_reader& reader, std::string const& document, std::uint64_t next)
+{
+    try {
+        auto config = std::make_shared<fleet_config const>(platform::read_config(document));
+        auto const before = reader.draft_.config_ ? reader.draft_.config_->version_ : 0;
+        if (reader.draft_.config_ && config->version_ < before) {
+            log_failure("config-older", {{"version", config->version_}, {"in_force", before}});
+            return;
+        }
+        if (config->version_ != before) {
+            log_decision("config-in-force", {{"version", config->version_},
+                                             {"before", before},
+                                             {"routes", config->routes_.size()},
+                                             {"workspaces", config->workspaces_.size()},
+                                             {"offset", next}});
+        }
+        reader.draft_.config_ = std::move(config);
+        reader.draft_.config_text_ = std::make_shared<std::string const>(document);
+    } catch (error const& failure) {
+        log_failure("config-unreadable", {{"fault", failure.what()}, {"offset", next}});
+    }
+}
+
+net::awaitable<std::uint64_t> read_all_config(store_reader& reader, platform::store_client& store)
+{
+    auto const sent_at = boot_now();
+    auto const newest = co_await store.newest(platform::config_topic);
+    for (auto const& record : newest.records_) {
+        if (record.key_ == platform::config_key && record.value_) {
+            take_config(reader, *record.value_, newest.next_);
+        }
+    }
+    reader.draft_.config_next_ = std::max(reader.draft_.config_next_, newest.next_);
+    publish(reader);
+    note_fresh(reader, sent_at);
+    co_return newest.next_;
+}
+
+net::awaitable<void> follow_config(store_reader& reader)
+{
+    platform::store_client store{reader.loop_, reader.settings_.store_address_};
+    std::optional<std::uint64_t> next;
+    millis wait{0};
+    while (true) {
+        std::string fault;
+        try {
+            if (!next) {
+                next = co_await read_all_config(reader, store);
+            }
+            auto const sent_at = boot_now();
+            auto const page = co_await store.read(platform::config_topic, *next, wait);
+            note_call(reader, true, "");
+            wait = config_wait;
+            if (page.expired_) {
+                next.reset();
+                continue;
+            }
+            std::optional<std::string> newest;
+            for (auto const& stored : page.records_) {
+                auto const record = platform::read_keyed(stored.bytes_);
+                if (record && record->key_ == platform::config_key && record->value_) {
+                    newest = record->value_;
+                }
+            }
+            next = page.next_;
+            if (newest) {
+                take_config(reader, *newest, page.next_);
+            }
+            if (!page.records_.empty()) {
+                reader.draft_.config_next_ = std::max(reader.draft_.config_next_, page.next_);
+                publish(reader);
+            }
+            if (page.next_ >= page.end_) {
+                note_fresh(reader, sent_at);
+            }
+            continue;
+        } catch (std::exception const& failure) {
+            fault = failure.what();
+        }
+        note_call(reader, false, fault);
+        wait = millis{0}; // the next answer should prove freshness at once
+        co_await pause_for(failure_pause);
+    }
+}
+
+/// Takes an upstream's entry. \returns False if it changes nothing.
+bool take_upstream(store_reader& reader, upstream_map& entries, std::string const& id,
+                   std::optional<std::string> const& document)
+{
+    auto const known = entries.find(id);
+    if (!document) {
+        bool const store_was_away = boot_now() - reader.store_back_at_ < regained_grace;
+        if (known == entries.end() || store_was_away) {
+            return false;
+        }
+        log_decision("upstream-gone", {{"upstream", id}});
+        entries.erase(known);
+        return true;
+    }
+    auto entry = platform::read_upstream(id, *document);
+    if (!entry) {
+        reader.counters_.count("auburnchute_unreadable_entries_total");
+        log_failure("upstream-unreadable", {{"upstream", id}});
+        return false;
+    }
+    if (known == entries.end()) {
+        log_decision("upstream-seen", {{"upstream", id},
+                                       {"service", entry->service_},
+                                       {"address", entry->address_},
+                                       {"orders", entry->orders_},
+                                       {"models", entry->models_.size()}});
+    } else if (entry->started_at_ < known->second.started_at_) {
+        return false; // an older start under the same id
+    } else if (*entry == known->second) {
+        return false;
+    } else if (entry->leaving_ != known->second.leaving_) {
+        log_decision("upstream-leaving", {{"upstream", id}, {"leaving", entry->leaving_ ? 1 : 0}});
+    }
+    entries[id] = std::move(*entry);
+    return true;
+}
+
+net::awaitable<std::uint64_t> read_all_upstreams(store_reader& reader, platform::store_client& store)
+{
+    auto const newest = co_await store.newest(platform::upstream_topic);
+    upstream_map entries;
+    for (auto const& record : newest.records_) {
+        (void)take_upstream(reader, entries, record.key_, record.value_);
+    }
+    // Entries lapse while the store is away; what is known is kept until those that live are back.
+    bool const store_was_away = boot_now() - reader.store_back_at_ < regained_grace;
+    if (store_was_away) {
+        for (auto const& [id, entry] : *reader.draft_.upstreams_) {
+            entries.try_emplace(id, entry);
+        }
+    }
+    reader.draft_.upstreams_ = std::make_shared<upstream_map const>(std::move(entries));
+    publish(reader);
+    co_return newest.next_;
+}
+
+net::awaitable<void> follow_upstreams(store_reader& reader)
+{
+    platform::store_client store{reader.loop_, reader.settings_.store_address_};
+    std::optional<std::uint64_t> next;
+    millis reread_at{}; // when lapsed entries are looked through once more; 0: not planned
+    while (true) {
+        std::string fault;
+        try {
+            if (!next || (reread_at > millis{0} && boot_now() > reread_at)) {
+                next = co_await read_all_upstreams(reader, store);
+                auto const settled = reader.store_back_at_ + regained_grace;
+                reread_at = boot_now() < settled ? settled : millis{0};
+            }
+            auto const page = co_await store.read(platform::upstream_topic, *next, upstream_wait);
+            if (page.expired_) {
+                next.reset();
+                continue;
+            }
+            auto entries = *reader.draft_.upstreams_;
+            bool changed = false;
+            for (auto const& stored : page.records_) {
+                if (auto const record = platform::read_keyed(stored.bytes_)) {
+                    changed = take_upstream(reader, entries, record->key_, record->value_) || changed;
+                }
+            }
+            next = page.next_;
+            if (changed) {
+                reader.draft_.upstreams_ = std::make_shared<upstream_map const>(std::move(entries));
+                publish(reader);
+            }
+            co_await pause_for(upstream_pause);
+            continue;
+        } catch (std::exception const& failure) {
+            fault = failure.what();
+        }
+        log_failure("upstreams-unread", {{"fault", fault}});
+        next.reset(); // entries may have lapsed meanwhile
+        co_await pause_for(failure_pause);
+    }
+}
+
+std::string member_document(store_reader const& reader)
+{
+    auto const& settings = reader.settings_;
+    return nlohmann::json{{"incarnation", reader.incarnation_},
+                          {"peers", settings.ip_ + ":" + std::to_string(settings.peer_port_)}}
+        .dump();
+}
+
+bool take_member(entry_view& draft, std::string const& vm, std::optional<std::string> const& document)
+{
+    auto const known = std::find_if(draft.members_.begin(), draft.members_.end(),
+                                    [&](entry_member const& member) { return member.vm_ == vm; });
+    if (!document) {
+        return false;
+    }
+    auto const fields = nlohmann::json::parse(*document, nullptr, false);
+    if (fields.is_discarded() || !fields.is_object()) {
+        log_failure("member-unreadable", {{"vm", vm}});
+        return false;
+    }
+    entry_member member{vm, fields.value("incarnation", std::uint64_t{0}),
+                        fields.value("peers", std::string{})};
+    if (known != draft.members_.end()) {
+        bool const changed = !(*known == member);
+        *known = std::move(member);
+        return changed;
+    }
+    log_decision("member-seen", {{"vm", vm}, {"peer", member.peer_address_}});
+    draft.members_.push_back(std::move(member));
+    return true;
+}
+
+net::awaitable<void> follow_members(store_reader& reader)
+{
+    platform::store_client store{reader.loop_, reader.settings_.store_address_};
+    bool registered = false;
+    std::optional<std::uint64_t> next;
+    while (true) {
+        std::string fault;
+        try {
+            if (!registered) {
+                auto const outcome = co_await store.append(
+                    platform::member_topic,
+                    platform::keyed_content(reader.settings_.vm_, member_document(reader)), std::nullopt);
+                registered = outcome.result_ == platform::append_result::stored;
+            }
+            bool changed = false;
+            if (!next) {
+                auto const newest = co_await store.newest(platform::member_topic);
+                for (auto const& record : newest.records_) {
+                    changed = take_member(reader.draft_, record.key_, record.value_) || changed;
+                }
+                next = newest.next_;
+            } else {
+                auto const wait = registered ? member_wait : millis{0};
+                auto const page = co_await store.read(platform::member_topic, *next, wait);
+                if (page.expired_) {
+                    next.reset();
+                    continue;
+                }
+                for (auto const& stored : page.records_) {
+                    if (auto const record = platform::read_keyed(stored.bytes_)) {
+                        changed = take_member(reader.draft_, record->key_, record->value_) || changed;
+                    }
+                }
+                next = page.next_;
+            }
+            if (changed) {
+                publish(reader);
+            }
+            co_await pause_for(member_pause);
+            continue;
+        } catch (std::exception const& failure) {
+            fault = failure.what();
+        }
+        log_failure("members-unread", {{"fault", fault}});
+        co_await pause_for(failure_pause);
+    }
+}
+
+} // namespace
+
+void publish(store_reader& reader)
+{
+    reader.shared_.cell_.publish(std::make_unique<entry_view const>(reader.draft_));
+    if (reader.changed_) {
+        reader.changed_();
+    }
+}
+
+void start_reading(store_reader& reader)
+{
+    net::co_spawn(reader.loop_, follow_config(reader), net::detached);
+    net::co_spawn(reader.loop_, follow_upstreams(reader), net::detached);
+    net::co_spawn(reader.loop_, follow_members(reader), net::detached);
+}
+
+} // namespace auburnchute
--- /dev/null
+++ b/src/transport/entry/store_reader.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "platform/store_client.hpp"
+#include "protocol/entry_settings.hpp"
+#include "protocol/metrics.hpp"
+#include "transport/entry/entry_view.hpp"
+
+#include <functional>
+
+namespace auburnchute {
+
+/// \brief Reads configuration, upstreams and members from the platform's store and publishes them.
+///
+/// Thread safety: lives on the control loop's thread; `changed_` is called there after each publication.
+struct store_reader {
+    net::io_context& loop_;
+    entry_settings const& settings_;
+    shared_view& shared_;
+    metrics& counters_;
+    std::uint64_t incarnation_{};
+    std::function<void()> changed_;
+    entry_view draft_{};
+    bool store_reachable_{true}; ///< As of the last call; a change is logged.
+    millis store_back_at_{};     ///< When the store was last regained.
+};
+
+/// \brief Starts reading until the loop stops. \pre `reader` outlives the loop's work.
+void start_reading(store_reader& reader);
+
+/// \brief Puts the present draft before the thread that serves requests.
+void publish(store_reader& reader);
+
+} // namespace auburnchute
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -2,7 +2,7 @@
 # Checks formatting and runs the linter. tools/lint.sh --fix formats in place and skips the linter.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mapfile -t sources < <(git ls-files --cached --others --exclude-standard 'include/*.hpp' 'src/*.[ch]pp' 'apps/*.[ch]pp' 'standins/*.[ch]pp' \
+mapfile -t sources < <(git ls-files --cached --others --exclude-standard 'include/*.hpp' 'platform/*.[ch]pp' 'src/*.[ch]pp' 'apps/*.[ch]pp' 'standins/*.[ch]pp' \
   'measure/*.[ch]pp' 'examples/*.[ch]pp' 'tests/*.[ch]pp')
 if [ "${1:-}" = --fix ]; then
   clang-format -i "${sources[@]}"
