--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -6,6 +6,7 @@
 #include "protocol/metrics.hpp"
 #include "transport/entry/caller_session.hpp"
 #include "transport/entry/entry_node.hpp"
+#include "transport/entry/order_keeper.hpp"
 #include "transport/entry/peer_exchange.hpp"
 #include "transport/entry/plain_server.hpp"
 #include "transport/entry/store_reader.hpp"
@@ -121,7 +122,9 @@
     auto const began = boot_now();
     node.stopping_ = true;
     log_decision("stop", {{"open", node.open_calls_}});
+    node.stop_placing_();
     node.send_state_();
+    wake_waiting(node);
     auto const end = began + node.settings_.shutdown_grace_ - kill_margin;
     auto const least = began + directory_lifetime * 2 + quiet_before_end;
     while (boot_now() < end && (boot_now() < least || node.open_calls_ > 0)) {
@@ -154,6 +157,66 @@
     }
 }
 
+/// Hands what the VMs ask for to the placement, or to the VM that places.
+class demand_sender {
+public:
+    demand_sender(entry_node& node, order_keeper& keeper) : node_{node}, keeper_{keeper} {}
+
+    /// \brief Sends now, but not more often than `least_pause`.
+    void send()
+    {
+        auto const now = boot_now();
+        if (now - sent_at_ < least_pause) {
+            return; // the regular rhythm follows soon
+        }
+        sent_at_ = now;
+        if (node_.own_lease_epoch_ == 0) {
+            node_.send_state_();
+            return;
+        }
+        auto demand = std::make_shared<fleet_demand>();
+        demand->needs_ = fleet_needs(node_, now);
+        for (auto const& [id, own] : node_.upstreams_) {
+            demand->running_[id] = fleet_use(node_, id, now).requests_;
+        }
+        net::post(keeper_.loop_, [&keeper = keeper_, demand] { take_demand(keeper, demand); });
+    }
+
+    net::awaitable<void> send_regularly()
+    {
+        while (true) {
+            if (node_.own_lease_epoch_ != 0) {
+                send();
+            }
+            co_await pause_for(rhythm);
+        }
+    }
+
+private:
+    static constexpr millis least_pause{15};
+    static constexpr millis rhythm{100};
+
+    entry_node& node_;
+    order_keeper& keeper_;
+    millis sent_at_{};
+};
+
+void take_placement_report(entry_node& node, placement_report report)
+{
+    bool const held_before = node.own_lease_epoch_ != 0;
+    node.own_lease_epoch_ = report.epoch_;
+    if (report.epoch_ == 0 && !held_before) {
+        return;
+    }
+    if (report.epoch_ != 0) {
+        node.placements_epoch_ = report.epoch_;
+        node.placements_ = std::move(report.notices_);
+        node.placements_at_ = boot_now();
+    }
+    wake_waiting(node);
+    node.send_state_();
+}
+
 int run(entry_settings const& settings, std::string const& settings_file)
 {
     metrics counters;
@@ -176,11 +239,22 @@
             wake_waiting(node);
         });
     };
+    order_keeper keeper{control_loop, settings, shared, counters, {}};
+    keeper.report_ = [&](placement_report report) {
+        net::post(loop, [&node, told = std::move(report)]() mutable {
+            take_placement_report(node, std::move(told));
+        });
+    };
+    demand_sender demand{node, keeper};
+    node.need_changed_ = [&demand] { demand.send(); };
+    node.stop_placing_ = [&keeper] { net::post(keeper.loop_, [&keeper] { give_up_lease(keeper); }); };
     serve_callers(node, settings.callers_listen_);
     serve_own_pages(node);
     exchange_with_peers(node);
     net::co_spawn(loop, handle_signals(node, settings_file), net::detached);
+    net::co_spawn(loop, demand.send_regularly(), net::detached);
     start_reading(reader);
+    start_keeping(keeper, node.incarnation_);
     std::thread control{[&control_loop] { control_loop.run(); }};
     loop.run();
     control_loop.stop();
--- a/include/auburnchute/model_need.hpp
+++ b/include/auburnchute/model_need.hpp
@@ -44,12 +44,11 @@
     millis remaining_{}; ///< Until it should be usable.
 };
 
-/// \brief What an upstream holds as the holder of the placement lease knows it; newer than the upstream's own
-/// entry if it has seen at least as many orders.
+/// \brief What an upstream holds as the holder of the placement lease knows it. Only its orders change that
+/// between two starts, so it is never behind the upstream's own entry.
 struct placement_notice {
     std::string upstream_id_;
     std::int64_t started_at_{};
-    std::int64_t orders_{};
     std::map<std::string, held_model, std::less<>> models_;
     std::set<std::string, std::less<>> retiring_; ///< Models that get no new requests.
     std::vector<pending_load> loading_;
--- a/include/auburnchute/upstream.hpp
+++ b/include/auburnchute/upstream.hpp
@@ -27,7 +27,6 @@
     std::int64_t slots_{1};
     bool leaving_{};
     std::int64_t started_at_{}; ///< Unix milliseconds; tells two starts under one id apart.
-    std::int64_t orders_{};     ///< Orders accepted since the start.
     std::map<std::string, held_model, std::less<>> models_;
     std::set<std::string, std::less<>> weights_in_memory_; ///< Copies from which a load is fast.
     std::set<std::string, std::less<>> weights_on_disk_;
--- a/src/coordination/model_need.cpp
+++ b/src/coordination/model_need.cpp
@@ -24,7 +24,7 @@
     if (notice_holds && notice->retiring_.contains(model)) {
         return false;
     }
-    if (!notice_holds || notice->orders_ < entry.orders_) {
+    if (!notice_holds) {
         return holds(entry, model, adapter);
     }
     auto const found = notice->models_.find(model);
--- /dev/null
+++ b/src/coordination/model_planner.cpp
@@ -0,0 +1,409 @@
+#include <auburnchute/model_planner.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace auburnchute {
+
+namespace {
+
+/// Requests of a model that one replica runs without slowing each other much.
+constexpr double requests_for_each_replica = 8.0;
+
+/// Rate, in requests a second, from which a model gets a second replica, so that one failure does not stop
+/// it.
+constexpr double rate_for_second_replica = 0.8;
+
+/// Rate, in requests a second, below which a model that nobody waits for is not asked for any more.
+constexpr double least_rate = 0.02;
+
+/// A model that waits for a request is wanted as much as one with this many requests a second.
+constexpr double waiting_rate = 1.0;
+
+/// Time that a model stays after a load, so that two models do not take turns on one engine.
+constexpr millis least_stay{2'500};
+
+/// Extra time of a load that needs an unload first, in ms.
+constexpr double unload_ms = 300.0;
+
+/// Cost of unloading a model that gets one request a second, in ms: its next requests wait for a load.
+constexpr double eviction_ms_per_rate = 20'000.0;
+
+/// How much less than the wanted model a model must be wanted to make room for it.
+constexpr double eviction_margin = 0.7;
+
+struct wanted_model {
+    hosted_model const* model_{};
+    double rate_{};
+    std::int64_t waiting_{};
+    std::int64_t running_{};
+    std::int64_t urgency_{9};
+    millis oldest_wait_{};
+    int replicas_{}; ///< Loaded or being loaded, not retiring, on engines that stay.
+    int needed_{};
+
+    [[nodiscard]] double value() const noexcept
+    {
+        return rate_ + waiting_rate * static_cast<double>(waiting_);
+    }
+};
+
+using wanted_map = std::map<std::string_view, wanted_model>;
+
+int needed_replicas(wanted_model const& wanted, int engines)
+{
+    if (wanted.waiting_ == 0 && wanted.running_ == 0 && wanted.rate_ < least_rate) {
+        return 0;
+    }
+    auto const by_load =
+        static_cast<int>(std::ceil(static_cast<double>(wanted.running_) / requests_for_each_replica));
+    auto const least = wanted.rate_ >= rate_for_second_replica ? 2 : 1;
+    return std::min(std::max(by_load, least), engines);
+}
+
+wanted_map collect(planner_input const& input)
+{
+    wanted_map all;
+    for (auto const& model : input.engine_.models_) {
+        all[model.name_].model_ = &model;
+    }
+    for (auto const& [key, need] : input.needs_) {
+        auto const found = all.find(key.model_);
+        if (key.service_ != input.service_ || found == all.end()) {
+            continue;
+        }
+        auto& wanted = found->second;
+        wanted.rate_ += need.rate_;
+        wanted.waiting_ += need.waiting_;
+        wanted.running_ += need.running_;
+        if (need.waiting_ > 0) {
+            wanted.urgency_ = std::min(wanted.urgency_, need.urgency_);
+            wanted.oldest_wait_ = std::max(wanted.oldest_wait_, need.oldest_wait_);
+        }
+    }
+    int engines = 0;
+    for (auto const& engine : input.engines_) {
+        if (engine.leaving_) {
+            continue;
+        }
+        ++engines;
+        for (auto& [name, wanted] : all) {
+            bool const there = engine.models_.contains(name) && !engine.retiring_.contains(name);
+            wanted.replicas_ += there || engine.loading_ == name ? 1 : 0;
+        }
+    }
+    for (auto& [name, wanted] : all) {
+        wanted.needed_ = needed_replicas(wanted, engines);
+    }
+    return all;
+}
+
+std::int64_t adapter_memory(engine_profile const& profile)
+{
+    std::int64_t largest = 0;
+    for (auto const& model : profile.models_) {
+        largest = std::max(largest, model.adapter_mb_);
+    }
+    return largest * profile.adapter_slots_;
+}
+
+/// Memory that a further model may take; places for all adapters are kept free.
+std::int64_t free_memory(planner_input const& input, engine_state const& engine)
+{
+    auto left = input.engine_.memory_mb_ - adapter_memory(input.engine_);
+    for (auto const& [name, held] : engine.models_) {
+        auto const* const model = find_hosted_model(input.engine_, name);
+        // A model that the configuration no longer names has an unknown size: nothing fits beside it.
+        left -= model != nullptr ? model->memory_mb_ : input.engine_.memory_mb_;
+    }
+    if (!engine.loading_.empty() && !engine.models_.contains(engine.loading_)) {
+        auto const* const model = find_hosted_model(input.engine_, engine.loading_);
+        left -= model != nullptr ? model->memory_mb_ : input.engine_.memory_mb_;
+    }
+    return left;
+}
+
+/// A way to get a model onto an engine.
+struct option {
+    engine_state const* engine_{};
+    std::vector<std::string_view> victims_;
+    weights_from from_{weights_from::store};
+    double cost_ms_{};
+};
+
+/// What unloading a model of this engine takes away, in requests a second; none if it must stay.
+std::optional<double> eviction_loss(planner_input const& input, wanted_map const& all,
+                                    engine_state const& engine, std::string_view name)
+{
+    auto const found = all.find(name);
+    if (found == all.end()) {
+        return 0.0; // the configuration no longer names it
+    }
+    auto const& wanted = found->second;
+    auto const loaded = engine.loaded_at_.find(name);
+    if (loaded != engine.loaded_at_.end() && input.now_ - loaded->second < least_stay) {
+        return std::nullopt;
+    }
+    if (wanted.replicas_ > std::max(wanted.needed_, 1)) {
+        return 0.0;
+    }
+    if (wanted.waiting_ > 0 || (wanted.running_ > 0 && wanted.replicas_ <= 1)) {
+        return std::nullopt;
+    }
+    return wanted.value();
+}
+
+std::optional<option> option_at(planner_input const& input, wanted_map const& all, engine_state const& engine,
+                                wanted_model const& wanted, bool may_evict)
+{
+    if (engine.busy_ || engine.leaving_ || engine.models_.contains(wanted.model_->name_)) {
+        return std::nullopt;
+    }
+    option way{&engine, {}, load_source_of(engine, wanted.model_->name_), 0};
+    way.cost_ms_ = static_cast<double>(load_time(*wanted.model_, way.from_).count_);
+    auto left = free_memory(input, engine);
+    if (left >= wanted.model_->memory_mb_) {
+        return way;
+    }
+    if (!may_evict) {
+        return std::nullopt;
+    }
+    std::vector<std::pair<double, std::string_view>> candidates;
+    for (auto const& [name, held] : engine.models_) {
+        if (auto const loss = eviction_loss(input, all, engine, name);
+            loss && *loss <= wanted.value() * eviction_margin) {
+            candidates.emplace_back(*loss, name);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end());
+    for (auto const& [loss, name] : candidates) {
+        if (left >= wanted.model_->memory_mb_) {
+            break;
+        }
+        auto const* const model = find_hosted_model(input.engine_, name);
+        left += model != nullptr ? model->memory_mb_ : input.engine_.memory_mb_;
+        way.victims_.push_back(name);
+        way.cost_ms_ += unload_ms + loss * eviction_ms_per_rate;
+    }
+    return left >= wanted.model_->memory_mb_ ? std::optional{way} : std::nullopt;
+}
+
+/// Plan being made: what earlier orders of the same plan took.
+struct draft {
+    std::vector<planned_order> orders_;
+    std::set<std::string_view> taken_; ///< Engines that have a model order.
+    store_allowance store_;
+};
+
+bool may_load(draft const& plan, weights_from from, int spare)
+{
+    return from != weights_from::store ||
+           (plan.store_.starts_ > 0 && plan.store_.running_ + spare < plan.store_.most_at_once_);
+}
+
+/// Plans one more replica. \param spare Places at the store that stay free. \returns False if none is
+/// possible.
+bool add_replica(planner_input const& input, wanted_map& all, wanted_model& wanted, draft& plan,
+                 bool may_evict, int spare, std::string_view reason)
+{
+    std::optional<option> best;
+    std::int64_t best_left = 0;
+    for (auto const& engine : input.engines_) {
+        if (plan.taken_.contains(engine.id_)) {
+            continue;
+        }
+        auto way = option_at(input, all, engine, wanted, may_evict);
+        if (!way || !may_load(plan, way->from_, spare)) {
+            continue;
+        }
+        // Of equal ways, the one that leaves the least memory unused.
+        auto const left = free_memory(input, engine);
+        if (!best || way->cost_ms_ < best->cost_ms_ ||
+            (way->cost_ms_ == best->cost_ms_ && left < best_left)) {
+            best = std::move(way);
+            best_left = left;
+        }
+    }
+    if (!best) {
+        return false;
+    }
+    plan.taken_.insert(best->engine_->id_);
+    if (!best->victims_.empty()) {
+        // The load follows in a later plan, once the room is there.
+        auto const victim = best->victims_.front();
+        plan.orders_.push_back({best->engine_->id_,
+                                placement_step::unload_model,
+                                std::string{victim},
+                                {},
+                                weights_from::store,
+                                "makes-room"});
+        if (auto const found = all.find(victim); found != all.end()) {
+            --found->second.replicas_;
+        }
+    } else {
+        plan.orders_.push_back(
+            {best->engine_->id_, placement_step::load_model, wanted.model_->name_, {}, best->from_, reason});
+        if (best->from_ == weights_from::store) {
+            --plan.store_.starts_;
+            ++plan.store_.running_;
+        }
+    }
+    ++wanted.replicas_;
+    return true;
+}
+
+std::int64_t adapters_on(engine_state const& engine)
+{
+    auto count = engine.adapters_pending_;
+    for (auto const& [name, held] : engine.models_) {
+        count += static_cast<std::int64_t>(held.adapters_.size());
+    }
+    return count;
+}
+
+model_need need_for(planner_input const& input, std::string_view model, std::string_view adapter)
+{
+    auto const found =
+        input.needs_.find({std::string{input.service_}, std::string{model}, std::string{adapter}});
+    return found == input.needs_.end() ? model_need{} : found->second;
+}
+
+/// The adapter of the engine that is wanted least, if no request uses or awaits it.
+std::optional<planned_order> least_wanted_adapter(planner_input const& input, engine_state const& engine,
+                                                  double below)
+{
+    std::optional<planned_order> least;
+    double least_value = below;
+    for (auto const& [name, held] : engine.models_) {
+        for (auto const& adapter : held.adapters_) {
+            auto const need = need_for(input, name, adapter);
+            if (need.running_ == 0 && need.waiting_ == 0 && need.rate_ < least_value) {
+                least_value = need.rate_;
+                least = planned_order{
+                    engine.id_,  placement_step::unload_adapter, name, adapter, weights_from::store,
+                    "makes-room"};
+            }
+        }
+    }
+    return least;
+}
+
+void plan_adapter(planner_input const& input, need_key const& key, model_need const& need, draft& plan,
+                  std::set<std::string_view>& taken)
+{
+    engine_state const* place = nullptr;
+    engine_state const* crowded = nullptr;
+    for (auto const& engine : input.engines_) {
+        auto const held = engine.models_.find(key.model_);
+        if (held == engine.models_.end() || engine.leaving_ || engine.retiring_.contains(key.model_)) {
+            continue;
+        }
+        if (held->second.adapters_.contains(key.adapter_)) {
+            return;
+        }
+        if (taken.contains(engine.id_)) {
+            continue;
+        }
+        bool const room = adapters_on(engine) < input.engine_.adapter_slots_;
+        auto*& slot = room ? place : crowded;
+        if (slot == nullptr ||
+            std::pair{adapters_on(engine), engine.running_} < std::pair{adapters_on(*slot), slot->running_}) {
+            slot = &engine;
+        }
+    }
+    if (place != nullptr) {
+        taken.insert(place->id_);
+        plan.orders_.push_back({place->id_, placement_step::load_adapter, key.model_, key.adapter_,
+                                weights_from::store, need.waiting_ > 0 ? "waited-for" : "asked-for"});
+        return;
+    }
+    if (crowded != nullptr) {
+        auto const value = need.rate_ + waiting_rate * static_cast<double>(need.waiting_);
+        if (auto order = least_wanted_adapter(input, *crowded, value)) {
+            taken.insert(crowded->id_);
+            plan.orders_.push_back(std::move(*order));
+        }
+    }
+}
+
+void plan_adapters(planner_input const& input, draft& plan)
+{
+    std::vector<std::pair<need_key const*, model_need const*>> wanted;
+    for (auto const& [key, need] : input.needs_) {
+        bool const asked = need.waiting_ > 0 || need.rate_ >= least_rate;
+        if (key.service_ == input.service_ && !key.adapter_.empty() && asked) {
+            wanted.emplace_back(&key, &need);
+        }
+    }
+    std::sort(wanted.begin(), wanted.end(), [](auto const& a, auto const& b) {
+        return std::pair{a.second->waiting_, a.second->rate_} >
+               std::pair{b.second->waiting_, b.second->rate_};
+    });
+    std::set<std::string_view> taken;
+    for (auto const& [key, need] : wanted) {
+        plan_adapter(input, *key, *need, plan, taken);
+    }
+}
+
+} // namespace
+
+millis load_time(hosted_model const& model, weights_from from) noexcept
+{
+    switch (from) {
+    case weights_from::memory:
+        return model.load_warm_;
+    case weights_from::disk:
+        return model.load_disk_;
+    case weights_from::store:
+        break;
+    }
+    return model.load_;
+}
+
+weights_from load_source_of(engine_state const& engine, std::string_view model) noexcept
+{
+    if (engine.weights_in_memory_.contains(model)) {
+        return weights_from::memory;
+    }
+    return engine.weights_on_disk_.contains(model) ? weights_from::disk : weights_from::store;
+}
+
+std::vector<planned_order> plan_models(planner_input const& input)
+{
+    draft plan;
+    plan.store_ = input.store_;
+    plan_adapters(input, plan);
+    auto all = collect(input);
+    std::vector<wanted_model*> order;
+    for (auto& [name, wanted] : all) {
+        order.push_back(&wanted);
+    }
+    std::stable_sort(order.begin(), order.end(), [](wanted_model const* a, wanted_model const* b) {
+        bool const a_waits = a->waiting_ > 0;
+        bool const b_waits = b->waiting_ > 0;
+        if (a_waits != b_waits) {
+            return a_waits;
+        }
+        return a_waits ? a->oldest_wait_ > b->oldest_wait_ : a->rate_ > b->rate_;
+    });
+    for (auto* const wanted : order) {
+        if (wanted->needed_ > 0 && wanted->replicas_ == 0) {
+            (void)add_replica(input, all, *wanted, plan, true, 0,
+                              wanted->waiting_ > 0 ? "waited-for" : "asked-for");
+        }
+    }
+    for (auto* const wanted : order) {
+        if (wanted->replicas_ > 0 && wanted->replicas_ < wanted->needed_) {
+            (void)add_replica(input, all, *wanted, plan, true, 0, "busy");
+        }
+    }
+    for (auto* const wanted : order) {
+        // One place at the store stays free for a model that somebody asks for meanwhile.
+        if (wanted->replicas_ == 0 && !add_replica(input, all, *wanted, plan, false, 1, "unloaded-nowhere")) {
+            continue;
+        }
+    }
+    return plan.orders_;
+}
+
+} // namespace auburnchute
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -39,7 +39,7 @@
     for (auto const& load : notice.loading_) {
         loading.push_back({load.model_, load.adapter_, load.remaining_.count_});
     }
-    return {notice.upstream_id_, notice.started_at_, notice.orders_, models, notice.retiring_, loading};
+    return {notice.upstream_id_, notice.started_at_, models, notice.retiring_, loading};
 }
 
 placement_notice decode_placement(json const& row)
@@ -47,8 +47,7 @@
     placement_notice notice;
     notice.upstream_id_ = row.at(0);
     notice.started_at_ = row.at(1);
-    notice.orders_ = row.at(2);
-    for (auto const& model : row.at(3)) {
+    for (auto const& model : row.at(2)) {
         held_model held;
         held.version_ = model.at(1);
         for (auto const& adapter : model.at(2)) {
@@ -56,10 +55,10 @@
         }
         notice.models_.emplace(model.at(0).get<std::string>(), std::move(held));
     }
-    for (auto const& name : row.at(4)) {
+    for (auto const& name : row.at(3)) {
         notice.retiring_.insert(name.get<std::string>());
     }
-    for (auto const& load : row.at(5)) {
+    for (auto const& load : row.at(4)) {
         notice.loading_.push_back({load.at(0), load.at(1), millis{load.at(2)}});
     }
     return notice;
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -391,6 +391,9 @@
         co_return own_answer{idle ? unavailable : 502, "no-other-upstream",
                              idle ? least_retry_after : millis{-1}};
     }
+    if (node_.stopping_) {
+        co_return own_answer{unavailable, "stopping", millis{0}};
+    }
     if (fault == choice_fault::no_upstream) {
         co_return own_answer{unavailable, "no-upstream", millis{500}};
     }
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -96,6 +96,7 @@
     millis handed_freshness_{};          ///< Proof of freshness that a peer handed over; boot clock.
     std::function<void()> need_changed_; ///< Called when a request starts to wait for a model.
     std::function<void()> send_state_;   ///< Sends this daemon's state to its peers now.
+    std::function<void()> stop_placing_; ///< Gives the placement lease up for good.
 };
 
 /// \returns The current view's parts that a request needs. Thread safety: any thread.
--- a/src/transport/entry/entry_view.hpp
+++ b/src/transport/entry/entry_view.hpp
@@ -39,6 +39,8 @@
     snapshot_cell<entry_view> cell_{std::make_unique<entry_view const>()};
     /// When the read was sent that last reached the end of the configuration's topic; boot clock. 0: never.
     std::atomic<std::int64_t> config_read_at_{0};
+    /// When a peer that holds the placement lease was last heard; boot clock. 0: never.
+    std::atomic<std::int64_t> holder_heard_at_{0};
 };
 
 /// \brief How long a request's key may be honoured after the last proof that no newer configuration exists.
--- a/src/transport/entry/http_peer.cpp
+++ b/src/transport/entry/http_peer.cpp
@@ -66,6 +66,12 @@
         answer = co_await exchange(request, limit, fault);
     }
     if (fault) {
+        if (stream_) {
+            // Resets the connection: a request that is still on its way must not arrive after it was given
+            // up.
+            error_code ignored; // the socket may be closed already
+            stream_->socket().set_option(net::socket_base::linger{true, 0}, ignored);
+        }
         stream_.reset();
         throw error{"call", address_, fault.message()};
     }
--- /dev/null
+++ b/src/transport/entry/order_keeper.cpp
@@ -0,0 +1,524 @@
+#include "transport/entry/order_keeper.hpp"
+
+#include "platform/engine_calls.hpp"
+#include "platform/store_client.hpp"
+#include "protocol/decision_log.hpp"
+
+#include <auburnchute/error.hpp>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace auburnchute {
+
+namespace {
+
+/// Key of the lease in its topic.
+constexpr std::string_view lease_key = "placement";
+
+/// Pause between looks at the lease while another VM's messages show that it holds it, and while not.
+constexpr millis lease_idle_pause{300};
+constexpr millis lease_look_pause{250};
+
+/// A holder that sent no message for this long may have lost the lease.
+constexpr millis holder_silence{1'000};
+
+/// Longest time for an order or a report; engines answer within milliseconds or not at all.
+constexpr millis engine_call_limit{600};
+
+/// Planning rounds come at least this often.
+constexpr millis plan_pause{100};
+
+/// Reports lag behind, so a load is looked for again in this rhythm once it is due.
+constexpr millis report_rhythm{120};
+
+/// An engine whose state only orders change is asked again after this time, in case one acted late.
+constexpr millis report_refresh{6'000};
+
+/// Time between telling the daemons that a model retires and its unload.
+constexpr millis retire_notice{60};
+
+/// A report that shows fewer orders than were accepted is older than the last order; after this time it is
+/// believed, as the engine may have started anew.
+constexpr millis report_lag{1'500};
+
+/// Time that an adapter takes to load; the platform's sheets say up to ten milliseconds.
+constexpr millis adapter_load_time{12};
+
+/// How long the holder tells the daemons of an engine after its last change by an order; the engine's own
+/// entry has followed by then.
+constexpr millis notice_time{10'000};
+
+/// A load may take this much longer than at full speed before fewer run at the same time.
+constexpr double slow_load_factor = 1.35;
+constexpr double full_speed_factor = 1.2;
+constexpr int most_loads_at_once = 32;
+
+std::string lease_document(lease_record const& record)
+{
+    return nlohmann::json{{"vm", record.vm_},
+                          {"incarnation", record.incarnation_},
+                          {"epoch", record.epoch_},
+                          {"orders_from", record.orders_from_.count_}}
+        .dump();
+}
+
+std::optional<lease_record> read_lease(std::string const& document)
+{
+    auto const fields = nlohmann::json::parse(document, nullptr, false);
+    if (fields.is_discarded() || !fields.is_object()) {
+        log_failure("lease-unreadable", {});
+        return std::nullopt;
+    }
+    return lease_record{fields.value("vm", std::string{}), fields.value("incarnation", std::uint64_t{0}),
+                        fields.value("epoch", std::uint64_t{0}),
+                        millis{fields.value("orders_from", std::int64_t{0})}};
+}
+
+void tell_daemons(order_keeper& keeper)
+{
+    placement_report report;
+    auto const now = boot_now();
+    if (holds_lease(keeper.lease_, now)) {
+        report.epoch_ = keeper.lease_.epoch_;
+        for (auto const& [id, engine] : keeper.engines_) {
+            bool const news = !engine.state_.loading_.empty() || !engine.state_.retiring_.empty() ||
+                              (engine.changed_at_ > millis{0} && now - engine.changed_at_ < notice_time);
+            if (!news) {
+                continue;
+            }
+            placement_notice notice{
+                id, engine.started_at_, engine.state_.models_, engine.state_.retiring_, {}};
+            if (!engine.state_.loading_.empty()) {
+                notice.loading_.push_back(
+                    {engine.state_.loading_, "", std::max(millis{0}, engine.load_due_ - now)});
+            }
+            report.notices_.push_back(std::move(notice));
+        }
+    }
+    keeper.report_(std::move(report));
+}
+
+net::awaitable<void> read_lease_topic(order_keeper& keeper, platform::store_client& store)
+{
+    auto const newest = co_await store.newest(platform::lease_topic);
+    std::optional<lease_record> record;
+    for (auto const& stored : newest.records_) {
+        if (stored.key_ == lease_key && stored.value_) {
+            record = read_lease(*stored.value_);
+        }
+    }
+    note_lease(keeper.lease_, newest.next_, std::move(record), boot_now());
+}
+
+net::awaitable<void> append_lease(order_keeper& keeper, platform::store_client& store)
+{
+    auto const sent_at = boot_now();
+    auto const record = next_lease_record(keeper.lease_, keeper.settings_.order_lease_, sent_at);
+    bool const taking = keeper.lease_.epoch_ == 0;
+    auto const outcome =
+        co_await store.append(platform::lease_topic,
+                              platform::keyed_content(lease_key, lease_document(record)), keeper.lease_.end_);
+    if (outcome.result_ == platform::append_result::stored) {
+        note_lease_stored(keeper.lease_, record, sent_at, outcome.end_);
+        if (taking) {
+            log_decision("lease-taken", {{"epoch", record.epoch_},
+                                         {"orders_in_ms", (record.orders_from_ - sent_at).count_}});
+        }
+    } else if (outcome.result_ == platform::append_result::conflict) {
+        co_await read_lease_topic(keeper, store);
+    }
+}
+
+millis lease_pause(order_keeper const& keeper, millis now)
+{
+    if (keeper.lease_.epoch_ != 0) {
+        auto const due = keeper.lease_.held_until_ - lease_lifetime + lease_renewal;
+        return std::clamp(due - now, millis{20}, lease_renewal);
+    }
+    return lease_look_pause;
+}
+
+net::awaitable<void> keep_lease(order_keeper& keeper)
+{
+    platform::store_client store{keeper.loop_, keeper.settings_.store_address_};
+    while (true) {
+        std::string fault;
+        auto const now = boot_now();
+        auto const heard = millis{keeper.shared_.holder_heard_at_.load(std::memory_order_acquire)};
+        bool const other_holds =
+            keeper.lease_.epoch_ == 0 && heard > millis{0} && now - heard < holder_silence;
+        if (other_holds || keeper.leaving_) {
+            co_await pause_for(lease_idle_pause);
+            continue;
+        }
+        try {
+            if (keeper.lease_.epoch_ != 0 || may_take_lease(keeper.lease_, now)) {
+                co_await append_lease(keeper, store);
+            } else {
+                co_await read_lease_topic(keeper, store);
+                if (may_take_lease(keeper.lease_, boot_now())) {
+                    continue;
+                }
+            }
+        } catch (std::exception const& failure) {
+            fault = failure.what();
+        }
+        if (!fault.empty()) {
+            log_failure("lease-call-failed", {{"fault", fault}});
+        }
+        if (keeper.lease_.epoch_ != 0 && !holds_lease(keeper.lease_, boot_now())) {
+            log_failure("lease-lost", {{"epoch", keeper.lease_.epoch_}});
+            drop_lease(keeper.lease_);
+        }
+        co_await pause_for(fault.empty() ? lease_pause(keeper, boot_now()) : millis{100});
+    }
+}
+
+/// Brings the engines in line with the upstreams' entries.
+void follow_entries(order_keeper& keeper, fleet_config const& config, upstream_map const& entries, millis now)
+{
+    std::erase_if(keeper.engines_, [&](auto const& known) { return !entries.contains(known.first); });
+    for (auto const& [id, entry] : entries) {
+        if (find_engine(config, entry.service_) == nullptr) {
+            continue;
+        }
+        auto& engine = keeper.engines_[id];
+        bool const fresh = engine.peer_ == nullptr || engine.started_at_ != entry.started_at_ ||
+                           engine.peer_->address() != entry.address_;
+        if (fresh) {
+            engine = engine_record{};
+            engine.peer_ = std::make_shared<http_peer>(keeper.loop_, entry.address_);
+            engine.service_ = entry.service_;
+            engine.started_at_ = entry.started_at_;
+            engine.state_.id_ = id;
+            engine.next_report_at_ = now;
+        }
+        engine.state_.leaving_ = entry.leaving_;
+        engine.state_.weights_in_memory_ = entry.weights_in_memory_;
+        engine.state_.weights_on_disk_ = entry.weights_on_disk_;
+        for (auto const& [model, loaded] : engine.state_.loaded_at_) {
+            engine.state_.weights_on_disk_.insert(model); // a load leaves a copy there
+        }
+        if (fresh) {
+            engine.state_.models_ = entry.models_; // until the first report
+        }
+        auto const running = keeper.demand_->running_.find(id);
+        engine.state_.running_ = running == keeper.demand_->running_.end() ? 0 : running->second;
+    }
+}
+
+void end_load(order_keeper& keeper, engine_record& engine, millis now)
+{
+    auto const model = std::exchange(engine.state_.loading_, {});
+    engine.state_.loaded_at_[model] = now;
+    engine.changed_at_ = now;
+    auto const took = now - engine.order_began_;
+    keeper.counters_.observe("auburnchute_load_ms", "model", took);
+    log_decision("model-loaded", {{"upstream", engine.state_.id_},
+                                  {"model", model},
+                                  {"ms", took.count_},
+                                  {"expected_ms", (engine.load_due_ - engine.order_began_).count_}});
+    if (engine.loading_from_ != weights_from::store) {
+        return;
+    }
+    auto const expected = static_cast<double>((engine.load_due_ - engine.order_began_).count_);
+    auto const factor = static_cast<double>(took.count_) / std::max(1.0, expected);
+    if (factor > slow_load_factor) {
+        keeper.most_at_once_ = std::max(1, std::min(keeper.most_at_once_, engine.store_loads_then_) - 1);
+    } else if (factor < full_speed_factor && engine.store_loads_then_ >= keeper.most_at_once_) {
+        keeper.most_at_once_ = std::min(most_loads_at_once, keeper.most_at_once_ + 1);
+    }
+}
+
+void take_report(order_keeper& keeper, engine_record& engine, platform::upstream_report const& report)
+{
+    auto const now = boot_now();
+    bool const restarted =
+        report.started_at_ != 0 && engine.started_at_ != 0 && report.started_at_ > engine.started_at_;
+    bool const older = report.orders_ < engine.orders_ && !restarted;
+    if (older && now - engine.changed_at_ < report_lag) {
+        engine.next_report_at_ = now + report_rhythm;
+        return;
+    }
+    if (restarted) {
+        engine.started_at_ = report.started_at_;
+        engine.state_.loaded_at_.clear();
+        engine.state_.retiring_.clear();
+        engine.state_.loading_.clear();
+    }
+    engine.orders_ = report.orders_;
+    engine.state_.models_ = report.models_;
+    engine.state_.weights_in_memory_ = report.weights_in_memory_;
+    engine.state_.weights_on_disk_ = report.weights_on_disk_;
+    engine.state_.adapters_pending_ = static_cast<std::int64_t>(report.adapters_in_transit_.size());
+    engine.certain_ = true;
+    std::erase_if(engine.state_.retiring_,
+                  [&](std::string const& model) { return !report.models_.contains(model); });
+    if (!engine.state_.loading_.empty()) {
+        if (report.models_.contains(engine.state_.loading_)) {
+            end_load(keeper, engine, now);
+        } else if (!report.busy_ && now > engine.order_began_ + report_lag) {
+            log_failure("load-vanished",
+                        {{"upstream", engine.state_.id_}, {"model", engine.state_.loading_}});
+            engine.state_.loading_.clear();
+        }
+    }
+    engine.state_.busy_ = report.busy_ || !engine.state_.loading_.empty() || !engine.state_.retiring_.empty();
+    bool const waits = engine.state_.busy_ || engine.state_.adapters_pending_ > 0;
+    engine.next_report_at_ = now + (waits ? report_rhythm : report_refresh);
+    if (!engine.state_.loading_.empty() && engine.load_due_ > engine.next_report_at_) {
+        engine.next_report_at_ = engine.load_due_;
+    }
+}
+
+engine_record* find_record(order_keeper& keeper, std::string const& id, http_peer const* peer)
+{
+    auto const found = keeper.engines_.find(id);
+    bool const same = found != keeper.engines_.end() && found->second.peer_.get() == peer;
+    return same ? &found->second : nullptr;
+}
+
+net::awaitable<void> refresh_engine(order_keeper& keeper, std::string id, std::shared_ptr<http_peer> peer)
+{
+    std::optional<platform::upstream_report> report;
+    std::string fault;
+    try {
+        report = co_await platform::ask_report(*peer, id, engine_call_limit);
+    } catch (std::exception const& failure) {
+        fault = failure.what();
+    }
+    auto* const engine = find_record(keeper, id, peer.get());
+    if (engine == nullptr) {
+        co_return;
+    }
+    engine->calling_ = false;
+    if (!report) {
+        log_failure("report-failed", {{"upstream", id}, {"fault", fault}});
+        engine->certain_ = false;
+        engine->next_report_at_ = boot_now() + engine_call_limit;
+        co_return;
+    }
+    take_report(keeper, *engine, *report);
+    tell_daemons(keeper);
+    keeper.wake_->notify();
+}
+
+void book_accepted(order_keeper& keeper, engine_record& engine, planned_order const& order, millis began)
+{
+    auto& state = engine.state_;
+    ++engine.orders_;
+    engine.changed_at_ = boot_now();
+    auto const* const profile = find_engine(
+        *keeper.shared_.cell_.read([](entry_view const& view) { return view.config_; }), engine.service_);
+    switch (order.step_) {
+    case placement_step::load_model: {
+        state.loading_ = order.model_;
+        state.busy_ = true;
+        engine.order_began_ = began;
+        engine.loading_from_ = order.from_;
+        auto const* const model = profile != nullptr ? find_hosted_model(*profile, order.model_) : nullptr;
+        engine.load_due_ = began + (model != nullptr ? load_time(*model, order.from_) : millis{1'000});
+        engine.next_report_at_ = engine.load_due_;
+        break;
+    }
+    case placement_step::unload_model:
+        state.models_.erase(order.model_);
+        state.retiring_.insert(order.model_); // until a report shows that it is gone
+        state.busy_ = true;
+        engine.next_report_at_ = engine.changed_at_ + report_rhythm;
+        break;
+    case placement_step::load_adapter:
+        state.models_[order.model_].adapters_.insert(order.adapter_);
+        break;
+    case placement_step::unload_adapter:
+        state.models_[order.model_].adapters_.erase(order.adapter_);
+        break;
+    }
+}
+
+std::string_view step_name(placement_step step)
+{
+    switch (step) {
+    case placement_step::load_model:
+        return "load-model";
+    case placement_step::unload_model:
+        return "unload-model";
+    case placement_step::load_adapter:
+        return "load-adapter";
+    case placement_step::unload_adapter:
+        break;
+    }
+    return "unload-adapter";
+}
+
+net::awaitable<void> carry_out(order_keeper& keeper, planned_order order, std::shared_ptr<http_peer> peer)
+{
+    if (order.step_ == placement_step::unload_model) {
+        tell_daemons(keeper);
+        co_await pause_for(retire_notice);
+    }
+    auto* engine = find_record(keeper, order.upstream_id_, peer.get());
+    auto const began = boot_now();
+    if (engine == nullptr || !may_order(keeper.lease_, engine_call_limit, began)) {
+        if (engine != nullptr) {
+            engine->calling_ = false;
+            engine->state_.retiring_.erase(order.model_);
+        }
+        co_return;
+    }
+    bool const load =
+        order.step_ == placement_step::load_model || order.step_ == placement_step::load_adapter;
+    platform::upstream_order const sent{.load_ = load,
+                                        .model_ = order.model_,
+                                        .adapter_ = order.adapter_,
+                                        .expected_orders_ = engine->orders_,
+                                        .holder_ = keeper.lease_.vm_,
+                                        .fence_ = keeper.lease_.epoch_};
+    std::optional<platform::order_result> result;
+    std::string fault;
+    try {
+        result = co_await platform::give_order(*peer, order.upstream_id_, sent, engine_call_limit);
+    } catch (std::exception const& failure) {
+        fault = failure.what();
+    }
+    engine = find_record(keeper, order.upstream_id_, peer.get());
+    if (engine == nullptr) {
+        co_return;
+    }
+    engine->calling_ = false;
+    bool const done = result == platform::order_result::accepted || result == platform::order_result::holds;
+    keeper.counters_.count("auburnchute_orders_total", done ? step_name(order.step_) : "refused");
+    log_decision("order", {{"upstream", order.upstream_id_},
+                           {"step", step_name(order.step_)},
+                           {"model", order.model_},
+                           {"adapter", order.adapter_},
+                           {"reason", order.reason_},
+                           {"epoch", sent.fence_},
+                           {"expected_orders", *sent.expected_orders_},
+                           {"result", result ? static_cast<int>(*result) : -1},
+                           {"fault", fault}});
+    if (done) {
+        book_accepted(keeper, *engine, order, began);
+        if (order.step_ == placement_step::load_adapter) {
+            co_await pause_for(adapter_load_time);
+        }
+    } else {
+        engine->state_.retiring_.erase(order.model_);
+        engine->certain_ = false;
+        engine->changed_at_ = boot_now();
+        engine->next_report_at_ = boot_now() + report_rhythm;
+    }
+    tell_daemons(keeper);
+    keeper.wake_->notify();
+}
+
+store_allowance allowance(order_keeper& keeper, engine_profile const& profile, std::string_view service,
+                          millis now)
+{
+    while (!keeper.store_loads_.empty() &&
+           now - keeper.store_loads_.front() > keeper.settings_.load_window_) {
+        keeper.store_loads_.pop_front();
+    }
+    store_allowance store;
+    auto const window = static_cast<double>(keeper.settings_.load_window_.count_) / 1'000.0;
+    store.starts_ = std::max(1, static_cast<int>(profile.loads_per_second_ * window)) -
+                    static_cast<int>(keeper.store_loads_.size());
+    store.most_at_once_ = keeper.most_at_once_;
+    for (auto const& [id, engine] : keeper.engines_) {
+        bool const from_store = !engine.state_.loading_.empty() && engine.service_ == service &&
+                                engine.loading_from_ == weights_from::store;
+        store.running_ += from_store ? 1 : 0;
+    }
+    return store;
+}
+
+void plan_service(order_keeper& keeper, std::string const& service, engine_profile const& profile, millis now)
+{
+    std::vector<engine_state> engines;
+    for (auto const& [id, engine] : keeper.engines_) {
+        if (engine.service_ == service) {
+            engines.push_back(engine.state_);
+            engines.back().busy_ = engine.state_.busy_ || engine.calling_ || !engine.certain_;
+        }
+    }
+    auto const store = allowance(keeper, profile, service, now);
+    auto const orders = plan_models({service, profile, engines, keeper.demand_->needs_, store, now});
+    for (auto const& order : orders) {
+        auto& engine = keeper.engines_.at(order.upstream_id_);
+        if (engine.calling_ || !engine.certain_) {
+            continue;
+        }
+        engine.calling_ = true;
+        if (order.step_ == placement_step::unload_model) {
+            engine.state_.retiring_.insert(order.model_);
+        }
+        if (order.step_ == placement_step::load_model && order.from_ == weights_from::store) {
+            keeper.store_loads_.push_back(now);
+            engine.store_loads_then_ = store.running_ + 1;
+        }
+        net::co_spawn(keeper.loop_, carry_out(keeper, order, engine.peer_), net::detached);
+    }
+}
+
+net::awaitable<void> place_models(order_keeper& keeper)
+{
+    while (true) {
+        co_await keeper.wake_->wait_for(plan_pause);
+        auto const now = boot_now();
+        bool const holder = holds_lease(keeper.lease_, now);
+        if (holder != keeper.was_holder_) {
+            keeper.was_holder_ = holder;
+            keeper.engines_.clear();
+            tell_daemons(keeper);
+        }
+        if (!holder) {
+            continue;
+        }
+        auto const view = keeper.shared_.cell_.read([](entry_view const& current) { return current; });
+        if (!view.config_) {
+            continue;
+        }
+        follow_entries(keeper, *view.config_, *view.upstreams_, now);
+        for (auto& [id, engine] : keeper.engines_) {
+            if (!engine.calling_ && engine.next_report_at_ > millis{0} && now >= engine.next_report_at_) {
+                engine.calling_ = true;
+                net::co_spawn(keeper.loop_, refresh_engine(keeper, id, engine.peer_), net::detached);
+            }
+        }
+        if (!may_order(keeper.lease_, engine_call_limit, now)) {
+            continue;
+        }
+        for (auto const& [name, service] : view.config_->services_) {
+            if (service.engine_) {
+                plan_service(keeper, name, *service.engine_, now);
+            }
+        }
+    }
+}
+
+} // namespace
+
+void start_keeping(order_keeper& keeper, std::uint64_t incarnation)
+{
+    keeper.lease_.vm_ = keeper.settings_.vm_ + "@" + keeper.settings_.ip_;
+    keeper.lease_.incarnation_ = incarnation;
+    keeper.wake_ = std::make_unique<wake_event>(keeper.loop_);
+    net::co_spawn(keeper.loop_, keep_lease(keeper), net::detached);
+    net::co_spawn(keeper.loop_, place_models(keeper), net::detached);
+}
+
+void give_up_lease(order_keeper& keeper)
+{
+    keeper.leaving_ = true;
+    drop_lease(keeper.lease_);
+    keeper.wake_->notify();
+}
+
+void take_demand(order_keeper& keeper, std::shared_ptr<fleet_demand const> demand)
+{
+    keeper.demand_ = std::move(demand);
+    keeper.wake_->notify();
+}
+
+} // namespace auburnchute
--- /dev/null
+++ b/src/transport/entry/order_keeper.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "platform/desired_state.hpp"
+#include "protocol/entry_settings.hpp"
+#include "protocol/metrics.hpp"
+#include "transport/entry/async.hpp"
+#include "transport/entry/entry_view.hpp"
+#include "transport/entry/http_peer.hpp"
+
+#include <auburnchute/model_need.hpp>
+#include <auburnchute/model_planner.hpp>
+#include <auburnchute/order_lease.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace auburnchute {
+
+/// \brief What all VMs ask of the engines, as one VM has heard it.
+struct fleet_demand {
+    need_map needs_;
+    std::map<std::string, std::int64_t, std::less<>> running_; ///< Requests by upstream id.
+};
+
+/// \brief What the holder of the lease tells the daemons.
+struct placement_report {
+    std::uint64_t epoch_{}; ///< 0: this VM does not hold the lease.
+    std::vector<placement_notice> notices_;
+};
+
+/// \brief What the holder knows of an engine.
+struct engine_record {
+    engine_state state_;
+    std::string service_;
+    std::int64_t started_at_{};
+    std::int64_t orders_{}; ///< Orders that it has accepted.
+    std::shared_ptr<http_peer> peer_;
+    bool calling_{};          ///< A call is under way.
+    bool certain_{};          ///< A report was read since the last order without an answer.
+    millis next_report_at_{}; ///< 0: none is due.
+    millis order_began_{};    ///< Of the order for a model that is under way.
+    millis load_due_{};       ///< When the load that is under way should end.
+    weights_from loading_from_{weights_from::store};
+    int store_loads_then_{}; ///< Loads from the store under way when this one began, itself included.
+    millis retired_at_{};    ///< When the daemons were told that a model retires.
+    millis changed_at_{};    ///< Last change by an order.
+};
+
+/// \brief Keeps the lease and, while it holds, the models on the engines.
+///
+/// Thread safety: lives on the control loop's thread; `report_` is called there.
+struct order_keeper {
+    net::io_context& loop_;
+    entry_settings const& settings_;
+    shared_view& shared_;
+    metrics& counters_;
+    std::function<void(placement_report)> report_;
+    std::shared_ptr<fleet_demand const> demand_{std::make_shared<fleet_demand const>()};
+    lease_view lease_{};
+    std::map<std::string, engine_record, std::less<>> engines_{};
+    std::deque<millis> store_loads_{}; ///< When loads from the store began, within the limit's window.
+    int most_at_once_{4};              ///< Loads that run at full speed; follows what loads take.
+    std::unique_ptr<wake_event> wake_{};
+    bool was_holder_{};
+    bool leaving_{}; ///< The VM stops: it takes no lease any more.
+};
+
+/// \brief Starts until the loop stops. \pre `keeper` outlives the loop's work.
+void start_keeping(order_keeper& keeper, std::uint64_t incarnation);
+
+/// \brief Gives the lease up for good: the VM stops. Thread safety: the control loop's thread.
+void give_up_lease(order_keeper& keeper);
+
+/// \brief Takes over what the VMs ask for. Thread safety: the control loop's thread.
+void take_demand(order_keeper& keeper, std::shared_ptr<fleet_demand const> demand);
+
+} // namespace auburnchute
--- a/src/transport/entry/peer_exchange.cpp
+++ b/src/transport/entry/peer_exchange.cpp
@@ -138,6 +138,7 @@
         (!newer && state.lease_epoch_ != node.placements_epoch_)) {
         return;
     }
+    node.shared_.holder_heard_at_.store(now.count_, std::memory_order_release);
     if (newer) {
         log_decision("placement-holder", {{"vm", state.vm_}, {"epoch", state.lease_epoch_}});
     }
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -161,7 +161,6 @@
         log_decision("upstream-seen", {{"upstream", id},
                                        {"service", entry->service_},
                                        {"address", entry->address_},
-                                       {"orders", entry->orders_},
                                        {"models", entry->models_.size()}});
     } else if (entry->started_at_ < known->second.started_at_) {
         return false; // an older start under the same id
