--- /dev/null
+++ b/tests/coordination/order_lease_test.cpp
@@ -0,0 +1,167 @@
+#include <auburnchute/order_lease.hpp>
+
+#include <catch2/catch.hpp>
+#include <optional>
+#include <rapidcheck.h>
+#include <vector>
+
+using namespace auburnchute;
+
+namespace {
+
+constexpr millis gap{3'000};
+constexpr millis travel{600};
+
+lease_view vm(std::string name, std::uint64_t incarnation)
+{
+    lease_view view;
+    view.vm_ = std::move(name);
+    view.incarnation_ = incarnation;
+    return view;
+}
+
+/// The topic: stores a record only at the end that its writer names.
+struct topic {
+    std::uint64_t end_{};
+    std::optional<lease_record> newest_;
+
+    bool append(lease_view& view, millis at)
+    {
+        auto const record = next_lease_record(view, gap, at);
+        if (view.end_ != end_) {
+            return false;
+        }
+        newest_ = record;
+        ++end_;
+        note_lease_stored(view, record, at, end_);
+        return true;
+    }
+
+    void read(lease_view& view, millis at) const { note_lease(view, end_, newest_, at); }
+};
+
+} // namespace
+
+TEST_CASE("the first VM orders at once, a successor only after the gap", "[lease][promise-1]")
+{
+    topic store;
+    auto first = vm("a", 1);
+    auto second = vm("b", 2);
+    store.read(first, millis{10});
+    store.read(second, millis{10});
+    REQUIRE(may_take_lease(first, millis{10}));
+    REQUIRE(store.append(first, millis{10}));
+    CHECK(may_order(first, travel, millis{10}));
+    CHECK_FALSE(store.append(second, millis{11}));
+    store.read(second, millis{20});
+    CHECK_FALSE(may_take_lease(second, millis{20} + lease_lifetime));
+    auto const taken = millis{21} + lease_lifetime + lease_margin;
+    REQUIRE(may_take_lease(second, taken));
+    CHECK_FALSE(may_order(first, travel, taken));
+    REQUIRE(store.append(second, taken));
+    CHECK_FALSE(may_order(second, travel, taken + gap));
+    REQUIRE(store.append(second, taken + millis{2'000}));
+    CHECK(may_order(second, travel, taken + gap + lease_margin));
+    CHECK(second.epoch_ > first.epoch_);
+}
+
+TEST_CASE("a lease is kept or lost by what the topic shows", "[lease][promise-1]")
+{
+    topic store;
+    auto holder = vm("a", 1);
+    store.read(holder, millis{0});
+    REQUIRE(store.append(holder, millis{1}));
+    SECTION("a renewal whose answer was lost is found by reading")
+    {
+        auto unseen = holder;
+        REQUIRE(store.append(unseen, millis{800}));
+        CHECK_FALSE(store.append(holder, millis{900}));
+        store.read(holder, millis{950});
+        CHECK(holder.epoch_ != 0);
+        CHECK(store.append(holder, millis{960}));
+    }
+    SECTION("another VM's record ends it")
+    {
+        auto other = vm("b", 2);
+        store.read(other, millis{10});
+        REQUIRE(store.append(other, millis{5'000}));
+        store.read(holder, millis{5'010});
+        CHECK_FALSE(holds_lease(holder, millis{5'010}));
+    }
+    SECTION("time alone ends it")
+    {
+        CHECK_FALSE(holds_lease(holder, millis{1} + lease_lifetime));
+        CHECK_FALSE(may_order(holder, travel, millis{1} + lease_lifetime - travel));
+    }
+}
+
+// Guards against a VM that restarts twice within the gap and so shortens it.
+TEST_CASE("a VM that starts anew goes on waiting out the gap", "[lease][promise-1]")
+{
+    topic store;
+    auto first = vm("a", 1);
+    store.read(first, millis{0});
+    REQUIRE(store.append(first, millis{0}));
+    auto second = vm("b", 2);
+    store.read(second, millis{0});
+    REQUIRE(store.append(second, millis{4'000}));
+    auto restarted = vm("b", 3);
+    store.read(restarted, millis{4'500});
+    REQUIRE(may_take_lease(restarted, millis{4'500}));
+    REQUIRE(store.append(restarted, millis{4'500}));
+    CHECK_FALSE(may_order(restarted, travel, millis{4'600}));
+    CHECK(restarted.orders_from_ == millis{4'000} + gap + lease_margin);
+}
+
+// Guards against two VMs ordering within the gap, whatever is paused, lost or read late.
+TEST_CASE("orders of two VMs are always the gap apart", "[lease][promise-1]")
+{
+    rc::check([] {
+        topic store;
+        std::vector<lease_view> vms{vm("a", 1), vm("b", 2), vm("c", 3)};
+        std::vector<millis> paused(vms.size());
+        std::optional<std::size_t> last_orderer;
+        millis last_order{};
+        for (std::int64_t at = 1; at < 60'000; at += *rc::gen::inRange<std::int64_t>(20, 300)) {
+            auto const now = millis{at};
+            auto const index = *rc::gen::inRange<std::size_t>(0, vms.size());
+            auto& view = vms[index];
+            if (now < paused[index]) {
+                continue;
+            }
+            switch (*rc::gen::inRange(0, 12)) {
+            case 0:
+                paused[index] = now + millis{*rc::gen::inRange<std::int64_t>(500, 8'000)};
+                break;
+            case 1: { // the record is stored, but its writer never learns it
+                auto unseen = view;
+                if (unseen.epoch_ != 0 || may_take_lease(unseen, now)) {
+                    store.append(unseen, now);
+                }
+                break;
+            }
+            case 2:
+            case 3:
+            case 4:
+                store.read(view, now);
+                break;
+            case 5: // a new process on the same VM
+                view = vm(view.vm_, view.incarnation_ + 10);
+                break;
+            default:
+                if (view.epoch_ != 0 || may_take_lease(view, now)) {
+                    if (!store.append(view, now)) {
+                        store.read(view, now);
+                    }
+                }
+            }
+            if (may_order(view, travel, now)) {
+                if (last_orderer && *last_orderer != index) {
+                    RC_ASSERT(now - last_order >= gap);
+                }
+                last_orderer = index;
+                last_order = now + travel;
+            }
+        }
+    });
+}
--- /dev/null
+++ b/tests/coordination/upstream_choice_test.cpp
@@ -0,0 +1,89 @@
+#include <auburnchute/upstream_choice.hpp>
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+using namespace auburnchute;
+
+namespace {
+
+upstream_option engine(std::string_view id, std::int64_t running)
+{
+    return {.id_ = id,
+            .running_ = running,
+            .slots_ = 64,
+            .running_tokens_ = running * 9'000,
+            .kv_tokens_ = 232'000};
+}
+
+upstream_option server(std::string_view id, std::int64_t running)
+{
+    return {.id_ = id, .running_ = running, .slots_ = 6};
+}
+
+choice_request prompt(std::uint64_t prefix, std::uint64_t draw = 7)
+{
+    return {.prompt_tokens_ = 9'000,
+            .shared_tokens_ = 6'000,
+            .output_tokens_ = 60,
+            .prefix_hash_ = prefix,
+            .draw_ = draw};
+}
+
+} // namespace
+
+// Guards against reading the same shared prompt on every engine.
+TEST_CASE("requests with one shared prompt meet at one upstream until it is busier", "[choice]")
+{
+    std::vector<upstream_option> options{engine("e1", 0), engine("e2", 0), engine("e3", 0)};
+    for (std::uint64_t prefix = 1; prefix < 20; ++prefix) {
+        CAPTURE(prefix);
+        auto const home = choose_upstream(options, prompt(prefix, 1));
+        REQUIRE(home);
+        CHECK(choose_upstream(options, prompt(prefix, 2)) == home);
+        auto busier = options;
+        busier[*home].running_ = 3;
+        CHECK(choose_upstream(busier, prompt(prefix)) == home);
+        busier[*home].running_ = 8;
+        CHECK(choose_upstream(busier, prompt(prefix)) != home);
+    }
+}
+
+TEST_CASE("full, used and failing upstreams are left out", "[choice]")
+{
+    struct row {
+        upstream_option first_;
+        upstream_option second_;
+        std::optional<std::size_t> expected_;
+    };
+    auto used = server("s1", 0);
+    used.used_ = true;
+    auto suspect = server("s1", 0);
+    suspect.suspect_ = true;
+    auto no_memory = engine("e1", 25);
+    auto const rows = std::vector<row>{
+        {server("s1", 3), server("s2", 1), 1},
+        {server("s1", 9), server("s2", 9), std::nullopt},
+        {used, server("s2", 5), 1},
+        {suspect, server("s2", 5), 1},
+        {suspect, server("s2", 9), 0},
+        {no_memory, engine("e2", 20), 1},
+        {no_memory, engine("e2", 64), std::nullopt},
+    };
+    for (std::size_t i = 0; i < rows.size(); ++i) {
+        CAPTURE(i);
+        std::vector<upstream_option> const options{rows[i].first_, rows[i].second_};
+        CHECK(choose_upstream(options, prompt(0)) == rows[i].expected_);
+    }
+}
+
+TEST_CASE("a request larger than an engine's memory may run there alone", "[choice]")
+{
+    auto large = prompt(0);
+    large.prompt_tokens_ = 300'000;
+    std::vector<upstream_option> const idle{engine("e1", 0)};
+    CHECK(choose_upstream(idle, large));
+    std::vector<upstream_option> const busy{engine("e1", 1)};
+    CHECK_FALSE(choose_upstream(busy, large));
+}
--- /dev/null
+++ b/tests/platform/headers_test.cpp
@@ -0,0 +1,124 @@
+#include "platform/headers.hpp"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+using namespace auburnchute;
+using namespace auburnchute::platform;
+
+namespace {
+
+request_head caller_head()
+{
+    request_head head;
+    head.method(http::verb::post);
+    head.target("/a/b?x=1");
+    head.set("Host", "h.example:8221");
+    head.set("X-Request-Id", "id1");
+    head.set("X-Deadline-Ms", "5000");
+    head.set("Api-Key", "secret");
+    head.set("X-Model", "m/a3");
+    head.set("X-Token-Counts", "1460,80");
+    head.set("X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410");
+    head.set("Connection", "keep-alive, X-Hop, X-Model");
+    head.set("X-Hop", "1");
+    head.set("X-Tenant", "forged");
+    head.set("X-Hold", "forged");
+    head.set("Kv-From", "forged");
+    head.set("Accept", "text/event-stream");
+    return head;
+}
+
+} // namespace
+
+TEST_CASE("a caller's fields are read into the project's words", "[platform][headers]")
+{
+    auto const read = read_call(caller_head());
+    CHECK(read.host_ == "h.example");
+    CHECK(read.path_ == "/a/b");
+    CHECK(read.key_ == "secret");
+    CHECK(read.time_left_ == millis{5'000});
+    CHECK(read.model_ == "m");
+    CHECK(read.adapter_ == "a3");
+    CHECK(read.prompt_tokens_ == 1'460);
+    CHECK(read.output_tokens_ == 80);
+    REQUIRE(read.parts_.size() == 2);
+    CHECK(read.parts_[0].id_ == 0x5c1e07a2);
+    CHECK(read.parts_[1].tokens_ == 410);
+}
+
+TEST_CASE("values that cannot be read count as absent", "[platform][headers]")
+{
+    auto head = caller_head();
+    head.set("X-Deadline-Ms", "soon");
+    head.set("X-Token-Counts", "-1,80");
+    head.set("X-Prompt-Prefix", "nothing");
+    auto const read = read_call(head);
+    CHECK_FALSE(read.time_left_);
+    CHECK_FALSE(read.states_tokens_);
+    CHECK(read.parts_.empty());
+}
+
+// Guards against an upstream seeing a caller's key, and against fields that a caller may not set.
+TEST_CASE("an upstream gets the caller's fields but not its key or forged ones",
+          "[platform][headers][promise-5]")
+{
+    auto const head = forward_head(caller_head(), {.upstream_id_ = "i-1",
+                                                   .address_ = "10.0.0.1:80",
+                                                   .workspace_ = "w",
+                                                   .time_left_ = millis{4'900},
+                                                   .urgency_ = 2,
+                                                   .resume_after_ = "7"});
+    struct row {
+        std::string_view name_;
+        std::string_view value_; ///< Empty: absent.
+    };
+    for (auto const& row :
+         {row{"Api-Key", ""}, row{"X-Hop", ""}, row{"X-Hold", ""}, row{"Kv-From", ""}, row{"Connection", ""},
+          row{"X-Tenant", "w"}, row{"X-Target-Instance", "i-1"}, row{"X-Deadline-Ms", "4900"},
+          row{"X-Request-Priority", "2"}, row{"Last-Event-Id", "7"}, row{"X-Model", "m/a3"},
+          row{"X-Request-Id", "id1"}, row{"Accept", "text/event-stream"}, row{"Host", "h.example:8221"}}) {
+        CAPTURE(row.name_);
+        CHECK(std::string{head[std::string{row.name_}]} == row.value_);
+    }
+    auto const open = forward_head(caller_head(), {.upstream_id_ = "i-1"});
+    CHECK(open.find("X-Tenant") == open.end());
+}
+
+TEST_CASE("an upstream's answer says whether it ran and whose it is", "[platform][headers][promise-9]")
+{
+    response_head head;
+    head.result(503);
+    head.set("X-Not-Executed", "1");
+    head.set("X-Request-Id", "id1");
+    head.set("X-Server-Load", "3,1,8");
+    head.set("Keep-Alive", "timeout=5");
+    auto reply = read_reply(head);
+    CHECK(reply.not_run_);
+    CHECK(reply.running_ == 3);
+    CHECK(reply.waiting_ == 1);
+    CHECK(reply.keep_alive_ == millis{5'000});
+    CHECK_FALSE(reply.genuine_);
+    response_head plain;
+    plain.result(500);
+    CHECK_FALSE(read_reply(plain).not_run_);
+    plain.result(421);
+    CHECK(read_reply(plain).not_run_);
+    plain.set("Connection", "close");
+    CHECK(read_reply(plain).closing_);
+}
+
+TEST_CASE("an answer keeps its proof and loses what concerned one connection",
+          "[platform][headers][promise-8]")
+{
+    response_head head;
+    head.result(200);
+    head.set("X-Response-Stamp", "3e1b");
+    head.set("Connection", "keep-alive, X-Response-Stamp");
+    head.set("Keep-Alive", "timeout=5");
+    head.set("Transfer-Encoding", "chunked");
+    auto const answer = answer_head(head);
+    CHECK(answer["X-Response-Stamp"] == "3e1b");
+    CHECK(answer.find("Keep-Alive") == answer.end());
+    CHECK(answer.find("Transfer-Encoding") == answer.end());
+}
--- /dev/null
+++ b/tests/platform/store_records_test.cpp
@@ -0,0 +1,30 @@
+#include "platform/store_client.hpp"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+using namespace auburnchute::platform;
+
+TEST_CASE("records of keyed topics are read back as written", "[platform][store]")
+{
+    for (auto const* const value : {"{}", "x", "a longer value with \n and \\ in it"}) {
+        auto const read = read_keyed(keyed_content("key", value));
+        REQUIRE(read);
+        CHECK(read->key_ == "key");
+        CHECK(read->value_ == std::string{value});
+    }
+    auto const dropped = read_keyed(keyed_content("key", ""));
+    REQUIRE(dropped);
+    CHECK_FALSE(dropped->value_);
+}
+
+TEST_CASE("bytes that are no keyed record are refused", "[platform][store]")
+{
+    for (auto const& bytes : {std::string{},
+                              std::string("\x05"
+                                          "ab",
+                                          3),
+                              std::string("\0abc", 4)}) {
+        CHECK_FALSE(read_keyed(bytes));
+    }
+}
--- /dev/null
+++ b/tests/protocol/entry_settings_test.cpp
@@ -0,0 +1,61 @@
+#include "protocol/entry_settings.hpp"
+
+#include <auburnchute/error.hpp>
+
+#include <catch2/catch.hpp>
+#include <string>
+
+using namespace auburnchute;
+
+namespace {
+
+std::string const complete = "vm: front-a-1\n"
+                             "ip: 10.0.0.1\n"
+                             "availability_zone: a\n"
+                             "callers_listen: 10.0.0.1:8221\n"
+                             "ready_listen: 10.0.0.1:8224\n"
+                             "directory_listen: 10.0.0.1:8220\n"
+                             "peer_port: 7600\n"
+                             "store_address: 10.200.1.7:8225\n";
+
+} // namespace
+
+TEST_CASE("settings are read with their units", "[settings]")
+{
+    auto const read =
+        parse_entry_settings("entry.yaml", complete + "shutdown_grace_s: 7.5\norder_lease_ms: 2500\n"
+                                                      "first_start: true\nretry_ratio: 0.15\n");
+    CHECK(read.values_.vm_ == "front-a-1");
+    CHECK(read.values_.shutdown_grace_ == millis{7'500});
+    CHECK(read.values_.order_lease_ == millis{2'500});
+    CHECK(read.values_.first_start_);
+    CHECK(read.values_.retry_ratio_ == Approx(0.15));
+    CHECK(read.unknown_.empty());
+}
+
+TEST_CASE("a key that is not known is named and ignored", "[settings]")
+{
+    CHECK(parse_entry_settings("entry.yaml", complete + "colour: red\n").unknown_ ==
+          std::vector<std::string>{"colour"});
+}
+
+TEST_CASE("bad settings are refused with file and place", "[settings]")
+{
+    struct row {
+        std::string text_;
+        std::string_view peer_;
+    };
+    for (auto const& row :
+         {row{complete + "order_lease_ms: soon\n", "entry.yaml:9:17"},
+          row{complete + "order_lease_ms: -1\n", "entry.yaml:9:17"}, row{"vm: x\n", "entry.yaml"},
+          row{"- a\n", "entry.yaml"}, row{"vm: [\n", "entry.yaml:2:1"}}) {
+        CAPTURE(row.text_);
+        try {
+            (void)parse_entry_settings("entry.yaml", row.text_);
+            FAIL("the settings were accepted");
+        } catch (error const& refused) {
+            CHECK(refused.step() == "settings");
+            CHECK(refused.peer() == row.peer_);
+        }
+    }
+}
