--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -5,7 +5,9 @@
 
 #include <auburnchute/error.hpp>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace auburnchute {
 
@@ -27,10 +29,6 @@
 /// Pause after a failed call, before the next.
 constexpr millis failure_pause{150};
 
-/// How long a known upstream whose entry is gone is still used after the store was away: those that live are
-/// back within two seconds.
-constexpr millis regained_grace{2'500};
-
 void note_call(store_reader& reader, bool reachable, std::string_view fault)
 {
     if (reader.store_reachable_ == reachable) {
@@ -38,7 +36,6 @@
     }
     reader.store_reachable_ = reachable;
     if (reachable) {
-        reader.store_back_at_ = boot_now();
         log_decision("store-regained", {});
     } else {
         log_failure("store-lost", {{"fault", fault}});
@@ -137,97 +134,107 @@
     }
 }
 
-/// Takes an upstream's entry. \returns False if it changes nothing.
-bool take_upstream(store_reader& reader, upstream_map& entries, std::string const& id,
-                   std::optional<std::string> const& document)
+/// Takes what the store says of an upstream. \returns Whether anything changed.
+bool take_upstream(store_reader& reader, std::string const& id, std::optional<std::string> const& document)
 {
-    auto const known = entries.find(id);
+    auto change = entry_change::none;
     if (!document) {
-        bool const store_was_away = boot_now() - reader.store_back_at_ < regained_grace;
-        if (known == entries.end() || store_was_away) {
-            return false;
-        }
-        log_decision("upstream-gone", {{"upstream", id}});
-        entries.erase(known);
-        return true;
-    }
-    auto entry = platform::read_upstream(id, *document);
-    if (!entry) {
+        change = take_removal(reader.registry_, id, boot_now());
+    } else if (auto entry = platform::read_upstream(id, *document)) {
+        change = take_entry(reader.registry_, std::move(*entry));
+    } else {
         reader.counters_.count("auburnchute_unreadable_entries_total");
         log_failure("upstream-unreadable", {{"upstream", id}});
-        return false;
     }
-    if (known == entries.end()) {
-        log_decision("upstream-seen", {{"upstream", id},
-                                       {"service", entry->service_},
-                                       {"address", entry->address_},
-                                       {"models", entry->models_.size()}});
-    } else if (entry->started_at_ < known->second.started_at_) {
-        return false; // an older start under the same id
-    } else if (*entry == known->second) {
+    switch (change) {
+    case entry_change::none:
         return false;
-    } else if (entry->leaving_ != known->second.leaving_) {
-        log_decision("upstream-leaving", {{"upstream", id}, {"leaving", entry->leaving_ ? 1 : 0}});
+    case entry_change::seen: {
+        auto const& entry = reader.registry_.entries_.at(id);
+        log_decision("upstream-seen", {{"upstream", id},
+                                       {"service", entry.service_},
+                                       {"address", entry.address_},
+                                       {"models", entry.models_.size()}});
+        break;
+    }
+    case entry_change::leaving:
+        log_decision("upstream-leaving", {{"upstream", id}});
+        break;
+    case entry_change::gone:
+        log_decision("upstream-gone", {{"upstream", id}});
+        break;
+    case entry_change::changed:
+        break;
     }
-    entries[id] = std::move(*entry);
     return true;
 }
 
+void publish_upstreams(store_reader& reader)
+{
+    reader.draft_.upstreams_ = std::make_shared<upstream_map const>(reader.registry_.entries_);
+    publish(reader);
+}
+
 net::awaitable<std::uint64_t> read_all_upstreams(store_reader& reader, platform::store_client& store)
 {
     auto const newest = co_await store.newest(platform::upstream_topic);
-    upstream_map entries;
+    note_store_answered(reader.registry_, boot_now());
+    std::set<std::string, std::less<>> there;
     for (auto const& record : newest.records_) {
-        (void)take_upstream(reader, entries, record.key_, record.value_);
+        (void)take_upstream(reader, record.key_, record.value_);
+        there.insert(record.key_);
     }
-    // Entries lapse while the store is away; what is known is kept until those that live are back.
-    bool const store_was_away = boot_now() - reader.store_back_at_ < regained_grace;
-    if (store_was_away) {
-        for (auto const& [id, entry] : *reader.draft_.upstreams_) {
-            entries.try_emplace(id, entry);
+    auto const known = reader.registry_.entries_;
+    for (auto const& [id, entry] : known) {
+        if (!there.contains(id)) {
+            (void)take_upstream(reader, id, std::nullopt);
         }
     }
-    reader.draft_.upstreams_ = std::make_shared<upstream_map const>(std::move(entries));
-    publish(reader);
+    publish_upstreams(reader);
     co_return newest.next_;
 }
 
+/// How long the reader may wait before lapsed entries are due.
+millis until_lapse(store_reader const& reader, millis longest)
+{
+    auto const due = next_lapse(reader.registry_);
+    return due ? std::clamp(*due - boot_now(), millis{0}, longest) : longest;
+}
+
 net::awaitable<void> follow_upstreams(store_reader& reader)
 {
     platform::store_client store{reader.loop_, reader.settings_.store_address_};
     std::optional<std::uint64_t> next;
-    millis reread_at{}; // when lapsed entries are looked through once more; 0: not planned
     while (true) {
         std::string fault;
         try {
-            if (!next || (reread_at > millis{0} && boot_now() > reread_at)) {
+            if (!next) {
                 next = co_await read_all_upstreams(reader, store);
-                auto const settled = reader.store_back_at_ + regained_grace;
-                reread_at = boot_now() < settled ? settled : millis{0};
             }
-            auto const page = co_await store.read(platform::upstream_topic, *next, upstream_wait);
+            auto const page =
+                co_await store.read(platform::upstream_topic, *next, until_lapse(reader, upstream_wait));
+            note_store_answered(reader.registry_, boot_now());
             if (page.expired_) {
                 next.reset();
                 continue;
             }
-            auto entries = *reader.draft_.upstreams_;
             bool changed = false;
             for (auto const& stored : page.records_) {
                 if (auto const record = platform::read_keyed(stored.bytes_)) {
-                    changed = take_upstream(reader, entries, record->key_, record->value_) || changed;
+                    changed = take_upstream(reader, record->key_, record->value_) || changed;
                 }
             }
             next = page.next_;
-            if (changed) {
-                reader.draft_.upstreams_ = std::make_shared<upstream_map const>(std::move(entries));
-                publish(reader);
+            if (drop_lapsed(reader.registry_, boot_now()) || changed) {
+                publish_upstreams(reader);
             }
-            co_await pause_for(upstream_pause);
+            co_await pause_for(until_lapse(reader, upstream_pause));
             continue;
         } catch (std::exception const& failure) {
             fault = failure.what();
         }
         log_failure("upstreams-unread", {{"fault", fault}});
+        note_store_lost(reader.registry_);
         next.reset(); // entries may have lapsed meanwhile
         co_await pause_for(failure_pause);
     }
--- a/src/transport/entry/store_reader.hpp
+++ b/src/transport/entry/store_reader.hpp
@@ -5,6 +5,8 @@
 #include "protocol/metrics.hpp"
 #include "transport/entry/entry_view.hpp"
 
+#include <auburnchute/upstream_registry.hpp>
+
 #include <functional>
 
 namespace auburnchute {
@@ -20,8 +22,8 @@
     std::uint64_t incarnation_{};
     std::function<void()> changed_;
     entry_view draft_{};
+    upstream_registry registry_{};
     bool store_reachable_{true}; ///< As of the last call; a change is logged.
-    millis store_back_at_{};     ///< When the store was last regained.
 };
 
 /// \brief Starts reading until the loop stops. \pre `reader` outlives the loop's work.
--- /dev/null
+++ b/tests/coordination/upstream_registry_test.cpp
@@ -0,0 +1,73 @@
+#include <auburnchute/upstream_registry.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace auburnchute;
+
+namespace {
+
+upstream entry(std::string id, std::int64_t started_at = 1, bool leaving = false)
+{
+    upstream made;
+    made.id_ = std::move(id);
+    made.service_ = "llm";
+    made.address_ = "10.0.0.1:80";
+    made.started_at_ = started_at;
+    made.leaving_ = leaving;
+    return made;
+}
+
+upstream_registry with_one()
+{
+    upstream_registry registry;
+    REQUIRE(take_entry(registry, entry("i-1")) == entry_change::seen);
+    return registry;
+}
+
+} // namespace
+
+TEST_CASE("an entry is seen, changed, leaving and gone", "[registry][promise-11]")
+{
+    auto registry = with_one();
+    CHECK(take_entry(registry, entry("i-1")) == entry_change::none);
+    CHECK(take_entry(registry, entry("i-1", 1, true)) == entry_change::leaving);
+    CHECK(take_entry(registry, entry("i-1", 2)) == entry_change::changed);
+    CHECK(take_entry(registry, entry("i-1", 1, true)) == entry_change::none);
+    CHECK(take_removal(registry, "i-1", millis{10}) == entry_change::gone);
+    CHECK(take_removal(registry, "i-1", millis{10}) == entry_change::none);
+}
+
+// Found by a hunt (jheelpath-rink, trouble-1, seed 897261799246, DRAIN): an upstream left just after the store
+// came back, and its removal was taken for a lapse that nobody looked at again.
+TEST_CASE("an upstream that leaves just after an outage is dropped within the grace", "[registry][promise-11]")
+{
+    auto registry = with_one();
+    note_store_lost(registry);
+    note_store_answered(registry, millis{11'670});
+    CHECK(take_removal(registry, "i-1", millis{13'210}) == entry_change::none);
+    CHECK(next_lapse(registry) == millis{11'670} + lapsed_grace);
+    CHECK_FALSE(drop_lapsed(registry, millis{13'800}));
+    CHECK(drop_lapsed(registry, millis{11'670} + lapsed_grace));
+    CHECK(registry.entries_.empty());
+}
+
+TEST_CASE("an entry that lapsed with the store is used until it must be back", "[registry]")
+{
+    auto registry = with_one();
+    note_store_lost(registry);
+    CHECK(take_removal(registry, "i-1", millis{5'000}) == entry_change::none);
+    CHECK_FALSE(drop_lapsed(registry, millis{60'000}));
+    note_store_answered(registry, millis{60'000});
+    SECTION("and stays if it comes back")
+    {
+        CHECK(take_entry(registry, entry("i-1")) == entry_change::none);
+        CHECK_FALSE(drop_lapsed(registry, millis{70'000}));
+        CHECK(registry.entries_.size() == 1);
+    }
+    SECTION("and goes if it does not")
+    {
+        CHECK(take_removal(registry, "i-1", millis{60'010}) == entry_change::none);
+        CHECK(drop_lapsed(registry, millis{60'000} + lapsed_grace + lapsed_grace));
+        CHECK(registry.entries_.empty());
+    }
+}
