--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -209,6 +209,8 @@
         return;
     }
     if (report.epoch_ != 0) {
+        node.lease_end_ = report.lease_end_;
+        node.orders_from_ = report.orders_from_;
         node.placements_epoch_ = report.epoch_;
         node.placements_ = std::move(report.notices_);
         node.placements_at_ = boot_now();
@@ -247,6 +249,9 @@
     };
     demand_sender demand{node, keeper};
     node.need_changed_ = [&demand] { demand.send(); };
+    node.lease_told_ = [&keeper](std::uint64_t end) {
+        net::post(keeper.loop_, [&keeper, end] { take_lease_end(keeper, end); });
+    };
     node.stop_placing_ = [&keeper] { net::post(keeper.loop_, [&keeper] { give_up_lease(keeper); }); };
     serve_callers(node, settings.callers_listen_);
     serve_own_pages(node);
--- a/include/auburnchute/fleet_config.hpp
+++ b/include/auburnchute/fleet_config.hpp
@@ -33,6 +33,7 @@
     call_kind kind_{call_kind::unsafe};
     millis timeout_{};        ///< Longest time that a caller is kept waiting.
     millis target_latency_{}; ///< Time to the answer, or to the first event of a stream.
+    millis patience_{}; ///< Longest pause before or within a stream until which its callers stay; 0: unknown.
     std::int64_t priority_{}; ///< 0 is the most urgent.
     std::vector<weighted_service> services_;
     int max_upstreams_{1}; ///< Upstreams to which one request may be sent.
--- a/include/auburnchute/model_planner.hpp
+++ b/include/auburnchute/model_planner.hpp
@@ -25,8 +25,9 @@
     std::map<std::string, held_model, std::less<>> models_; ///< Loaded and usable.
     std::set<std::string, std::less<>> retiring_;           ///< Of those, the ones that are being unloaded.
     std::string loading_;                                   ///< Model that is being loaded; empty: none.
-    bool busy_{};                                           ///< Takes no order for a model now.
-    bool leaving_{};                                        ///< Gets no new model.
+    std::string reserved_for_;        ///< Model for which room is being made here; empty: none.
+    bool busy_{};                     ///< Takes no order for a model now.
+    bool leaving_{};                  ///< Gets no new model.
     std::int64_t adapters_pending_{}; ///< Adapters on their way, which take places already.
     std::int64_t running_{};          ///< Requests under way there, all VMs together.
     std::set<std::string, std::less<>> weights_in_memory_;
@@ -48,9 +49,10 @@
     std::string upstream_id_;
     placement_step step_{};
     std::string model_;
-    std::string adapter_;
+    std::string adapter_{};
     weights_from from_{weights_from::store}; ///< Of `load_model`.
-    std::string_view reason_;                ///< A word for the log.
+    std::string room_for_{};                 ///< Of `unload_model`: the model that takes the room.
+    std::string_view reason_{};              ///< A word for the log.
 };
 
 struct planner_input {
--- a/include/auburnchute/order_lease.hpp
+++ b/include/auburnchute/order_lease.hpp
@@ -10,13 +10,13 @@
 
 /// \brief How long one renewal holds, from the moment at which it was sent. A holder whose renewals fail
 /// stops by then; renewals come several times within it.
-inline constexpr millis lease_lifetime{2'500};
+inline constexpr millis lease_lifetime{2'000};
 
 /// \brief Time between renewals.
-inline constexpr millis lease_renewal{800};
+inline constexpr millis lease_renewal{600};
 
 /// \brief Added to the lifetime before another VM may take the lease: for clocks that run up to 10% apart.
-inline constexpr millis lease_margin{400};
+inline constexpr millis lease_margin{250};
 
 /// \brief The newest record of the lease in the store.
 struct lease_record {
@@ -45,8 +45,9 @@
     millis orders_from_{}; ///< When it may give its first order.
 };
 
-/// \brief Takes over what was read of the topic. \param read_at When the answer arrived.
-/// Thread safety of all functions that change a view: the caller owns it.
+/// \brief Takes over what was read of the topic, or what its holder tells of it. \param read_at When the
+/// answer or the holder's message arrived. Thread safety of all functions that change a view: the caller owns
+/// it.
 void note_lease(lease_view& view, std::uint64_t end, std::optional<lease_record> newest, millis read_at);
 
 /// \returns Whether this VM may try to take the lease now. Thread safety: pure.
--- a/src/coordination/model_planner.cpp
+++ b/src/coordination/model_planner.cpp
@@ -17,6 +17,13 @@
 /// Rate, in requests a second, below which a model that nobody waits for is not asked for any more.
 constexpr double least_rate = 0.02;
 
+/// Rate from which a model that nobody waits for may take the place of another one.
+constexpr double rate_to_evict = 0.3;
+
+/// Cost of a load at an engine that has the only free places for adapters that are asked for, in ms for each
+/// request a second: an engine takes no order for an adapter during a load.
+constexpr double blocked_adapters_share = 1.0;
+
 /// A model that waits for a request is wanted as much as one with this many requests a second.
 constexpr double waiting_rate = 1.0;
 
@@ -89,7 +96,8 @@
         ++engines;
         for (auto& [name, wanted] : all) {
             bool const there = engine.models_.contains(name) && !engine.retiring_.contains(name);
-            wanted.replicas_ += there || engine.loading_ == name ? 1 : 0;
+            bool const coming = engine.loading_ == name || engine.reserved_for_ == name;
+            wanted.replicas_ += there || coming ? 1 : 0;
         }
     }
     for (auto& [name, wanted] : all) {
@@ -153,14 +161,34 @@
     return wanted.value();
 }
 
+/// Requests a second for adapters of models that this engine holds and no other free engine does.
+double adapters_blocked(planner_input const& input, engine_state const& engine)
+{
+    double rate = 0;
+    for (auto const& [key, need] : input.needs_) {
+        if (key.service_ != input.service_ || key.adapter_.empty() || !engine.models_.contains(key.model_)) {
+            continue;
+        }
+        bool const elsewhere =
+            std::any_of(input.engines_.begin(), input.engines_.end(), [&](engine_state const& other) {
+                return other.id_ != engine.id_ && !other.busy_ && !other.leaving_ &&
+                       other.models_.contains(key.model_);
+            });
+        rate += elsewhere ? 0.0 : need.rate_;
+    }
+    return rate;
+}
+
 std::optional<option> option_at(planner_input const& input, wanted_map const& all, engine_state const& engine,
                                 wanted_model const& wanted, bool may_evict)
 {
-    if (engine.busy_ || engine.leaving_ || engine.models_.contains(wanted.model_->name_)) {
+    bool const reserved = !engine.reserved_for_.empty() && engine.reserved_for_ != wanted.model_->name_;
+    if (engine.busy_ || engine.leaving_ || reserved || engine.models_.contains(wanted.model_->name_)) {
         return std::nullopt;
     }
     option way{&engine, {}, load_source_of(engine, wanted.model_->name_), 0};
     way.cost_ms_ = static_cast<double>(load_time(*wanted.model_, way.from_).count_);
+    way.cost_ms_ += way.cost_ms_ * blocked_adapters_share * adapters_blocked(input, engine);
     auto left = free_memory(input, engine);
     if (left >= wanted.model_->memory_mb_) {
         return way;
@@ -201,6 +229,50 @@
            (plan.store_.starts_ > 0 && plan.store_.running_ + spare < plan.store_.most_at_once_);
 }
 
+void take_way(wanted_map& all, wanted_model const& wanted, option const& way, draft& plan,
+              std::string_view reason)
+{
+    plan.taken_.insert(way.engine_->id_);
+    auto const& model = wanted.model_->name_;
+    if (!way.victims_.empty()) {
+        // The load follows in a later plan, once the room is there.
+        auto const victim = way.victims_.front();
+        plan.orders_.push_back({.upstream_id_ = way.engine_->id_,
+                                .step_ = placement_step::unload_model,
+                                .model_ = std::string{victim},
+                                .room_for_ = model,
+                                .reason_ = "makes-room"});
+        if (auto const found = all.find(victim); found != all.end()) {
+            --found->second.replicas_;
+        }
+        return;
+    }
+    plan.orders_.push_back({.upstream_id_ = way.engine_->id_,
+                            .step_ = placement_step::load_model,
+                            .model_ = model,
+                            .from_ = way.from_,
+                            .reason_ = reason});
+    if (way.from_ == weights_from::store) {
+        --plan.store_.starts_;
+        ++plan.store_.running_;
+    }
+}
+
+/// Goes on with loads for which room is being made.
+void continue_reservations(planner_input const& input, wanted_map& all, draft& plan)
+{
+    for (auto const& engine : input.engines_) {
+        auto const found = all.find(engine.reserved_for_);
+        if (engine.reserved_for_.empty() || found == all.end()) {
+            continue;
+        }
+        auto const way = option_at(input, all, engine, found->second, true);
+        if (way && may_load(plan, way->from_, 0)) {
+            take_way(all, found->second, *way, plan, "room-was-made");
+        }
+    }
+}
+
 /// Plans one more replica. \param spare Places at the store that stay free. \returns False if none is
 /// possible.
 bool add_replica(planner_input const& input, wanted_map& all, wanted_model& wanted, draft& plan,
@@ -209,7 +281,7 @@
     std::optional<option> best;
     std::int64_t best_left = 0;
     for (auto const& engine : input.engines_) {
-        if (plan.taken_.contains(engine.id_)) {
+        if (plan.taken_.contains(engine.id_) || !engine.reserved_for_.empty()) {
             continue;
         }
         auto way = option_at(input, all, engine, wanted, may_evict);
@@ -227,27 +299,7 @@
     if (!best) {
         return false;
     }
-    plan.taken_.insert(best->engine_->id_);
-    if (!best->victims_.empty()) {
-        // The load follows in a later plan, once the room is there.
-        auto const victim = best->victims_.front();
-        plan.orders_.push_back({best->engine_->id_,
-                                placement_step::unload_model,
-                                std::string{victim},
-                                {},
-                                weights_from::store,
-                                "makes-room"});
-        if (auto const found = all.find(victim); found != all.end()) {
-            --found->second.replicas_;
-        }
-    } else {
-        plan.orders_.push_back(
-            {best->engine_->id_, placement_step::load_model, wanted.model_->name_, {}, best->from_, reason});
-        if (best->from_ == weights_from::store) {
-            --plan.store_.starts_;
-            ++plan.store_.running_;
-        }
-    }
+    take_way(all, wanted, *best, plan, reason);
     ++wanted.replicas_;
     return true;
 }
@@ -279,9 +331,11 @@
             auto const need = need_for(input, name, adapter);
             if (need.running_ == 0 && need.waiting_ == 0 && need.rate_ < least_value) {
                 least_value = need.rate_;
-                least = planned_order{
-                    engine.id_,  placement_step::unload_adapter, name, adapter, weights_from::store,
-                    "makes-room"};
+                least = planned_order{.upstream_id_ = engine.id_,
+                                      .step_ = placement_step::unload_adapter,
+                                      .model_ = name,
+                                      .adapter_ = adapter,
+                                      .reason_ = "makes-room"};
             }
         }
     }
@@ -301,8 +355,8 @@
         if (held->second.adapters_.contains(key.adapter_)) {
             return;
         }
-        if (taken.contains(engine.id_)) {
-            continue;
+        if (taken.contains(engine.id_) || engine.busy_) {
+            continue; // it takes no order now
         }
         bool const room = adapters_on(engine) < input.engine_.adapter_slots_;
         auto*& slot = room ? place : crowded;
@@ -313,8 +367,11 @@
     }
     if (place != nullptr) {
         taken.insert(place->id_);
-        plan.orders_.push_back({place->id_, placement_step::load_adapter, key.model_, key.adapter_,
-                                weights_from::store, need.waiting_ > 0 ? "waited-for" : "asked-for"});
+        plan.orders_.push_back({.upstream_id_ = place->id_,
+                                .step_ = placement_step::load_adapter,
+                                .model_ = key.model_,
+                                .adapter_ = key.adapter_,
+                                .reason_ = need.waiting_ > 0 ? "waited-for" : "asked-for"});
         return;
     }
     if (crowded != nullptr) {
@@ -386,9 +443,11 @@
         }
         return a_waits ? a->oldest_wait_ > b->oldest_wait_ : a->rate_ > b->rate_;
     });
+    continue_reservations(input, all, plan);
     for (auto* const wanted : order) {
         if (wanted->needed_ > 0 && wanted->replicas_ == 0) {
-            (void)add_replica(input, all, *wanted, plan, true, 0,
+            bool const may_evict = wanted->waiting_ > 0 || wanted->rate_ >= rate_to_evict;
+            (void)add_replica(input, all, *wanted, plan, may_evict, 0,
                               wanted->waiting_ > 0 ? "waited-for" : "asked-for");
         }
     }
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -99,7 +99,9 @@
     decode_pairs(fields.at(9), state.crashes_);
     state.needs_ = decode_needs(fields.at(10));
     state.lease_epoch_ = fields.at(11);
-    for (auto const& row : fields.at(12)) {
+    state.lease_end_ = fields.at(12);
+    state.orders_in_ = fields.at(13);
+    for (auto const& row : fields.at(14)) {
         state.placements_.push_back(decode_placement(row));
     }
     return state;
@@ -129,6 +131,8 @@
                       encode_pairs(state.crashes_),
                       encode_needs(state.needs_),
                       state.lease_epoch_,
+                      state.lease_end_,
+                      state.orders_in_,
                       placements};
     return json::to_cbor(fields);
 }
--- a/src/protocol/peer_message.hpp
+++ b/src/protocol/peer_message.hpp
@@ -35,6 +35,8 @@
         crashes_; ///< Upstreams that died under a request, by fingerprint.
     need_map needs_;
     std::uint64_t lease_epoch_{}; ///< Of the placement lease that it holds; 0: none.
+    std::uint64_t lease_end_{};   ///< Where the lease's topic ended after the holder's last record.
+    std::int64_t orders_in_{};    ///< Milliseconds until the holder may give orders.
     std::vector<placement_notice> placements_;
 };
 
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -62,6 +62,9 @@
 /// Longest time in which a caller takes nothing of an answer.
 constexpr millis write_limit{10'000};
 
+/// Least time that an engine takes for the first token.
+constexpr millis first_token_time{100};
+
 /// Waiting requests look at the view again at least this often.
 constexpr millis wait_round{250};
 
@@ -385,7 +388,7 @@
                                                                             choice_fault fault)
 {
     auto const now = boot_now();
-    auto const left = job.deadline_ - now;
+    auto const left = job.first_deadline_ - now;
     bool const idle = job.execution_ == execution::not_run;
     if (!idle || !job.used_.empty()) {
         co_return own_answer{idle ? unavailable : 502, "no-other-upstream",
@@ -398,10 +401,11 @@
         co_return own_answer{unavailable, "no-upstream", millis{500}};
     }
     if (fault == choice_fault::not_loaded) {
-        if (auto const load = load_remaining(node_, job); load && *load > left) {
-            co_return own_answer{unavailable, "load-too-late", *load};
+        // An engine that has the model still needs some time for the first token.
+        if (auto const load = load_remaining(node_, job); load + first_token_time > left) {
+            co_return own_answer{unavailable, "load-too-late", load + least_retry_after};
         }
-    } else if (now - job.arrived_ > (job.deadline_ - job.arrived_) / 2) {
+    } else if (now - job.arrived_ > (job.first_deadline_ - job.arrived_) / 2) {
         co_return own_answer{unavailable, "upstreams-full", least_retry_after};
     }
     wake_event wake{node_.loop_};
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -93,9 +93,13 @@
     std::uint64_t placements_epoch_{};
     millis placements_at_{};
     std::uint64_t own_lease_epoch_{};    ///< Of the lease while this VM holds it; 0: it does not.
+    std::uint64_t lease_end_{};          ///< End of the lease's topic, as the holder last told.
+    millis orders_from_{};               ///< When the holder may give orders; boot clock.
     millis handed_freshness_{};          ///< Proof of freshness that a peer handed over; boot clock.
     std::function<void()> need_changed_; ///< Called when a request starts to wait for a model.
     std::function<void()> send_state_;   ///< Sends this daemon's state to its peers now.
+    std::function<void(std::uint64_t)>
+        lease_told_;                     ///< Called with the lease's end when a holder tells a new one.
     std::function<void()> stop_placing_; ///< Gives the placement lease up for good.
 };
 
--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -22,6 +22,12 @@
 /// When a caller may come back to a VM that has just started.
 constexpr millis start_retry_after{500};
 
+/// A holder of the placement lease that was silent for this long may be gone.
+constexpr millis holder_silence{1'000};
+
+/// Least time until another VM may give orders after a holder fell silent; see order_lease.hpp.
+constexpr millis takeover_time{3'000};
+
 constexpr int unauthorized = 401;
 constexpr int not_found = 404;
 constexpr int too_many_requests = 429;
@@ -114,6 +120,8 @@
         left = std::min(left, *job.call_.time_left_);
     }
     job.deadline_ = job.arrived_ + left;
+    auto const patience = job.route_->patience_ > millis{0} ? std::min(left, job.route_->patience_) : left;
+    job.first_deadline_ = job.arrived_ + patience;
     job.urgency_ = job.workspace_ != nullptr && job.workspace_->priority_ ? *job.workspace_->priority_
                                                                           : job.route_->priority_;
     job.last_event_ = job.call_.resume_after_;
@@ -191,21 +199,43 @@
     return chosen;
 }
 
-std::optional<millis> load_remaining(entry_node const& node, forward_job const& job)
+millis load_remaining(entry_node const& node, forward_job const& job)
 {
+    auto const now = boot_now();
+    auto const passed = now - node.placements_at_;
     std::optional<millis> least;
-    auto const passed = boot_now() - node.placements_at_;
     for (auto const& notice : node.placements_) {
         for (auto const& load : notice.loading_) {
-            bool const wanted = load.model_ == job.call_.model_ &&
-                                (load.adapter_.empty() || load.adapter_ == job.call_.adapter_);
             auto const left = std::max(millis{0}, load.remaining_ - passed);
-            if (wanted && (!least || left < *least)) {
+            if (load.model_ == job.call_.model_ && (!least || left < *least)) {
                 least = left;
             }
         }
     }
-    return least;
+    if (least) {
+        return *least;
+    }
+    bool const holder_heard = node.own_lease_epoch_ != 0 || passed < holder_silence;
+    auto const until_orders = holder_heard ? std::max(millis{0}, node.orders_from_ - now) : takeover_time;
+    auto const* const model = find_hosted_model(*job.engine_, job.call_.model_);
+    if (model == nullptr) {
+        return until_orders;
+    }
+    auto const view = current_view(node);
+    auto fastest = model->load_;
+    for (auto const& [id, entry] : *view.upstreams_) {
+        if (entry.service_ != job.service_ || entry.leaving_) {
+            continue;
+        }
+        if (holds(entry, model->name_, "")) {
+            fastest = millis{0}; // only the adapter is missing
+        } else if (entry.weights_in_memory_.contains(model->name_)) {
+            fastest = std::min(fastest, model->load_warm_);
+        } else if (entry.weights_on_disk_.contains(model->name_)) {
+            fastest = std::min(fastest, model->load_disk_);
+        }
+    }
+    return until_orders + fastest;
 }
 
 need_key need_of(forward_job const& job)
--- a/src/transport/entry/forward_job.hpp
+++ b/src/transport/entry/forward_job.hpp
@@ -24,6 +24,7 @@
     engine_profile const* engine_{};     ///< Null for a plain service.
     millis arrived_{};
     millis deadline_{};
+    millis first_deadline_{}; ///< Until when the caller waits for the first part of the answer.
     std::int64_t urgency_{};
     double charged_{}; ///< Units taken from the workspace's bucket.
     execution execution_{execution::not_run};
@@ -65,9 +66,9 @@
 /// \brief Chooses the upstream of a request from the current view.
 [[nodiscard]] choice choose(entry_node const& node, forward_job const& job);
 
-/// \returns When the model or adapter of the request should be loaded, as far as the holder of the placement
-/// lease has told; none if no load is known.
-[[nodiscard]] std::optional<millis> load_remaining(entry_node const& node, forward_job const& job);
+/// \returns The least time until the model or adapter of the request can be loaded: what the holder of the
+/// placement lease has told of a load under way, or the fastest load that any engine could begin now.
+[[nodiscard]] millis load_remaining(entry_node const& node, forward_job const& job);
 
 /// \returns The key under which the request needs its model.
 [[nodiscard]] need_key need_of(forward_job const& job);
--- a/src/transport/entry/order_keeper.cpp
+++ b/src/transport/entry/order_keeper.cpp
@@ -20,6 +20,14 @@
 constexpr millis lease_idle_pause{300};
 constexpr millis lease_look_pause{250};
 
+/// Longest time for a call about the lease.
+constexpr millis lease_call_limit{800};
+
+/// Pause after a failed call about the lease. After an outage of the store the last holder comes first: it
+/// needs no gap before its orders.
+constexpr millis incumbent_failure_pause{100};
+constexpr millis other_failure_pause{700};
+
 /// A holder that sent no message for this long may have lost the lease.
 constexpr millis holder_silence{1'000};
 
@@ -45,6 +53,12 @@
 /// Time that an adapter takes to load; the platform's sheets say up to ten milliseconds.
 constexpr millis adapter_load_time{12};
 
+/// Time that an engine takes to drop a model on which nothing runs.
+constexpr millis unload_time{110};
+
+/// A model for which room was made is loaded within this time, or the room is free for others.
+constexpr millis reservation_time{2'000};
+
 /// How long the holder tells the daemons of an engine after its last change by an order; the engine's own
 /// entry has followed by then.
 constexpr millis notice_time{10'000};
@@ -81,6 +95,8 @@
     auto const now = boot_now();
     if (holds_lease(keeper.lease_, now)) {
         report.epoch_ = keeper.lease_.epoch_;
+        report.lease_end_ = keeper.lease_.end_;
+        report.orders_from_ = keeper.lease_.orders_from_;
         for (auto const& [id, engine] : keeper.engines_) {
             bool const news = !engine.state_.loading_.empty() || !engine.state_.retiring_.empty() ||
                               (engine.changed_at_ > millis{0} && now - engine.changed_at_ < notice_time);
@@ -121,6 +137,7 @@
                               platform::keyed_content(lease_key, lease_document(record)), keeper.lease_.end_);
     if (outcome.result_ == platform::append_result::stored) {
         note_lease_stored(keeper.lease_, record, sent_at, outcome.end_);
+        tell_daemons(keeper);
         if (taking) {
             log_decision("lease-taken", {{"epoch", record.epoch_},
                                          {"orders_in_ms", (record.orders_from_ - sent_at).count_}});
@@ -141,7 +158,7 @@
 
 net::awaitable<void> keep_lease(order_keeper& keeper)
 {
-    platform::store_client store{keeper.loop_, keeper.settings_.store_address_};
+    platform::store_client store{keeper.loop_, keeper.settings_.store_address_, lease_call_limit};
     while (true) {
         std::string fault;
         auto const now = boot_now();
@@ -152,6 +169,7 @@
             co_await pause_for(lease_idle_pause);
             continue;
         }
+        bool const incumbent = keeper.lease_.newest_ && keeper.lease_.newest_->vm_ == keeper.lease_.vm_;
         try {
             if (keeper.lease_.epoch_ != 0 || may_take_lease(keeper.lease_, now)) {
                 co_await append_lease(keeper, store);
@@ -170,8 +188,10 @@
         if (keeper.lease_.epoch_ != 0 && !holds_lease(keeper.lease_, boot_now())) {
             log_failure("lease-lost", {{"epoch", keeper.lease_.epoch_}});
             drop_lease(keeper.lease_);
+            tell_daemons(keeper);
         }
-        co_await pause_for(fault.empty() ? lease_pause(keeper, boot_now()) : millis{100});
+        auto const failure_pause = incumbent ? incumbent_failure_pause : other_failure_pause;
+        co_await pause_for(fault.empty() ? lease_pause(keeper, boot_now()) : failure_pause);
     }
 }
 
@@ -314,6 +334,7 @@
     switch (order.step_) {
     case placement_step::load_model: {
         state.loading_ = order.model_;
+        state.reserved_for_.clear();
         state.busy_ = true;
         engine.order_began_ = began;
         engine.loading_from_ = order.from_;
@@ -352,6 +373,16 @@
     return "unload-adapter";
 }
 
+/// \returns Requests of the model and its adapters under way on all VMs.
+std::int64_t runs_of(order_keeper const& keeper, std::string_view service, std::string_view model)
+{
+    std::int64_t runs = 0;
+    for (auto const& [key, need] : keeper.demand_->needs_) {
+        runs += key.service_ == service && key.model_ == model ? need.running_ : 0;
+    }
+    return runs;
+}
+
 net::awaitable<void> carry_out(order_keeper& keeper, planned_order order, std::shared_ptr<http_peer> peer)
 {
     if (order.step_ == placement_step::unload_model) {
@@ -403,6 +434,18 @@
         if (order.step_ == placement_step::load_adapter) {
             co_await pause_for(adapter_load_time);
         }
+        if (order.step_ == placement_step::unload_model &&
+            runs_of(keeper, engine->service_, order.model_) == 0) {
+            // Nothing runs on it, so it is gone at once; a load that comes too early is answered as a
+            // conflict.
+            co_await pause_for(unload_time);
+            engine = find_record(keeper, order.upstream_id_, peer.get());
+            if (engine == nullptr) {
+                co_return;
+            }
+            engine->state_.retiring_.erase(order.model_);
+            engine->state_.busy_ = false;
+        }
     } else {
         engine->state_.retiring_.erase(order.model_);
         engine->certain_ = false;
@@ -436,8 +479,11 @@
 void plan_service(order_keeper& keeper, std::string const& service, engine_profile const& profile, millis now)
 {
     std::vector<engine_state> engines;
-    for (auto const& [id, engine] : keeper.engines_) {
+    for (auto& [id, engine] : keeper.engines_) {
         if (engine.service_ == service) {
+            if (now - engine.reserved_at_ > reservation_time) {
+                engine.state_.reserved_for_.clear();
+            }
             engines.push_back(engine.state_);
             engines.back().busy_ = engine.state_.busy_ || engine.calling_ || !engine.certain_;
         }
@@ -452,6 +498,8 @@
         engine.calling_ = true;
         if (order.step_ == placement_step::unload_model) {
             engine.state_.retiring_.insert(order.model_);
+            engine.state_.reserved_for_ = order.room_for_;
+            engine.reserved_at_ = now;
         }
         if (order.step_ == placement_step::load_model && order.from_ == weights_from::store) {
             keeper.store_loads_.push_back(now);
@@ -515,6 +563,15 @@
     keeper.wake_->notify();
 }
 
+void take_lease_end(order_keeper& keeper, std::uint64_t end)
+{
+    if (keeper.lease_.epoch_ == 0 && end > keeper.lease_.end_) {
+        // Another VM's record; who wrote it does not matter until this VM reads the topic.
+        note_lease(keeper.lease_, end, lease_record{.vm_ = "told", .incarnation_ = 0, .epoch_ = 0},
+                   boot_now());
+    }
+}
+
 void take_demand(order_keeper& keeper, std::shared_ptr<fleet_demand const> demand)
 {
     keeper.demand_ = std::move(demand);
--- a/src/transport/entry/order_keeper.hpp
+++ b/src/transport/entry/order_keeper.hpp
@@ -29,6 +29,8 @@
 /// \brief What the holder of the lease tells the daemons.
 struct placement_report {
     std::uint64_t epoch_{}; ///< 0: this VM does not hold the lease.
+    std::uint64_t lease_end_{};
+    millis orders_from_{}; ///< Boot clock.
     std::vector<placement_notice> notices_;
 };
 
@@ -47,6 +49,7 @@
     weights_from loading_from_{weights_from::store};
     int store_loads_then_{}; ///< Loads from the store under way when this one began, itself included.
     millis retired_at_{};    ///< When the daemons were told that a model retires.
+    millis reserved_at_{};   ///< When room began to be made for a model.
     millis changed_at_{};    ///< Last change by an order.
 };
 
@@ -75,6 +78,10 @@
 /// \brief Gives the lease up for good: the VM stops. Thread safety: the control loop's thread.
 void give_up_lease(order_keeper& keeper);
 
+/// \brief Takes over where the lease's topic ends, as its holder told in a message. Thread safety: the
+/// control loop's thread.
+void take_lease_end(order_keeper& keeper, std::uint64_t end);
+
 /// \brief Takes over what the VMs ask for. Thread safety: the control loop's thread.
 void take_demand(order_keeper& keeper, std::shared_ptr<fleet_demand const> demand);
 
--- a/src/transport/entry/peer_exchange.cpp
+++ b/src/transport/entry/peer_exchange.cpp
@@ -84,6 +84,8 @@
     state.crashes_ = node.crashes_;
     state.needs_ = own_needs(node, now);
     state.lease_epoch_ = node.own_lease_epoch_;
+    state.lease_end_ = node.lease_end_;
+    state.orders_in_ = std::max<std::int64_t>(0, (node.orders_from_ - now).count_);
     if (node.own_lease_epoch_ != 0) {
         state.placements_ = node.placements_;
         for (auto& notice : state.placements_) {
@@ -142,6 +144,11 @@
     if (newer) {
         log_decision("placement-holder", {{"vm", state.vm_}, {"epoch", state.lease_epoch_}});
     }
+    if (state.lease_end_ != node.lease_end_) {
+        node.lease_end_ = state.lease_end_;
+        node.lease_told_(state.lease_end_);
+    }
+    node.orders_from_ = now + millis{state.orders_in_};
     node.placements_epoch_ = state.lease_epoch_;
     node.placements_ = state.placements_;
     node.placements_at_ = now;
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -13,6 +13,10 @@
 
 namespace {
 
+/// Longest time for a call to the store besides its own waiting; on slow days it answers within a few hundred
+/// milliseconds.
+constexpr millis store_call_limit{1'500};
+
 /// Longest wait of one read for a newer configuration. Each read also proves that there was none when it was
 /// sent, so this bounds the age of that proof.
 constexpr millis config_wait{1'500};
@@ -89,7 +93,7 @@
 
 net::awaitable<void> follow_config(store_reader& reader)
 {
-    platform::store_client store{reader.loop_, reader.settings_.store_address_};
+    platform::store_client store{reader.loop_, reader.settings_.store_address_, store_call_limit};
     std::optional<std::uint64_t> next;
     millis wait{0};
     while (true) {
@@ -203,7 +207,7 @@
 
 net::awaitable<void> follow_upstreams(store_reader& reader)
 {
-    platform::store_client store{reader.loop_, reader.settings_.store_address_};
+    platform::store_client store{reader.loop_, reader.settings_.store_address_, store_call_limit};
     std::optional<std::uint64_t> next;
     while (true) {
         std::string fault;
@@ -274,7 +278,7 @@
 
 net::awaitable<void> follow_members(store_reader& reader)
 {
-    platform::store_client store{reader.loop_, reader.settings_.store_address_};
+    platform::store_client store{reader.loop_, reader.settings_.store_address_, store_call_limit};
     bool registered = false;
     std::optional<std::uint64_t> next;
     while (true) {
--- a/tests/coordination/model_planner_test.cpp
+++ b/tests/coordination/model_planner_test.cpp
@@ -232,3 +232,18 @@
         }
     });
 }
+
+// Found on jheelpath-rink, quiet-1: room was made for one model and another one took it, so both were
+// unloaded and loaded by turns.
+TEST_CASE("room that is made for a model is kept for it", "[planner]")
+{
+    std::vector<engine_state> engines{engine("one", {"a", "b"})};
+    engines[0].reserved_for_ = "d";
+    engines[0].weights_on_disk_.insert("c");
+    need_map const needs{
+        {key("a"), rated(3.0)}, {key("b"), rated(2.0)}, {key("c"), rated(1.0)}, {key("d"), waiting(1)}};
+    auto const orders = plan(engines, needs);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].step_ == placement_step::load_model);
+    CHECK(orders[0].model_ == "d");
+}
