--- a/include/auburnchute/model_planner.hpp
+++ b/include/auburnchute/model_planner.hpp
@@ -27,6 +27,7 @@
     std::string loading_;                                   ///< Model that is being loaded; empty: none.
     std::string reserved_for_;        ///< Model for which room is being made here; empty: none.
     bool busy_{};                     ///< Takes no order for a model now.
+    millis free_in_{};                ///< If busy: when it should take the next one.
     bool leaving_{};                  ///< Gets no new model.
     std::int64_t adapters_pending_{}; ///< Adapters on their way, which take places already.
     std::int64_t running_{};          ///< Requests under way there, all VMs together.
--- a/src/coordination/model_planner.cpp
+++ b/src/coordination/model_planner.cpp
@@ -183,11 +183,12 @@
                                 wanted_model const& wanted, bool may_evict)
 {
     bool const reserved = !engine.reserved_for_.empty() && engine.reserved_for_ != wanted.model_->name_;
-    if (engine.busy_ || engine.leaving_ || reserved || engine.models_.contains(wanted.model_->name_)) {
+    if (engine.leaving_ || reserved || engine.models_.contains(wanted.model_->name_)) {
         return std::nullopt;
     }
     option way{&engine, {}, load_source_of(engine, wanted.model_->name_), 0};
     way.cost_ms_ = static_cast<double>(load_time(*wanted.model_, way.from_).count_);
+    way.cost_ms_ += engine.busy_ ? static_cast<double>(engine.free_in_.count_) : 0.0;
     way.cost_ms_ += way.cost_ms_ * blocked_adapters_share * adapters_blocked(input, engine);
     auto left = free_memory(input, engine);
     if (left >= wanted.model_->memory_mb_) {
@@ -267,7 +268,7 @@
             continue;
         }
         auto const way = option_at(input, all, engine, found->second, true);
-        if (way && may_load(plan, way->from_, 0)) {
+        if (way && !engine.busy_ && may_load(plan, way->from_, 0)) {
             take_way(all, found->second, *way, plan, "room-was-made");
         }
     }
@@ -299,6 +300,9 @@
     if (!best) {
         return false;
     }
+    if (best->engine_->busy_) {
+        return true; // waiting for it is faster than another engine
+    }
     take_way(all, wanted, *best, plan, reason);
     ++wanted.replicas_;
     return true;
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -69,6 +69,7 @@
 constexpr millis wait_round{250};
 
 constexpr int misdirected = 421;
+constexpr int timed_out = 504;
 constexpr int unavailable = 503;
 
 using answer_parser = http::response_parser<http::buffer_body>;
@@ -138,6 +139,12 @@
     net::awaitable<bool> send_answer(upstream_answer answer);
     net::awaitable<bool> send_own(own_answer answer, std::string request_id);
     net::awaitable<void> watch_caller(std::uint64_t watch);
+    /// Decides when the answer is written: the VM may have begun to stop since the request came.
+    bool keeps_open()
+    {
+        keep_ = keep_ && !node_.stopping_;
+        return keep_;
+    }
     void start_watch();
     void end_watch();
     void note_result(forward_job const& job, chosen_upstream const& upstream, try_outcome const& outcome);
@@ -287,9 +294,6 @@
     job.call_ = platform::read_call(request);
     last_upstream_.clear();
     last_status_ = 0;
-    if (node_.stopping_) {
-        keep_ = false;
-    }
     ++node_.open_calls_;
     std::optional<own_answer> own = admit(node_, job, request);
     if (!own) {
@@ -329,7 +333,8 @@
         auto const now = boot_now();
         if (now >= job.deadline_) {
             bool const idle = job.execution_ == execution::not_run;
-            co_return own_answer{idle ? unavailable : 504, "deadline", idle ? least_retry_after : millis{-1}};
+            co_return own_answer{idle ? unavailable : timed_out, "deadline",
+                                 idle ? least_retry_after : millis{-1}};
         }
         auto const chosen = choose(node_, job);
         if (!chosen.upstream_) {
@@ -372,6 +377,9 @@
                              !try_again(node_.retries_, outcome.result_, true,
                                         static_cast<int>(job.used_.size()), boot_now(), job.deadline_))) {
             bool const idle = job.execution_ == execution::not_run;
+            if (!idle && boot_now() >= job.deadline_) {
+                co_return own_answer{timed_out, "deadline", millis{-1}};
+            }
             co_return own_answer{idle ? unavailable : 502, idle ? "upstream-refused" : "upstream-failed",
                                  idle ? least_retry_after : millis{-1}};
         }
@@ -652,7 +660,7 @@
         head.erase(http::field::content_length);
         http::response<http::empty_body> answer{std::move(head)};
         answer.chunked(true);
-        answer.keep_alive(keep_);
+        answer.keep_alive(keeps_open());
         std::ostringstream text;
         text << answer.base();
         bytes = text.str();
@@ -680,7 +688,7 @@
     upstream_answer passed{platform::answer_head(answer.base())};
     passed.body() = std::move(answer.body());
     passed.prepare_payload();
-    passed.keep_alive(keep_);
+    passed.keep_alive(keeps_open());
     error_code fault;
     stream_.expires_after(to_chrono(write_limit));
     co_await http::async_write(stream_, passed, outcome_in(fault));
@@ -690,7 +698,7 @@
 net::awaitable<bool> caller_session::send_own(own_answer answer, std::string request_id)
 {
     auto message = to_message(answer, request_id);
-    message.keep_alive(keep_);
+    message.keep_alive(keeps_open());
     error_code fault;
     stream_.expires_after(to_chrono(write_limit));
     co_await http::async_write(stream_, message, outcome_in(fault));
--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -1,5 +1,7 @@
 #include "transport/entry/forward_job.hpp"
 
+#include "protocol/decision_log.hpp"
+
 #include <auburnchute/ids.hpp>
 #include <auburnchute/upstream_choice.hpp>
 
@@ -74,6 +76,12 @@
     auto const units = cost_of(job);
     auto const share = heard_share(node, now);
     if (!spend(use.bucket_, units, share, now)) {
+        log_failure("rate-limited", {{"id", job.call_.request_id_},
+                                     {"workspace", job.workspace_->name_},
+                                     {"units", static_cast<std::int64_t>(units)},
+                                     {"level", static_cast<std::int64_t>(use.bucket_.level_)},
+                                     {"rate", static_cast<std::int64_t>(use.bucket_.rate_)},
+                                     {"heard_percent", static_cast<std::int64_t>(share * 100)}});
         return own_answer{too_many_requests, "rate-limited", time_until(use.bucket_, units, share)};
     }
     job.charged_ = units;
--- a/src/transport/entry/order_keeper.cpp
+++ b/src/transport/entry/order_keeper.cpp
@@ -26,7 +26,8 @@
 /// Pause after a failed call about the lease. After an outage of the store the last holder comes first: it
 /// needs no gap before its orders.
 constexpr millis incumbent_failure_pause{100};
-constexpr millis other_failure_pause{700};
+constexpr millis other_failure_pause{300};
+constexpr millis incumbent_time{600};
 
 /// A holder that sent no message for this long may have lost the lease.
 constexpr millis holder_silence{1'000};
@@ -169,21 +170,23 @@
             co_await pause_for(lease_idle_pause);
             continue;
         }
+        bool const store_back_lately = now - keeper.store_answers_since_ < incumbent_time;
         bool const incumbent = keeper.lease_.newest_ && keeper.lease_.newest_->vm_ == keeper.lease_.vm_;
         try {
-            if (keeper.lease_.epoch_ != 0 || may_take_lease(keeper.lease_, now)) {
+            bool const may_take = may_take_lease(keeper.lease_, now) && (incumbent || !store_back_lately);
+            if (keeper.lease_.epoch_ != 0 || may_take) {
                 co_await append_lease(keeper, store);
             } else {
                 co_await read_lease_topic(keeper, store);
-                if (may_take_lease(keeper.lease_, boot_now())) {
-                    continue;
-                }
             }
         } catch (std::exception const& failure) {
             fault = failure.what();
         }
         if (!fault.empty()) {
             log_failure("lease-call-failed", {{"fault", fault}});
+            keeper.store_failed_ = true;
+        } else if (std::exchange(keeper.store_failed_, false)) {
+            keeper.store_answers_since_ = boot_now();
         }
         if (keeper.lease_.epoch_ != 0 && !holds_lease(keeper.lease_, boot_now())) {
             log_failure("lease-lost", {{"epoch", keeper.lease_.epoch_}});
@@ -486,6 +489,9 @@
             }
             engines.push_back(engine.state_);
             engines.back().busy_ = engine.state_.busy_ || engine.calling_ || !engine.certain_;
+            engines.back().free_in_ = engine.state_.loading_.empty()
+                                          ? engine_call_limit
+                                          : std::max(report_rhythm, engine.load_due_ - now);
         }
     }
     auto const store = allowance(keeper, profile, service, now);
--- a/src/transport/entry/order_keeper.hpp
+++ b/src/transport/entry/order_keeper.hpp
@@ -69,7 +69,9 @@
     int most_at_once_{4};              ///< Loads that run at full speed; follows what loads take.
     std::unique_ptr<wake_event> wake_{};
     bool was_holder_{};
-    bool leaving_{}; ///< The VM stops: it takes no lease any more.
+    bool store_failed_{};          ///< The last call about the lease failed.
+    millis store_answers_since_{}; ///< When one succeeded again after that; 0: none ever failed.
+    bool leaving_{};               ///< The VM stops: it takes no lease any more.
 };
 
 /// \brief Starts until the loop stops. \pre `keeper` outlives the loop's work.
--- /dev/null
+++ b/tests/transport/entry/standin_platform.hpp
@@ -0,0 +1,372 @@
+#pragma once
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <httplib.h>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+#include <optional>
+#include <poll.h>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+namespace auburnchute::tests {
+
+/// \returns A loopback address that no other test process uses at the same time, so that ports may be fixed.
+inline std::string own_address()
+{
+    auto const pid = static_cast<unsigned>(::getpid());
+    return "127.77." + std::to_string(pid >> 8U & 0xffU) + "." + std::to_string(1 + (pid & 0xffU) % 254U);
+}
+
+/// \brief A socket that closes itself.
+class owned_socket {
+public:
+    explicit owned_socket(int handle) : handle_{handle} {}
+    owned_socket(owned_socket&& other) noexcept : handle_{std::exchange(other.handle_, -1)} {}
+    owned_socket(owned_socket const&) = delete;
+    owned_socket& operator=(owned_socket const&) = delete;
+    owned_socket& operator=(owned_socket&&) = delete;
+    ~owned_socket()
+    {
+        if (handle_ >= 0) {
+            ::close(handle_);
+        }
+    }
+
+    [[nodiscard]] int handle() const noexcept { return handle_; }
+
+    void send(std::string_view bytes) const
+    {
+        while (!bytes.empty()) {
+            auto const sent = ::send(handle_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (sent <= 0) {
+                return;
+            }
+            bytes.remove_prefix(static_cast<std::size_t>(sent));
+        }
+    }
+
+    /// \brief Reads some bytes. \returns Empty at the end of the connection or after ten seconds.
+    [[nodiscard]] std::string receive() const
+    {
+        pollfd readable{handle_, POLLIN, 0};
+        if (::poll(&readable, 1, 10'000) <= 0) {
+            return {};
+        }
+        char buffer[4096];
+        auto const got = ::recv(handle_, buffer, sizeof buffer, 0);
+        return got > 0 ? std::string(buffer, static_cast<std::size_t>(got)) : std::string{};
+    }
+
+    /// \brief Reads until the text has come. \returns Everything read, also if the connection ended before.
+    [[nodiscard]] std::string receive_until(std::string_view text) const
+    {
+        std::string all;
+        while (all.find(text) == std::string::npos) {
+            auto const more = receive();
+            if (more.empty()) {
+                break;
+            }
+            all += more;
+        }
+        return all;
+    }
+
+    /// \brief Closes the connection so that the peer sees a reset.
+    void reset()
+    {
+        linger const now{1, 0};
+        ::setsockopt(handle_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        ::close(std::exchange(handle_, -1));
+    }
+
+private:
+    int handle_;
+};
+
+inline sockaddr_in to_sockaddr(std::string const& ip, int port)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    ::inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+    return address;
+}
+
+/// \brief Connects as a caller. \throws std::runtime_error if nobody listens.
+inline owned_socket connect_to(std::string const& ip, int port)
+{
+    owned_socket made{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)};
+    auto const address = to_sockaddr(ip, port);
+    if (::connect(made.handle(), reinterpret_cast<sockaddr const*>(&address), sizeof address) != 0) {
+        throw std::runtime_error{"nobody listens at " + ip + ":" + std::to_string(port)};
+    }
+    return made;
+}
+
+/// \brief The platform's store: topics in memory, with conditional appends and reads that wait.
+class standin_store {
+public:
+    explicit standin_store(std::string const& ip)
+    {
+        server_.Post("/auburnchute/log-append",
+                     [this](auto const& request, auto& response) { append(request, response); });
+        server_.Get("/auburnchute/log-read",
+                    [this](auto const& request, auto& response) { read(request, response); });
+        server_.Get("/auburnchute/log-newest",
+                    [this](auto const& request, auto& response) { newest(request, response); });
+        server_.set_pre_routing_handler([this](auto const&, auto& response) {
+            if (!down_) {
+                return httplib::Server::HandlerResponse::Unhandled;
+            }
+            response.status = 503;
+            return httplib::Server::HandlerResponse::Handled;
+        });
+        port_ = server_.bind_to_any_port(ip.c_str());
+        thread_ = std::thread{[this] { server_.listen_after_bind(); }};
+    }
+    ~standin_store()
+    {
+        down_ = true;
+        changed_.notify_all();
+        server_.stop();
+        thread_.join();
+    }
+    standin_store(standin_store const&) = delete;
+    standin_store& operator=(standin_store const&) = delete;
+
+    [[nodiscard]] int port() const noexcept { return port_; }
+
+    /// \brief Writes a key of a keyed topic, as the operator and the upstreams do.
+    void put(std::string const& topic, std::string const& key, std::string const& value)
+    {
+        std::scoped_lock const lock{mutex_};
+        topics_[topic].push_back(static_cast<char>(key.size()) + key + value);
+        changed_.notify_all();
+    }
+
+    void set_down(bool down)
+    {
+        down_ = down;
+        changed_.notify_all();
+    }
+
+private:
+    static std::string to_base64(std::string const& bytes)
+    {
+        std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+        auto const size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                                          reinterpret_cast<unsigned char const*>(bytes.data()),
+                                          static_cast<int>(bytes.size()));
+        text.resize(static_cast<std::size_t>(size));
+        return text;
+    }
+
+    static std::string big_endian(std::uint64_t value, int bytes)
+    {
+        std::string text;
+        for (int shift = (bytes - 1) * 8; shift >= 0; shift -= 8) {
+            text += static_cast<char>(value >> shift & 0xffU);
+        }
+        return text;
+    }
+
+    void append(httplib::Request const& request, httplib::Response& response)
+    {
+        std::scoped_lock const lock{mutex_};
+        auto& topic = topics_[request.get_param_value("topic")];
+        bool const conflict =
+            request.has_param("at") && std::stoull(request.get_param_value("at")) != topic.size();
+        if (conflict) {
+            response.status = 412;
+        } else {
+            topic.push_back(request.body.substr(4));
+            changed_.notify_all();
+        }
+        response.set_content(nlohmann::json{{"end_offset", topic.size()}}.dump(), "application/json");
+    }
+
+    void read(httplib::Request const& request, httplib::Response& response)
+    {
+        std::unique_lock lock{mutex_};
+        auto const name = request.get_param_value("topic");
+        auto const from = std::stoull(request.get_param_value("from"));
+        auto const wait = std::chrono::milliseconds{std::stoll(request.get_param_value("wait_ms"))};
+        changed_.wait_for(lock, wait, [&] { return down_ || topics_[name].size() > from; });
+        if (down_) {
+            response.status = 503;
+            return;
+        }
+        auto const& topic = topics_[name];
+        auto body = big_endian(topic.size(), 8) + big_endian(0, 8);
+        for (auto at = from; at < topic.size(); ++at) {
+            body += big_endian(topic[at].size(), 4) + topic[at];
+        }
+        response.set_content(body, "application/octet-stream");
+    }
+
+    void newest(httplib::Request const& request, httplib::Response& response)
+    {
+        std::scoped_lock const lock{mutex_};
+        std::map<std::string, std::string> values;
+        auto const& topic = topics_[request.get_param_value("topic")];
+        for (auto const& record : topic) {
+            auto const size = static_cast<std::size_t>(static_cast<unsigned char>(record[0]));
+            values[record.substr(1, size)] = record.substr(1 + size);
+        }
+        auto items = nlohmann::json::array();
+        for (auto const& [key, value] : values) {
+            if (!value.empty()) {
+                items.push_back({{"key", key}, {"value", to_base64(value)}});
+            }
+        }
+        response.set_content(
+            nlohmann::json{{"items", items}, {"truncated", false}, {"end_offset", topic.size()}}.dump(),
+            "application/json");
+    }
+
+    httplib::Server server_;
+    int port_{};
+    std::thread thread_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::atomic<bool> down_{false};
+    std::map<std::string, std::vector<std::string>> topics_;
+};
+
+/// \brief A request as an upstream got it.
+struct received_request {
+    std::string head_;
+    std::string body_;
+
+    /// \returns The value of the field, or empty.
+    [[nodiscard]] std::string field(std::string const& name) const
+    {
+        auto const at = head_.find("\r\n" + name + ": ");
+        if (at == std::string::npos) {
+            return {};
+        }
+        auto const begin = at + name.size() + 4;
+        return head_.substr(begin, head_.find("\r\n", begin) - begin);
+    }
+};
+
+/// \brief An upstream that answers as a test says, byte by byte.
+class scripted_upstream {
+public:
+    /// Called for each request, on a thread of its connection. It writes what it likes; the connection ends
+    /// when it returns false.
+    using script = std::function<bool(received_request const&, owned_socket&)>;
+
+    scripted_upstream(std::string const& ip, script answer)
+        : listener_{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)}, answer_{std::move(answer)}
+    {
+        auto address = to_sockaddr(ip, 0);
+        socklen_t size = sizeof address;
+        if (::bind(listener_.handle(), reinterpret_cast<sockaddr const*>(&address), size) != 0 ||
+            ::listen(listener_.handle(), 64) != 0 ||
+            ::getsockname(listener_.handle(), reinterpret_cast<sockaddr*>(&address), &size) != 0) {
+            throw std::runtime_error{"the upstream cannot listen"};
+        }
+        address_ = ip + ":" + std::to_string(ntohs(address.sin_port));
+        acceptor_ = std::thread{[this] { accept_all(); }};
+    }
+    ~scripted_upstream()
+    {
+        ::shutdown(listener_.handle(), SHUT_RDWR);
+        acceptor_.join();
+        for (auto& connection : connections_) {
+            connection.join();
+        }
+    }
+    scripted_upstream(scripted_upstream const&) = delete;
+    scripted_upstream& operator=(scripted_upstream const&) = delete;
+
+    [[nodiscard]] std::string const& address() const noexcept { return address_; }
+
+    /// \returns The requests that came so far.
+    [[nodiscard]] std::vector<received_request> requests() const
+    {
+        std::scoped_lock const lock{mutex_};
+        return requests_;
+    }
+
+private:
+    void accept_all()
+    {
+        while (true) {
+            int const handle = ::accept4(listener_.handle(), nullptr, nullptr, SOCK_CLOEXEC);
+            if (handle < 0) {
+                return;
+            }
+            connections_.emplace_back([this, handle] { serve(owned_socket{handle}); });
+        }
+    }
+
+    void serve(owned_socket connection)
+    {
+        std::string unread;
+        while (true) {
+            auto end = unread.find("\r\n\r\n");
+            if (end == std::string::npos) {
+                auto const more = connection.receive();
+                if (more.empty()) {
+                    return;
+                }
+                unread += more;
+                continue;
+            }
+            received_request request{unread.substr(0, end + 2), {}};
+            unread.erase(0, end + 4);
+            auto const length = request.field("Content-Length");
+            auto const size = length.empty() ? 0U : std::stoul(length);
+            while (unread.size() < size) {
+                auto const more = connection.receive();
+                if (more.empty()) {
+                    return;
+                }
+                unread += more;
+            }
+            request.body_ = unread.substr(0, size);
+            unread.erase(0, size);
+            {
+                std::scoped_lock const lock{mutex_};
+                requests_.push_back(request);
+            }
+            if (!answer_(request, connection)) {
+                return;
+            }
+        }
+    }
+
+    owned_socket listener_;
+    script answer_;
+    std::string address_;
+    std::thread acceptor_;
+    std::vector<std::thread> connections_;
+    mutable std::mutex mutex_;
+    std::vector<received_request> requests_;
+};
+
+/// \returns A whole answer to the request, with the proof that callers check.
+inline std::string answer_to(received_request const& request, std::string const& body, int status = 200)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Request-Id: " + request.field("X-Request-Id") +
+           "\r\nX-Response-Stamp: proof\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
+} // namespace auburnchute::tests
