--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -239,6 +239,10 @@
         net::post(loop, [&node, &shared] {
             follow_members(node, shared.cell_.read([](entry_view const& view) { return view.members_; }));
             wake_waiting(node);
+            if (auto const next = current_view(node).config_next_; next != node.config_told_) {
+                node.config_told_ = next;
+                node.send_state_(); // peers that do not read learn of a new configuration at once
+            }
         });
     };
     order_keeper keeper{control_loop, settings, shared, counters, {}};
@@ -252,6 +256,9 @@
     node.lease_told_ = [&keeper](std::uint64_t end) {
         net::post(keeper.loop_, [&keeper, end] { take_lease_end(keeper, end); });
     };
+    node.news_told_ = [&reader](upstream_news news) {
+        net::post(reader.loop_, [&reader, told = std::move(news)] { take_news(reader, told); });
+    };
     node.stop_placing_ = [&keeper] { net::post(keeper.loop_, [&keeper] { give_up_lease(keeper); }); };
     serve_callers(node, settings.callers_listen_);
     serve_own_pages(node);
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -101,6 +101,15 @@
     state.lease_epoch_ = fields.at(11);
     state.lease_end_ = fields.at(12);
     state.orders_in_ = fields.at(13);
+    state.news_from_ = fields.at(15);
+    state.news_to_ = fields.at(16);
+    for (auto const& row : fields.at(17)) {
+        upstream_entry_news change{row.at(0), row.at(1), std::nullopt};
+        if (!row.at(2).is_null()) {
+            change.document_ = row.at(2).get<std::string>();
+        }
+        state.news_.push_back(std::move(change));
+    }
     for (auto const& row : fields.at(14)) {
         state.placements_.push_back(decode_placement(row));
     }
@@ -119,6 +128,10 @@
     for (auto const& notice : state.placements_) {
         placements.push_back(encode_placement(notice));
     }
+    auto news = json::array();
+    for (auto const& change : state.news_) {
+        news.push_back({change.offset_, change.id_, change.document_ ? json(*change.document_) : json()});
+    }
     json const fields{state.vm_,
                       state.incarnation_,
                       state.callers_address_,
@@ -133,7 +146,10 @@
                       state.lease_epoch_,
                       state.lease_end_,
                       state.orders_in_,
-                      placements};
+                      placements,
+                      state.news_from_,
+                      state.news_to_,
+                      news};
     return json::to_cbor(fields);
 }
 
--- a/src/protocol/peer_message.hpp
+++ b/src/protocol/peer_message.hpp
@@ -19,6 +19,13 @@
     std::int64_t tokens_{};
 };
 
+/// \brief A change of an upstream's entry, as it stands in the store.
+struct upstream_entry_news {
+    std::uint64_t offset_{};
+    std::string id_;
+    std::optional<std::string> document_; ///< None: the entry was removed.
+};
+
 /// \brief What an entry daemon tells all its peers. Counts are totals since the daemon started, so a lost or
 /// repeated message does no harm.
 struct peer_state {
@@ -34,6 +41,10 @@
     std::map<std::string, int, std::less<>>
         crashes_; ///< Upstreams that died under a request, by fingerprint.
     need_map needs_;
+    std::uint64_t
+        news_from_{}; ///< Offsets of the upstreams' entries between which `news_` tells all changes.
+    std::uint64_t news_to_{};
+    std::vector<upstream_entry_news> news_;
     std::uint64_t lease_epoch_{}; ///< Of the placement lease that it holds; 0: none.
     std::uint64_t lease_end_{};   ///< Where the lease's topic ended after the holder's last record.
     std::int64_t orders_in_{};    ///< Milliseconds until the holder may give orders.
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -79,6 +79,7 @@
     upstream_pool pool_;
     std::uint64_t incarnation_{};
     millis started_at_{};
+    std::uint64_t config_told_{}; ///< Offset of the configuration that the peers were told of at once.
     bool stopping_{};
     std::int64_t open_calls_{};
     std::map<std::string, known_peer, std::less<>> peers_; ///< By VM.
@@ -99,8 +100,9 @@
     std::function<void()> need_changed_; ///< Called when a request starts to wait for a model.
     std::function<void()> send_state_;   ///< Sends this daemon's state to its peers now.
     std::function<void(std::uint64_t)>
-        lease_told_;                     ///< Called with the lease's end when a holder tells a new one.
-    std::function<void()> stop_placing_; ///< Gives the placement lease up for good.
+        lease_told_; ///< Called with the lease's end when a holder tells a new one.
+    std::function<void(upstream_news)> news_told_; ///< Called with news of upstreams that a peer read.
+    std::function<void()> stop_placing_;           ///< Gives the placement lease up for good.
 };
 
 /// \returns The current view's parts that a request needs. Thread safety: any thread.
--- a/src/transport/entry/entry_view.hpp
+++ b/src/transport/entry/entry_view.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "protocol/peer_message.hpp"
+
 #include <auburnchute/clock.hpp>
 #include <auburnchute/fleet_config.hpp>
 #include <auburnchute/snapshot_cell.hpp>
@@ -8,6 +10,7 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +25,13 @@
     friend bool operator==(entry_member const&, entry_member const&) = default;
 };
 
+/// \brief What the entries' topic held between two offsets, besides entries that say nothing new.
+struct upstream_news {
+    std::uint64_t from_{};
+    std::uint64_t to_{};
+    std::vector<upstream_entry_news> changes_;
+};
+
 /// \brief What the control thread knows; replaced as a whole.
 struct entry_view {
     std::shared_ptr<fleet_config const> config_; ///< Null until one was read.
@@ -30,6 +40,8 @@
     std::uint64_t config_next_{}; ///< Offset after the newest record of it that was read.
     std::shared_ptr<upstream_map const> upstreams_{std::make_shared<upstream_map const>()};
     std::vector<entry_member> members_;
+    std::shared_ptr<upstream_news const> news_{
+        std::make_shared<upstream_news const>()}; ///< Of the last seconds.
 };
 
 /// \brief What the control thread shares with the thread that serves requests.
@@ -39,6 +51,12 @@
     snapshot_cell<entry_view> cell_{std::make_unique<entry_view const>()};
     /// When the read was sent that last reached the end of the configuration's topic; boot clock. 0: never.
     std::atomic<std::int64_t> config_read_at_{0};
+    /// The same as a peer handed over; see `take_freshness`.
+    std::atomic<std::int64_t> config_proof_at_{0};
+    /// Largest offset after the configuration's newest record that any peer has in force.
+    std::atomic<std::uint64_t> config_hint_{0};
+    /// Whether this VM is one of those that read the store for all.
+    std::atomic<bool> reads_for_all_{true};
     /// When a peer that holds the placement lease was last heard; boot clock. 0: never.
     std::atomic<std::int64_t> holder_heard_at_{0};
 };
--- a/src/transport/entry/peer_exchange.cpp
+++ b/src/transport/entry/peer_exchange.cpp
@@ -4,6 +4,7 @@
 #include "transport/entry/forward_job.hpp"
 
 #include <auburnchute/error.hpp>
+#include <auburnchute/ids.hpp>
 
 #include <algorithm>
 #include <array>
@@ -27,8 +28,11 @@
 /// Largest datagram.
 constexpr std::size_t max_datagram = 60'000;
 
-/// Needs below this rate, in requests a second, are no longer told.
-constexpr double least_rate = 0.001;
+/// Needs below this rate, in requests a second, are no longer told; see `least_rate` of the planner.
+constexpr double least_rate = 0.02;
+
+/// VMs that read the store for all: two may fail at the same time.
+constexpr int store_readers = 3;
 
 /// The daemon's socket; one for each process.
 struct exchange {
@@ -62,6 +66,20 @@
     return needs;
 }
 
+/// One of the VMs that read for all tells the news; the others read on and step in when it falls silent.
+bool tells_news(entry_node const& node, millis now)
+{
+    if (!node.shared_.reads_for_all_.load(std::memory_order_acquire)) {
+        return false;
+    }
+    auto const own = stable_hash(node.settings_.vm_);
+    return std::none_of(node.peers_.begin(), node.peers_.end(), [&](auto const& known) {
+        auto const& peer = known.second;
+        return peer.state_.news_to_ > 0 && now - peer.heard_at_ < directory_silence &&
+               stable_hash(known.first) < own;
+    });
+}
+
 peer_state own_state(entry_node const& node, millis now)
 {
     peer_state state;
@@ -83,6 +101,12 @@
     }
     state.crashes_ = node.crashes_;
     state.needs_ = own_needs(node, now);
+    if (tells_news(node, now)) {
+        auto const news = node.shared_.cell_.read([](entry_view const& view) { return view.news_; });
+        state.news_from_ = news->from_;
+        state.news_to_ = news->to_;
+        state.news_ = news->changes_;
+    }
     state.lease_epoch_ = node.own_lease_epoch_;
     state.lease_end_ = node.lease_end_;
     state.orders_in_ = std::max<std::int64_t>(0, (node.orders_from_ - now).count_);
@@ -131,6 +155,30 @@
     // The peer had received this daemon's message `echo_` when its proof was at most this old.
     auto const age = std::max<std::int64_t>(0, state.config_age_ - times.echo_held_);
     node.handed_freshness_ = std::max(node.handed_freshness_, millis{times.echo_ - age});
+    node.shared_.config_proof_at_.store(node.handed_freshness_.count_, std::memory_order_release);
+}
+
+void take_reader_news(entry_node& node, peer_state& state)
+{
+    auto& hint = node.shared_.config_hint_;
+    hint.store(std::max(hint.load(std::memory_order_acquire), state.config_next_), std::memory_order_release);
+    if (state.news_to_ == 0) {
+        return;
+    }
+    node.news_told_({state.news_from_, state.news_to_, std::move(state.news_)});
+    state.news_.clear();
+}
+
+/// Decides whether this VM is among the few that read the store for all.
+void choose_readers(entry_node& node, millis now)
+{
+    auto const own = stable_hash(node.settings_.vm_);
+    int before = 0;
+    for (auto const& [vm, peer] : node.peers_) {
+        bool const there = peer.state_.ready_ && now - peer.heard_at_ < directory_silence;
+        before += there && stable_hash(vm) < own ? 1 : 0;
+    }
+    node.shared_.reads_for_all_.store(before < store_readers, std::memory_order_release);
 }
 
 void take_placements(entry_node& node, peer_state const& state, millis now)
@@ -184,6 +232,7 @@
     peer.state_ = std::move(datagram.state_);
     book_use(node, peer, first);
     take_freshness(node, peer, datagram.times_);
+    take_reader_news(node, peer.state_);
     take_placements(node, peer.state_, now);
     if (node.own_lease_epoch_ != 0 && node.need_changed_) {
         bool const waits = std::any_of(peer.state_.needs_.begin(), peer.state_.needs_.end(),
@@ -222,8 +271,13 @@
 {
     auto& node = own.node_;
     auto const now = boot_now();
-    auto const state = encode_state(own_state(node, now));
+    choose_readers(node, now);
+    auto full = own_state(node, now);
+    auto const for_holder = encode_state(full);
+    full.needs_.clear(); // only the VM that places models needs them
+    auto const for_others = encode_state(full);
     for (auto const& [vm, peer] : node.peers_) {
+        auto const& state = peer.state_.lease_epoch_ != 0 ? for_holder : for_others;
         peer_times const times{now.count_, peer.last_stamp_, (now - peer.heard_at_).count_};
         auto const bytes = encode_datagram(times, state);
         error_code fault;
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -19,13 +19,26 @@
 
 /// Longest wait of one read for a newer configuration. Each read also proves that there was none when it was
 /// sent, so this bounds the age of that proof.
-constexpr millis config_wait{1'500};
+constexpr millis config_wait{900};
 
 /// Pause between reads of the upstreams' entries, and the longest wait of one: entries change several times a
 /// second, and each read costs.
 constexpr millis upstream_pause{600};
 constexpr millis upstream_wait{1'000};
 
+/// How long news of entries are kept for the peers: a few messages may be lost; after more, a peer reads
+/// itself.
+constexpr millis news_kept{1'500};
+
+/// Most that one message tells of entries; a datagram of a few packets is seldom lost.
+constexpr std::size_t news_bytes = 8'000;
+
+/// After this silence of those that read for all, a VM reads itself.
+constexpr millis news_silence{1'500};
+
+/// Rhythm in which a VM that does not read looks whether it must.
+constexpr millis passive_pause{100};
+
 /// The same for the members, which change rarely.
 constexpr millis member_pause{300};
 constexpr millis member_wait{20'000};
@@ -91,6 +104,17 @@
     co_return newest.next_;
 }
 
+/// Whether peers prove often enough that this VM has the newest configuration, so that it need not read.
+bool proof_suffices(store_reader const& reader, std::uint64_t next)
+{
+    auto const& shared = reader.shared_;
+    auto const proof = std::max(shared.config_read_at_.load(std::memory_order_acquire),
+                                shared.config_proof_at_.load(std::memory_order_acquire));
+    auto const enough = freshness_bound(reader.settings_.key_withdrawal_) * 6 / 10;
+    return !shared.reads_for_all_.load(std::memory_order_acquire) &&
+           shared.config_hint_.load(std::memory_order_acquire) <= next && boot_now() - millis{proof} < enough;
+}
+
 net::awaitable<void> follow_config(store_reader& reader)
 {
     platform::store_client store{reader.loop_, reader.settings_.store_address_, store_call_limit};
@@ -102,6 +126,11 @@
             if (!next) {
                 next = co_await read_all_config(reader, store);
             }
+            if (proof_suffices(reader, *next)) {
+                wait = millis{0}; // a read that becomes necessary should end at once
+                co_await pause_for(passive_pause);
+                continue;
+            }
             auto const sent_at = boot_now();
             auto const page = co_await store.read(platform::config_topic, *next, wait);
             note_call(reader, true, "");
@@ -205,33 +234,92 @@
     return due ? std::clamp(*due - boot_now(), millis{0}, longest) : longest;
 }
 
+/// Keeps what was read for the peers, for some seconds.
+void keep_news(store_reader& reader, upstream_news news)
+{
+    auto const now = boot_now();
+    if (!reader.news_.empty() && reader.news_.back().second.to_ != news.from_) {
+        reader.news_.clear(); // a gap: what came before does not lead here
+    }
+    reader.news_.emplace_back(now, std::move(news));
+    auto const bytes = [&reader] {
+        std::size_t sum = 0;
+        for (auto const& [at, read] : reader.news_) {
+            for (auto const& change : read.changes_) {
+                sum += change.id_.size() + (change.document_ ? change.document_->size() : 0);
+            }
+        }
+        return sum;
+    };
+    while (reader.news_.size() > 1 &&
+           (now - reader.news_.front().first > news_kept || bytes() > news_bytes)) {
+        reader.news_.pop_front();
+    }
+    if (bytes() > news_bytes) {
+        auto const end = reader.news_.back().second.to_;
+        reader.news_.back().second = {end, end, {}}; // too much for a message: the peers read themselves
+    }
+    upstream_news all{reader.news_.front().second.from_, reader.news_.back().second.to_, {}};
+    for (auto const& [at, read] : reader.news_) {
+        all.changes_.insert(all.changes_.end(), read.changes_.begin(), read.changes_.end());
+    }
+    reader.draft_.news_ = std::make_shared<upstream_news const>(std::move(all));
+}
+
+net::awaitable<void> read_upstreams_once(store_reader& reader, platform::store_client& store)
+{
+    if (!reader.upstreams_next_) {
+        reader.upstreams_next_ = co_await read_all_upstreams(reader, store);
+    }
+    auto const from = *reader.upstreams_next_;
+    auto const page = co_await store.read(platform::upstream_topic, from, until_lapse(reader, upstream_wait));
+    note_store_answered(reader.registry_, boot_now());
+    if (page.expired_ || *reader.upstreams_next_ != from) {
+        if (page.expired_) {
+            reader.upstreams_next_.reset();
+        }
+        co_return; // a peer's news were faster
+    }
+    upstream_news news{from, page.next_, {}};
+    bool changed = false;
+    for (auto const& stored : page.records_) {
+        auto const record = platform::read_keyed(stored.bytes_);
+        if (record && take_upstream(reader, record->key_, record->value_)) {
+            changed = true;
+            news.changes_.push_back({stored.offset_, record->key_, record->value_});
+        }
+    }
+    reader.upstreams_next_ = page.next_;
+    keep_news(reader, std::move(news));
+    if (drop_lapsed(reader.registry_, boot_now()) || changed) {
+        publish_upstreams(reader);
+    } else {
+        publish(reader);
+    }
+}
+
+/// Whether the peers that read for all tell enough, so that this VM need not read.
+bool news_suffice(store_reader const& reader)
+{
+    auto const heard = reader.news_heard_at_;
+    return !reader.shared_.reads_for_all_.load(std::memory_order_acquire) && reader.upstreams_next_ &&
+           !reader.registry_.away_ && heard > millis{0} && boot_now() - heard < news_silence;
+}
+
 net::awaitable<void> follow_upstreams(store_reader& reader)
 {
     platform::store_client store{reader.loop_, reader.settings_.store_address_, store_call_limit};
-    std::optional<std::uint64_t> next;
     while (true) {
         std::string fault;
         try {
-            if (!next) {
-                next = co_await read_all_upstreams(reader, store);
-            }
-            auto const page =
-                co_await store.read(platform::upstream_topic, *next, until_lapse(reader, upstream_wait));
-            note_store_answered(reader.registry_, boot_now());
-            if (page.expired_) {
-                next.reset();
-                continue;
-            }
-            bool changed = false;
-            for (auto const& stored : page.records_) {
-                if (auto const record = platform::read_keyed(stored.bytes_)) {
-                    changed = take_upstream(reader, record->key_, record->value_) || changed;
+            if (news_suffice(reader)) {
+                if (drop_lapsed(reader.registry_, boot_now())) {
+                    publish_upstreams(reader);
                 }
+                co_await pause_for(until_lapse(reader, passive_pause));
+                continue;
             }
-            next = page.next_;
-            if (drop_lapsed(reader.registry_, boot_now()) || changed) {
-                publish_upstreams(reader);
-            }
+            co_await read_upstreams_once(reader, store);
             co_await pause_for(until_lapse(reader, upstream_pause));
             continue;
         } catch (std::exception const& failure) {
@@ -239,7 +327,10 @@
         }
         log_failure("upstreams-unread", {{"fault", fault}});
         note_store_lost(reader.registry_);
-        next.reset(); // entries may have lapsed meanwhile
+        reader.news_.clear();
+        reader.draft_.news_ = std::make_shared<upstream_news const>();
+        publish(reader);
+        reader.upstreams_next_.reset(); // entries may have lapsed meanwhile
         co_await pause_for(failure_pause);
     }
 }
@@ -326,6 +417,28 @@
 
 } // namespace
 
+void take_news(store_reader& reader, upstream_news const& news)
+{
+    auto const next = reader.upstreams_next_;
+    if (!next || *next < news.from_ || reader.registry_.away_) {
+        return; // something is missing between
+    }
+    reader.news_heard_at_ = boot_now();
+    if (*next >= news.to_) {
+        return;
+    }
+    bool changed = false;
+    for (auto const& change : news.changes_) {
+        if (change.offset_ >= *next) {
+            changed = take_upstream(reader, change.id_, change.document_) || changed;
+        }
+    }
+    reader.upstreams_next_ = news.to_;
+    if (changed) {
+        publish_upstreams(reader);
+    }
+}
+
 void publish(store_reader& reader)
 {
     reader.shared_.cell_.publish(std::make_unique<entry_view const>(reader.draft_));
--- a/src/transport/entry/store_reader.hpp
+++ b/src/transport/entry/store_reader.hpp
@@ -7,6 +7,7 @@
 
 #include <auburnchute/upstream_registry.hpp>
 
+#include <deque>
 #include <functional>
 
 namespace auburnchute {
@@ -23,12 +24,21 @@
     std::function<void()> changed_;
     entry_view draft_{};
     upstream_registry registry_{};
+    millis news_heard_at_{}; ///< When a peer last told news that this VM could follow; 0: never.
+    std::optional<std::uint64_t>
+        upstreams_next_{}; ///< Offset from which entries are read next; none: all anew.
+    std::deque<std::pair<millis, upstream_news>>
+        news_{};                 ///< Of the last seconds, with the time of each read.
     bool store_reachable_{true}; ///< As of the last call; a change is logged.
 };
 
 /// \brief Starts reading until the loop stops. \pre `reader` outlives the loop's work.
 void start_reading(store_reader& reader);
 
+/// \brief Takes over news of the upstreams' entries that a peer read. Thread safety: the control loop's
+/// thread.
+void take_news(store_reader& reader, upstream_news const& news);
+
 /// \brief Puts the present draft before the thread that serves requests.
 void publish(store_reader& reader);
 
