--- a/src/coordination/model_planner.cpp
+++ b/src/coordination/model_planner.cpp
@@ -165,7 +165,8 @@
 double adapters_blocked(planner_input const& input, engine_state const& engine)
 {
     double rate = 0;
-    for (auto const& [key, need] : input.needs_) {
+    for (auto const& need : input.needs_) {
+        auto const& key = need.first;
         if (key.service_ != input.service_ || key.adapter_.empty() || !engine.models_.contains(key.model_)) {
             continue;
         }
@@ -174,7 +175,7 @@
                 return other.id_ != engine.id_ && !other.busy_ && !other.leaving_ &&
                        other.models_.contains(key.model_);
             });
-        rate += elsewhere ? 0.0 : need.rate_;
+        rate += elsewhere ? 0.0 : need.second.rate_;
     }
     return rate;
 }
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -6,8 +6,14 @@
 
 namespace {
 
-/// A peer that sent nothing for this long is not counted as heard: five messages.
-constexpr millis peer_silence{1'000};
+/// Rhythm of the messages with few peers; the limits' slack covers what is spent within it.
+constexpr millis least_rhythm{150};
+
+/// Time added for each peer: the messages of all VMs grow with the square of their number.
+constexpr millis rhythm_per_peer{6};
+
+/// Least silence after which a peer counts as not heard.
+constexpr millis least_silence{1'000};
 
 /// A peer that sent nothing for this long no longer keeps its part of the rates. It is longer than the bound
 /// on keys, after which a peer that is cut off spends nothing.
@@ -18,6 +24,16 @@
 
 } // namespace
 
+millis message_rhythm(std::size_t peers) noexcept
+{
+    return least_rhythm + rhythm_per_peer * static_cast<std::int64_t>(peers);
+}
+
+millis peer_silence(std::size_t peers) noexcept
+{
+    return std::max(least_silence, message_rhythm(peers) * 3);
+}
+
 request_view current_view(entry_node const& node)
 {
     return node.shared_.cell_.read([](entry_view const& view) {
@@ -39,6 +55,7 @@
 
 double heard_share(entry_node const& node, millis now) noexcept
 {
+    auto const longest = peer_silence(node.peers_.size());
     int heard = 1;
     int counted = 1;
     for (auto const& [vm, peer] : node.peers_) {
@@ -46,7 +63,7 @@
             continue; // never alive in this daemon's time
         }
         auto const silence = now - peer.heard_at_;
-        heard += silence < peer_silence ? 1 : 0;
+        heard += silence < longest ? 1 : 0;
         counted += silence < peer_share_kept ? 1 : 0;
     }
     return static_cast<double>(heard) / static_cast<double>(counted);
@@ -58,8 +75,9 @@
     if (auto const own = node.upstreams_.find(upstream_id); own != node.upstreams_.end()) {
         sum = own->second.use_;
     }
+    auto const longest = peer_silence(node.peers_.size());
     for (auto const& [vm, peer] : node.peers_) {
-        if (now - peer.heard_at_ >= peer_silence) {
+        if (now - peer.heard_at_ >= longest) {
             continue;
         }
         auto const found = peer.state_.upstreams_.find(upstream_id);
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -105,6 +105,14 @@
     std::function<void()> stop_placing_;           ///< Gives the placement lease up for good.
 };
 
+/// \returns Time between this VM's messages to its peers: with many peers each message costs more. Thread
+/// safety: pure.
+[[nodiscard]] millis message_rhythm(std::size_t peers) noexcept;
+
+/// \returns Silence after which a peer counts as not heard: three messages, so that a lost one does no harm.
+/// Thread safety: pure.
+[[nodiscard]] millis peer_silence(std::size_t peers) noexcept;
+
 /// \returns The current view's parts that a request needs. Thread safety: any thread.
 struct request_view {
     std::shared_ptr<fleet_config const> config_;
--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -24,9 +24,6 @@
 /// When a caller may come back to a VM that has just started.
 constexpr millis start_retry_after{500};
 
-/// A holder of the placement lease that was silent for this long may be gone.
-constexpr millis holder_silence{1'000};
-
 /// Least time until another VM may give orders after a holder fell silent; see order_lease.hpp.
 constexpr millis takeover_time{3'000};
 
@@ -223,7 +220,7 @@
     if (least) {
         return *least;
     }
-    bool const holder_heard = node.own_lease_epoch_ != 0 || passed < holder_silence;
+    bool const holder_heard = node.own_lease_epoch_ != 0 || passed < peer_silence(node.peers_.size());
     auto const until_orders = holder_heard ? std::max(millis{0}, node.orders_from_ - now) : takeover_time;
     auto const* const model = find_hosted_model(*job.engine_, job.call_.model_);
     if (model == nullptr) {
--- a/src/transport/entry/order_keeper.cpp
+++ b/src/transport/entry/order_keeper.cpp
@@ -3,6 +3,7 @@
 #include "platform/engine_calls.hpp"
 #include "platform/store_client.hpp"
 #include "protocol/decision_log.hpp"
+#include "transport/entry/entry_node.hpp"
 
 #include <auburnchute/error.hpp>
 
@@ -29,9 +30,6 @@
 constexpr millis other_failure_pause{300};
 constexpr millis incumbent_time{600};
 
-/// A holder that sent no message for this long may have lost the lease.
-constexpr millis holder_silence{1'000};
-
 /// Longest time for an order or a report; engines answer within milliseconds or not at all.
 constexpr millis engine_call_limit{600};
 
@@ -165,7 +163,9 @@
         auto const now = boot_now();
         auto const heard = millis{keeper.shared_.holder_heard_at_.load(std::memory_order_acquire)};
         bool const other_holds =
-            keeper.lease_.epoch_ == 0 && heard > millis{0} && now - heard < holder_silence;
+            keeper.lease_.epoch_ == 0 && heard > millis{0} &&
+            now - heard < peer_silence(keeper.shared_.cell_.read(
+                              [](entry_view const& view) { return view.members_.size(); }));
         if (other_holds || keeper.leaving_) {
             co_await pause_for(lease_idle_pause);
             continue;
--- a/src/transport/entry/peer_exchange.cpp
+++ b/src/transport/entry/peer_exchange.cpp
@@ -16,15 +16,6 @@
 
 using udp = net::ip::udp;
 
-/// Rhythm of the messages with few peers; the limits' slack covers what is spent within it.
-constexpr millis message_interval{150};
-
-/// With many peers each message costs more, so the rhythm slows: time added for each peer.
-constexpr millis interval_per_peer{6};
-
-/// A ready peer that was silent for longer is not told to callers.
-constexpr millis directory_silence{1'000};
-
 /// Largest datagram.
 constexpr std::size_t max_datagram = 60'000;
 
@@ -75,7 +66,7 @@
     auto const own = stable_hash(node.settings_.vm_);
     return std::none_of(node.peers_.begin(), node.peers_.end(), [&](auto const& known) {
         auto const& peer = known.second;
-        return peer.state_.news_to_ > 0 && now - peer.heard_at_ < directory_silence &&
+        return peer.state_.news_to_ > 0 && now - peer.heard_at_ < peer_silence(node.peers_.size()) &&
                stable_hash(known.first) < own;
     });
 }
@@ -175,7 +166,7 @@
     auto const own = stable_hash(node.settings_.vm_);
     int before = 0;
     for (auto const& [vm, peer] : node.peers_) {
-        bool const there = peer.state_.ready_ && now - peer.heard_at_ < directory_silence;
+        bool const there = peer.state_.ready_ && now - peer.heard_at_ < peer_silence(node.peers_.size());
         before += there && stable_hash(vm) < own ? 1 : 0;
     }
     node.shared_.reads_for_all_.store(before < store_readers, std::memory_order_release);
@@ -218,7 +209,7 @@
     if (!restarted && datagram.times_.sent_at_ <= peer.last_stamp_) {
         return; // overtaken by a newer one
     }
-    if (now - peer.heard_at_ > directory_silence) {
+    if (now - peer.heard_at_ > peer_silence(node.peers_.size())) {
         log_decision("peer-heard",
                      {{"vm", datagram.state_.vm_},
                       {"silent_ms", peer.heard_at_ > millis{0} ? (now - peer.heard_at_).count_ : -1}});
@@ -292,8 +283,7 @@
 {
     while (true) {
         send_to_all(*own);
-        auto const peers = static_cast<std::int64_t>(own->node_.peers_.size());
-        co_await pause_for(message_interval + interval_per_peer * peers);
+        co_await pause_for(message_rhythm(own->node_.peers_.size()));
     }
 }
 
@@ -337,7 +327,7 @@
 {
     auto needs = own_needs(node, now);
     for (auto const& [vm, peer] : node.peers_) {
-        if (now - peer.heard_at_ < directory_silence) {
+        if (now - peer.heard_at_ < peer_silence(node.peers_.size())) {
             add_needs(needs, peer.state_.needs_);
         }
     }
@@ -351,7 +341,7 @@
         addresses.push_back(node.settings_.callers_listen_);
     }
     for (auto const& [vm, peer] : node.peers_) {
-        if (peer.state_.ready_ && now - peer.heard_at_ < directory_silence) {
+        if (peer.state_.ready_ && now - peer.heard_at_ < peer_silence(node.peers_.size())) {
             addresses.push_back(peer.state_.callers_address_);
         }
     }
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -110,7 +110,7 @@
     auto const& shared = reader.shared_;
     auto const proof = std::max(shared.config_read_at_.load(std::memory_order_acquire),
                                 shared.config_proof_at_.load(std::memory_order_acquire));
-    auto const enough = freshness_bound(reader.settings_.key_withdrawal_) * 6 / 10;
+    auto const enough = freshness_bound(reader.settings_.key_withdrawal_) * 7 / 10;
     return !shared.reads_for_all_.load(std::memory_order_acquire) &&
            shared.config_hint_.load(std::memory_order_acquire) <= next && boot_now() - millis{proof} < enough;
 }
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -11,4 +11,7 @@
 clang-format --dry-run --Werror "${sources[@]}"
 [ -e build/compile_commands.json ] || tools/build.sh
 mapfile -t units < <(printf '%s\n' "${sources[@]}" | grep '\.cpp$' | grep -v '^tests/')
-printf '%s\n' "${units[@]}" | xargs -P "${JOBS:-$(nproc)}" -n 1 clang-tidy -p build --quiet
+# clang-tidy 14 knows coroutines, but neither its headers' test macro nor Asio's say so for it.
+coroutines=(--extra-arg=-D__cpp_impl_coroutine=201902L --extra-arg=-DBOOST_ASIO_HAS_CO_AWAIT=1
+  --extra-arg=-DBOOST_ASIO_HAS_STD_COROUTINE=1)
+printf '%s\n' "${units[@]}" | xargs -P "${JOBS:-$(nproc)}" -n 1 clang-tidy -p build --quiet "${coroutines[@]}"
