--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -152,7 +152,7 @@
                 log_failure("settings-rejected", {{"fault", failure.what()}});
             }
         } else if (!node.stopping_) {
-            net::co_spawn(node.loop_, stop_gracefully(node), net::detached);
+            net::co_spawn(node.loop_, stop_gracefully(node), report_failure);
         }
     }
 }
@@ -263,8 +263,8 @@
     serve_callers(node, settings.callers_listen_);
     serve_own_pages(node);
     exchange_with_peers(node);
-    net::co_spawn(loop, handle_signals(node, settings_file), net::detached);
-    net::co_spawn(loop, demand.send_regularly(), net::detached);
+    net::co_spawn(loop, handle_signals(node, settings_file), report_failure);
+    net::co_spawn(loop, demand.send_regularly(), report_failure);
     start_reading(reader);
     start_keeping(keeper, node.incarnation_);
     std::thread control{[&control_loop] { control_loop.run(); }};
--- a/src/protocol/metrics.cpp
+++ b/src/protocol/metrics.cpp
@@ -54,6 +54,21 @@
     description{"auburnchute_replicas", "", "Replicas that are decided, loaded or being unloaded."},
     description{"auburnchute_waiting", "pool", "Requests that wait at this VM."},
     description{"auburnchute_spans_dropped", "", "Spans that were lost."},
+    description{"auburnchute_refusals_total", "reason",
+                "Answers of the system's own in place of an upstream's."},
+    description{"auburnchute_stray_answers_total", "",
+                "Answers of upstreams to other requests that were skipped."},
+    description{"auburnchute_unreadable_entries_total", "", "Entries of upstreams that could not be read."},
+    description{"auburnchute_store_changes_total", "state",
+                "Times that the platform's store was lost or regained."},
+    description{"auburnchute_orders_total", "step",
+                "Orders to engines that were accepted, by step; `refused`: the others."},
+    description{"auburnchute_peer_messages_total", "result",
+                "Messages between entry daemons that were not used or not sent."},
+    description{"auburnchute_first_event_ms", "route",
+                "Time from arrival to the first event of a stream, in milliseconds."},
+    description{"auburnchute_request_ms", "route",
+                "Time from arrival to the end of a request, in milliseconds."},
 };
 
 description describe(std::string_view name)
--- a/src/transport/entry/async.cpp
+++ b/src/transport/entry/async.cpp
@@ -1,5 +1,7 @@
 #include "transport/entry/async.hpp"
 
+#include "protocol/decision_log.hpp"
+
 #include <auburnchute/error.hpp>
 
 #include <algorithm>
@@ -35,6 +37,18 @@
     set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(silence.count_));
 }
 
+void report_failure(std::exception_ptr const& failure)
+{
+    if (!failure) {
+        return;
+    }
+    try {
+        std::rethrow_exception(failure);
+    } catch (std::exception const& problem) {
+        log_failure("task-failed", {{"fault", problem.what()}});
+    }
+}
+
 tcp::endpoint parse_endpoint(std::string_view address)
 {
     auto const colon = address.rfind(':');
--- a/src/transport/entry/async.hpp
+++ b/src/transport/entry/async.hpp
@@ -6,7 +6,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -15,6 +14,7 @@
 #include <boost/beast/core/error.hpp>
 #include <boost/system/error_code.hpp>
 #include <chrono>
+#include <exception>
 
 namespace auburnchute {
 
@@ -74,6 +74,9 @@
 /// \brief Ends a connection whose peer has become unreachable, and probes idle ones.
 void set_liveness(tcp::socket& socket, millis silence);
 
+/// \brief Completion handler of a coroutine that nobody waits for: logs the exception that ended it, if any.
+void report_failure(std::exception_ptr const& failure);
+
 /// \brief Reads `IP:PORT`. \throws error with step `connect` for another form. Thread safety: pure.
 [[nodiscard]] tcp::endpoint parse_endpoint(std::string_view address);
 
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -253,7 +253,7 @@
     watching_ = true;
     net::co_spawn(
         node_.loop_, [self = shared_from_this(), watch = ++watch_] { return self->watch_caller(watch); },
-        net::detached);
+        report_failure);
 }
 
 void caller_session::end_watch()
@@ -411,6 +411,12 @@
     if (fault == choice_fault::not_loaded) {
         // An engine that has the model still needs some time for the first token.
         if (auto const load = load_remaining(node_, job); load + first_token_time > left) {
+            log_failure("load-too-late", {{"id", job.call_.request_id_},
+                                          {"model", job.call_.model_},
+                                          {"load_ms", load.count_},
+                                          {"left_ms", left.count_},
+                                          {"holder_epoch", node_.placements_epoch_},
+                                          {"placement_age_ms", (now - node_.placements_at_).count_}});
             co_return own_answer{unavailable, "load-too-late", load + least_retry_after};
         }
     } else if (now - job.arrived_ > (job.first_deadline_ - job.arrived_) / 2) {
@@ -494,7 +500,7 @@
             co_await http::async_write(connection->stream_, *sent, outcome_in(fault));
             *written = !fault;
         },
-        net::detached);
+        report_failure);
     bool reusable = false;
     millis keep_alive = default_keep_alive;
     co_await read_answer(job, *connection, outcome, reusable, keep_alive);
@@ -745,6 +751,10 @@
     auto const workspace = job.workspace_ != nullptr ? std::string_view{job.workspace_->name_} : "";
     auto const first = job.first_event_at_ > millis{0} ? job.first_event_at_ - job.arrived_ : millis{-1};
     node_.counters_.count("auburnchute_requests_total", outcome);
+    node_.counters_.observe("auburnchute_request_ms", route, now - job.arrived_);
+    if (first >= millis{0}) {
+        node_.counters_.observe("auburnchute_first_event_ms", route, first);
+    }
     auto const write = outcome == "answered" ? log_decision : log_failure;
     write("request", {{"id", job.call_.request_id_},
                       {"route", route},
@@ -762,18 +772,6 @@
                       {"config", job.config_ ? job.config_->version_ : 0}});
 }
 
-void report_end(std::exception_ptr const& failure)
-{
-    if (!failure) {
-        return;
-    }
-    try {
-        std::rethrow_exception(failure);
-    } catch (std::exception const& problem) {
-        log_failure("session-failed", {{"fault", problem.what()}});
-    }
-}
-
 } // namespace
 
 void serve_callers(entry_node& node, std::string const& address)
@@ -781,7 +779,7 @@
     accept_connections(node.loop_, address, [&node](tcp::socket socket) {
         auto session = std::make_shared<caller_session>(node, std::move(socket));
         net::co_spawn(
-            node.loop_, [session] { return session->run(); }, report_end);
+            node.loop_, [session] { return session->run(); }, report_failure);
     });
 }
 
--- a/src/transport/entry/listen.cpp
+++ b/src/transport/entry/listen.cpp
@@ -44,7 +44,7 @@
     } catch (boost::system::system_error const& failure) {
         throw error{"listen", address, failure.what()};
     }
-    net::co_spawn(loop, accept_all(std::move(acceptor), std::move(take)), net::detached);
+    net::co_spawn(loop, accept_all(std::move(acceptor), std::move(take)), report_failure);
 }
 
 } // namespace auburnchute
--- a/src/transport/entry/order_keeper.cpp
+++ b/src/transport/entry/order_keeper.cpp
@@ -511,7 +511,31 @@
             keeper.store_loads_.push_back(now);
             engine.store_loads_then_ = store.running_ + 1;
         }
-        net::co_spawn(keeper.loop_, carry_out(keeper, order, engine.peer_), net::detached);
+        net::co_spawn(keeper.loop_, carry_out(keeper, order, engine.peer_), report_failure);
+    }
+}
+
+/// One round of the holder: follows the entries, asks for reports that are due, and gives orders.
+void place_once(order_keeper& keeper, millis now)
+{
+    auto const view = keeper.shared_.cell_.read([](entry_view const& current) { return current; });
+    if (!view.config_) {
+        return;
+    }
+    follow_entries(keeper, *view.config_, *view.upstreams_, now);
+    for (auto& [id, engine] : keeper.engines_) {
+        if (!engine.calling_ && engine.next_report_at_ > millis{0} && now >= engine.next_report_at_) {
+            engine.calling_ = true;
+            net::co_spawn(keeper.loop_, refresh_engine(keeper, id, engine.peer_), report_failure);
+        }
+    }
+    if (!may_order(keeper.lease_, engine_call_limit, now)) {
+        return;
+    }
+    for (auto const& [name, service] : view.config_->services_) {
+        if (service.engine_) {
+            plan_service(keeper, name, *service.engine_, now);
+        }
     }
 }
 
@@ -529,24 +553,10 @@
         if (!holder) {
             continue;
         }
-        auto const view = keeper.shared_.cell_.read([](entry_view const& current) { return current; });
-        if (!view.config_) {
-            continue;
-        }
-        follow_entries(keeper, *view.config_, *view.upstreams_, now);
-        for (auto& [id, engine] : keeper.engines_) {
-            if (!engine.calling_ && engine.next_report_at_ > millis{0} && now >= engine.next_report_at_) {
-                engine.calling_ = true;
-                net::co_spawn(keeper.loop_, refresh_engine(keeper, id, engine.peer_), net::detached);
-            }
-        }
-        if (!may_order(keeper.lease_, engine_call_limit, now)) {
-            continue;
-        }
-        for (auto const& [name, service] : view.config_->services_) {
-            if (service.engine_) {
-                plan_service(keeper, name, *service.engine_, now);
-            }
+        try {
+            place_once(keeper, now);
+        } catch (std::exception const& failure) {
+            log_failure("placement-failed", {{"fault", failure.what()}});
         }
     }
 }
@@ -558,8 +568,8 @@
     keeper.lease_.vm_ = keeper.settings_.vm_ + "@" + keeper.settings_.ip_;
     keeper.lease_.incarnation_ = incarnation;
     keeper.wake_ = std::make_unique<wake_event>(keeper.loop_);
-    net::co_spawn(keeper.loop_, keep_lease(keeper), net::detached);
-    net::co_spawn(keeper.loop_, place_models(keeper), net::detached);
+    net::co_spawn(keeper.loop_, keep_lease(keeper), report_failure);
+    net::co_spawn(keeper.loop_, place_models(keeper), report_failure);
 }
 
 void give_up_lease(order_keeper& keeper)
--- a/src/transport/entry/peer_exchange.cpp
+++ b/src/transport/entry/peer_exchange.cpp
@@ -302,8 +302,8 @@
     }
     own->socket_.non_blocking(true);
     node.send_state_ = [own] { send_to_all(*own); };
-    net::co_spawn(node.loop_, receive(own), net::detached);
-    net::co_spawn(node.loop_, send_regularly(own), net::detached);
+    net::co_spawn(node.loop_, receive(own), report_failure);
+    net::co_spawn(node.loop_, send_regularly(own), report_failure);
 }
 
 void follow_members(entry_node& node, std::vector<entry_member> const& members)
--- a/src/transport/entry/plain_server.cpp
+++ b/src/transport/entry/plain_server.cpp
@@ -44,7 +44,7 @@
 void serve_pages(net::io_context& loop, std::string const& address, page_handler handler)
 {
     accept_connections(loop, address, [&loop, handler = std::move(handler)](tcp::socket socket) {
-        net::co_spawn(loop, serve_connection(std::move(socket), handler), net::detached);
+        net::co_spawn(loop, serve_connection(std::move(socket), handler), report_failure);
     });
 }
 
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -355,8 +355,15 @@
         log_failure("member-unreadable", {{"vm", vm}});
         return false;
     }
-    entry_member member{vm, fields.value("incarnation", std::uint64_t{0}),
-                        fields.value("peers", std::string{})};
+    entry_member member{vm, 0, ""};
+    try {
+        member.incarnation_ = fields.value("incarnation", std::uint64_t{0});
+        member.peer_address_ = fields.value("peers", std::string{});
+        (void)parse_endpoint(member.peer_address_); // a message is sent there
+    } catch (std::exception const& failure) {
+        log_failure("member-unreadable", {{"vm", vm}, {"fault", failure.what()}});
+        return false;
+    }
     if (known != draft.members_.end()) {
         bool const changed = !(*known == member);
         *known = std::move(member);
@@ -449,9 +456,9 @@
 
 void start_reading(store_reader& reader)
 {
-    net::co_spawn(reader.loop_, follow_config(reader), net::detached);
-    net::co_spawn(reader.loop_, follow_upstreams(reader), net::detached);
-    net::co_spawn(reader.loop_, follow_members(reader), net::detached);
+    net::co_spawn(reader.loop_, follow_config(reader), report_failure);
+    net::co_spawn(reader.loop_, follow_upstreams(reader), report_failure);
+    net::co_spawn(reader.loop_, follow_members(reader), report_failure);
 }
 
 } // namespace auburnchute
--- a/src/transport/entry/upstream_pool.cpp
+++ b/src/transport/entry/upstream_pool.cpp
@@ -71,7 +71,7 @@
     connection->keep_ = keep_alive;
     connection->stream_.expires_never();
     kept.push_back(connection);
-    net::co_spawn(*loop_, watch_idle(std::move(connection)), net::detached);
+    net::co_spawn(*loop_, watch_idle(std::move(connection)), report_failure);
 }
 
 void upstream_pool::forget(std::string const& upstream_id)
--- a/tests/platform/desired_state_test.cpp
+++ b/tests/platform/desired_state_test.cpp
@@ -74,6 +74,8 @@
              row{R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"asleep"})", false},
              row{R"({"service":7,"address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready"})", false},
              row{R"({"service":"s","address":"nowhere","zone":"z","slots":6,"state":"ready"})", false},
+             row{R"({"service":"s","address":"host:80","zone":"z","slots":6,"state":"ready"})", false},
+             row{R"({"service":"s","address":"10.0.0.1:http","zone":"z","slots":6,"state":"ready"})", false},
              row{R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":"6","state":"ready"})", false},
              row{R"({"service":"s","address":"10.0.0.1:80","slots":6,"state":"ready"})", false},
              row{R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready","born":1.5})",
