--- a/include/auburnchute/shared_bucket.hpp
+++ b/include/auburnchute/shared_bucket.hpp
@@ -2,6 +2,11 @@
 
 #include <auburnchute/clock.hpp>
 
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
 namespace auburnchute {
 
 /// \brief One VM's copy of a workspace's token bucket that all VMs spend from.
@@ -30,6 +35,22 @@
 /// \brief Books units that a peer spent, or, if negative, that it gave back.
 void book_peer_use(shared_bucket& bucket, double units) noexcept;
 
+/// \brief Units of a peer's use that were charged here, by workspace.
+using booked_use = std::map<std::string, std::int64_t, std::less<>>;
+
+/// \brief Notes a peer's use. \param used What it has spent since its start. \param first The message is the
+/// first of that process: what it spent before belongs to the past of this VM. \returns The units to charge
+/// now, also for a workspace that this VM does not know yet.
+[[nodiscard]] double newly_used(booked_use& booked, std::string const& workspace, std::int64_t used,
+                                bool first);
+
+/// \brief Takes over the level that a peer tells in its first message. Only a VM that has just started does:
+/// it does not know what the others spent before. One that runs knows more than a peer that has just started.
+void join_level(shared_bucket& bucket, double peer_level, millis own_age) noexcept;
+
+/// \brief How long a VM counts as just started: every peer's first message has come by then.
+inline constexpr millis joining_time{2'000};
+
 /// \returns How long the bucket needs to hold these units, if nobody spends meanwhile. Thread safety: pure.
 [[nodiscard]] millis time_until(shared_bucket const& bucket, double units, double share) noexcept;
 
--- a/src/coordination/shared_bucket.cpp
+++ b/src/coordination/shared_bucket.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace auburnchute {
 
@@ -52,6 +53,21 @@
     bucket.level_ -= units;
 }
 
+double newly_used(booked_use& booked, std::string const& workspace, std::int64_t used, bool first)
+{
+    auto const [found, unknown] = booked.try_emplace(workspace, used);
+    auto const before = std::exchange(found->second, used);
+    // A workspace that a running peer names for the first time was spent from since its last message.
+    return first ? 0.0 : static_cast<double>(unknown ? used : used - before);
+}
+
+void join_level(shared_bucket& bucket, double peer_level, millis own_age) noexcept
+{
+    if (own_age < joining_time) {
+        bucket.level_ = std::min(bucket.level_, peer_level);
+    }
+}
+
 millis time_until(shared_bucket const& bucket, double units, double share) noexcept
 {
     if (bucket.rate_ <= 0) {
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -30,7 +30,7 @@
     millis heard_at_{};         ///< Of the newest message; 0: never.
     std::int64_t last_stamp_{}; ///< Its newest message's `sent_at_`.
     peer_state state_;
-    std::map<std::string, std::int64_t, std::less<>> booked_; ///< Units of its use already charged here.
+    booked_use booked_; ///< Of its use.
 };
 
 /// \brief A workspace's use at this VM.
--- a/src/transport/entry/peer_exchange.cpp
+++ b/src/transport/entry/peer_exchange.cpp
@@ -116,22 +116,18 @@
 void book_use(entry_node& node, known_peer& peer, bool first)
 {
     for (auto const& [name, used] : peer.state_.used_) {
+        auto const units = newly_used(peer.booked_, name, used, first);
         auto const found = node.workspaces_.find(name);
         if (found == node.workspaces_.end()) {
             continue;
         }
-        auto& booked = peer.booked_[name];
-        if (first) {
-            // Its level already contains what it spent; a new daemon starts from the lowest level it hears.
-            auto const level = peer.state_.level_.find(name);
-            if (level != peer.state_.level_.end()) {
-                found->second.bucket_.level_ =
-                    std::min(found->second.bucket_.level_, static_cast<double>(level->second));
-            }
-        } else {
-            book_peer_use(found->second.bucket_, static_cast<double>(used - booked));
+        book_peer_use(found->second.bucket_, units);
+        // Its level already contains what it spent.
+        auto const level = peer.state_.level_.find(name);
+        if (first && level != peer.state_.level_.end()) {
+            join_level(found->second.bucket_, static_cast<double>(level->second),
+                       boot_now() - node.started_at_);
         }
-        booked = used;
     }
 }
 
--- a/tests/coordination/shared_bucket_test.cpp
+++ b/tests/coordination/shared_bucket_test.cpp
@@ -107,3 +107,34 @@
         RC_ASSERT(total <= limit + 400.0 * (static_cast<double>(delay) / 50.0));
     });
 }
+
+// Found on plumavera-gdl, trouble-2: VMs were restarted one after the other, and each one's first message
+// took the level of all others down to its own, so workspaces were refused far below their rate.
+TEST_CASE("only a VM that has just started takes over a peer's level", "[bucket]")
+{
+    struct row {
+        millis own_age_;
+        double peer_level_;
+        double expected_;
+    };
+    for (auto const& row : {row{millis{100}, 50, 50}, row{millis{100}, 900, 500}, row{joining_time, 50, 500},
+                            row{millis{60'000}, -10, 500}}) {
+        CAPTURE(row.own_age_.count_, row.peer_level_);
+        auto bucket = bucket_of(100, 500);
+        join_level(bucket, row.peer_level_, row.own_age_);
+        CHECK(bucket.level_ == row.expected_);
+    }
+}
+
+// Found on the same day: a VM that heard its peers before it had read the configuration charged all that they
+// had ever spent to the workspaces that it learned of later.
+TEST_CASE("a peer's use before its first message is not charged", "[bucket]")
+{
+    booked_use booked;
+    CHECK(newly_used(booked, "w", 270'000, true) == 0);
+    CHECK(newly_used(booked, "w", 270'500, false) == 500);
+    CHECK(newly_used(booked, "w", 270'400, false) == -100);
+    CHECK(newly_used(booked, "new", 40, false) == 40);
+    CHECK(newly_used(booked, "w", 10, true) == 0);
+    CHECK(newly_used(booked, "w", 30, false) == 20);
+}
