--- a/include/auburnchute/upstream_registry.hpp
+++ b/include/auburnchute/upstream_registry.hpp
@@ -20,7 +20,7 @@
     upstream_map entries_;
     std::map<std::string, millis, std::less<>> lapsed_; ///< Of those, the ones without an entry, and when
                                                         ///< they are dropped.
-    bool away_{};         ///< The store does not answer.
+    bool away_{};                                       ///< The store does not answer.
     millis regained_at_{}; ///< When it last answered again; 0: it was never away.
 };
 
--- a/src/coordination/model_planner.cpp
+++ b/src/coordination/model_planner.cpp
@@ -463,8 +463,8 @@
     }
     for (auto* const wanted : order) {
         // One place at the store stays free for a model that somebody asks for meanwhile.
-        if (wanted->replicas_ == 0 && !add_replica(input, all, *wanted, plan, false, 1, "unloaded-nowhere")) {
-            continue;
+        if (wanted->replicas_ == 0) {
+            (void)add_replica(input, all, *wanted, plan, false, 1, "unloaded-nowhere");
         }
     }
     return plan.orders_;
--- a/src/coordination/upstream_registry.cpp
+++ b/src/coordination/upstream_registry.cpp
@@ -46,8 +46,8 @@
     bool const after_outage =
         registry.away_ || (registry.regained_at_ > millis{0} && now < registry.regained_at_ + lapsed_grace);
     if (after_outage) {
-        registry.lapsed_.try_emplace(std::string{id}, std::max(registry.regained_at_, now - lapsed_grace) +
-                                                          lapsed_grace);
+        registry.lapsed_.try_emplace(std::string{id},
+                                     std::max(registry.regained_at_, now - lapsed_grace) + lapsed_grace);
         return entry_change::none;
     }
     registry.entries_.erase(known);
--- a/tests/coordination/upstream_registry_test.cpp
+++ b/tests/coordination/upstream_registry_test.cpp
@@ -37,9 +37,10 @@
     CHECK(take_removal(registry, "i-1", millis{10}) == entry_change::none);
 }
 
-// Found by a hunt (jheelpath-rink, trouble-1, seed 897261799246, DRAIN): an upstream left just after the store
-// came back, and its removal was taken for a lapse that nobody looked at again.
-TEST_CASE("an upstream that leaves just after an outage is dropped within the grace", "[registry][promise-11]")
+// Found by a hunt (jheelpath-rink, trouble-1, seed 897261799246, DRAIN): an upstream left just after the
+// store came back, and its removal was taken for a lapse that nobody looked at again.
+TEST_CASE("an upstream that leaves just after an outage is dropped within the grace",
+          "[registry][promise-11]")
 {
     auto registry = with_one();
     note_store_lost(registry);
