--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -4,6 +4,7 @@
 #include "protocol/decision_log.hpp"
 #include "protocol/entry_settings.hpp"
 #include "protocol/metrics.hpp"
+#include "protocol/text_file.hpp"
 #include "transport/entry/caller_session.hpp"
 #include "transport/entry/entry_node.hpp"
 #include "transport/entry/order_keeper.hpp"
@@ -18,9 +19,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <docopt/docopt.h>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <random>
 #include <sys/random.h>
 #include <thread>
@@ -51,18 +50,9 @@
 /// again.
 constexpr millis quiet_before_end{1'000};
 
-std::string read_settings_file(std::string const& name)
-{
-    std::ifstream file{name, std::ios::binary};
-    if (!file) {
-        throw error{"settings", name, "cannot be opened"};
-    }
-    return {std::istreambuf_iterator<char>{file}, {}};
-}
-
 entry_settings_file load_settings(std::string const& name)
 {
-    auto read = parse_entry_settings(name, read_settings_file(name));
+    auto read = parse_entry_settings(name, read_file(name));
     for (auto const& key : read.unknown_) {
         log_decision("settings-unknown-key", {{"key", key}});
     }
--- a/include/auburnchute/model_planner.hpp
+++ b/include/auburnchute/model_planner.hpp
@@ -16,6 +16,10 @@
 
 namespace auburnchute {
 
+/// \brief Rate, in requests a second, below which a model or adapter that nobody waits for is not asked for
+/// any more.
+inline constexpr double least_need_rate = 0.02;
+
 /// \brief Where an upstream gets the weights of a load from.
 enum class weights_from : std::uint8_t { memory, disk, store };
 
--- a/src/coordination/model_planner.cpp
+++ b/src/coordination/model_planner.cpp
@@ -14,9 +14,6 @@
 /// it.
 constexpr double rate_for_second_replica = 0.8;
 
-/// Rate, in requests a second, below which a model that nobody waits for is not asked for any more.
-constexpr double least_rate = 0.02;
-
 /// Rate from which a model that nobody waits for may take the place of another one.
 constexpr double rate_to_evict = 0.3;
 
@@ -44,7 +41,6 @@
     double rate_{};
     std::int64_t waiting_{};
     std::int64_t running_{};
-    std::int64_t urgency_{9};
     millis oldest_wait_{};
     int replicas_{}; ///< Loaded or being loaded, not retiring, on engines that stay.
     int needed_{};
@@ -59,7 +55,7 @@
 
 int needed_replicas(wanted_model const& wanted, int engines)
 {
-    if (wanted.waiting_ == 0 && wanted.running_ == 0 && wanted.rate_ < least_rate) {
+    if (wanted.waiting_ == 0 && wanted.running_ == 0 && wanted.rate_ < least_need_rate) {
         return 0;
     }
     auto const by_load =
@@ -84,7 +80,6 @@
         wanted.waiting_ += need.waiting_;
         wanted.running_ += need.running_;
         if (need.waiting_ > 0) {
-            wanted.urgency_ = std::min(wanted.urgency_, need.urgency_);
             wanted.oldest_wait_ = std::max(wanted.oldest_wait_, need.oldest_wait_);
         }
     }
@@ -115,18 +110,22 @@
     return largest * profile.adapter_slots_;
 }
 
+/// Memory of a model; one that the configuration no longer names has an unknown size: nothing fits beside it.
+std::int64_t memory_of(engine_profile const& profile, std::string_view name)
+{
+    auto const* const model = find_hosted_model(profile, name);
+    return model != nullptr ? model->memory_mb_ : profile.memory_mb_;
+}
+
 /// Memory that a further model may take; places for all adapters are kept free.
 std::int64_t free_memory(planner_input const& input, engine_state const& engine)
 {
     auto left = input.engine_.memory_mb_ - adapter_memory(input.engine_);
     for (auto const& [name, held] : engine.models_) {
-        auto const* const model = find_hosted_model(input.engine_, name);
-        // A model that the configuration no longer names has an unknown size: nothing fits beside it.
-        left -= model != nullptr ? model->memory_mb_ : input.engine_.memory_mb_;
+        left -= memory_of(input.engine_, name);
     }
     if (!engine.loading_.empty() && !engine.models_.contains(engine.loading_)) {
-        auto const* const model = find_hosted_model(input.engine_, engine.loading_);
-        left -= model != nullptr ? model->memory_mb_ : input.engine_.memory_mb_;
+        left -= memory_of(input.engine_, engine.loading_);
     }
     return left;
 }
@@ -210,8 +209,7 @@
         if (left >= wanted.model_->memory_mb_) {
             break;
         }
-        auto const* const model = find_hosted_model(input.engine_, name);
-        left += model != nullptr ? model->memory_mb_ : input.engine_.memory_mb_;
+        left += memory_of(input.engine_, name);
         way.victims_.push_back(name);
         way.cost_ms_ += unload_ms + loss * eviction_ms_per_rate;
     }
@@ -392,7 +390,7 @@
 {
     std::vector<std::pair<need_key const*, model_need const*>> wanted;
     for (auto const& [key, need] : input.needs_) {
-        bool const asked = need.waiting_ > 0 || need.rate_ >= least_rate;
+        bool const asked = need.waiting_ > 0 || need.rate_ >= least_need_rate;
         if (key.service_ == input.service_ && !key.adapter_.empty() && asked) {
             wanted.emplace_back(&key, &need);
         }
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -69,11 +69,21 @@
 constexpr millis wait_round{250};
 
 constexpr int misdirected = 421;
+constexpr int bad_gateway = 502;
 constexpr int timed_out = 504;
 constexpr int unavailable = 503;
 
 using answer_parser = http::response_parser<http::buffer_body>;
 
+/// The answer to a request that is given up: a refusal that says when to come back if it is known not to have
+/// run, else a failure that promises nothing.
+own_answer give_up(forward_job const& job, std::string_view refusal, int failure_status,
+                   std::string_view failure)
+{
+    return job.execution_ == execution::not_run ? own_answer{unavailable, refusal, least_retry_after}
+                                                : own_answer{failure_status, failure, millis{-1}};
+}
+
 /// Books the request at the upstream while it lives.
 class use_guard {
 public:
@@ -332,9 +342,7 @@
     while (!gone_) {
         auto const now = boot_now();
         if (now >= job.deadline_) {
-            bool const idle = job.execution_ == execution::not_run;
-            co_return own_answer{idle ? unavailable : timed_out, "deadline",
-                                 idle ? least_retry_after : millis{-1}};
+            co_return give_up(job, "deadline", timed_out, "deadline");
         }
         auto const chosen = choose(node_, job);
         if (!chosen.upstream_) {
@@ -376,20 +384,15 @@
         if (!ran_nowhere && (!may_repeat || !upstreams_left ||
                              !try_again(node_.retries_, outcome.result_, true,
                                         static_cast<int>(job.used_.size()), boot_now(), job.deadline_))) {
-            bool const idle = job.execution_ == execution::not_run;
-            if (!idle && boot_now() >= job.deadline_) {
-                co_return own_answer{timed_out, "deadline", millis{-1}};
-            }
-            co_return own_answer{idle ? unavailable : 502, idle ? "upstream-refused" : "upstream-failed",
-                                 idle ? least_retry_after : millis{-1}};
+            bool const late = boot_now() >= job.deadline_;
+            co_return give_up(job, "upstream-refused", late ? timed_out : bad_gateway,
+                              late ? "deadline" : "upstream-failed");
         }
         if (ran_nowhere && ++connect_failures >= max_connect_failures) {
-            bool const idle = job.execution_ == execution::not_run;
-            co_return own_answer{idle ? unavailable : 502, "upstreams-unreachable",
-                                 idle ? least_retry_after : millis{-1}};
+            co_return give_up(job, "upstreams-unreachable", bad_gateway, "upstreams-unreachable");
         }
     }
-    co_return own_answer{502, "caller-left", millis{-1}};
+    co_return own_answer{bad_gateway, "caller-left", millis{-1}};
 }
 
 net::awaitable<std::optional<own_answer>> caller_session::wait_for_upstream(forward_job& job,
@@ -397,10 +400,8 @@
 {
     auto const now = boot_now();
     auto const left = job.first_deadline_ - now;
-    bool const idle = job.execution_ == execution::not_run;
-    if (!idle || !job.used_.empty()) {
-        co_return own_answer{idle ? unavailable : 502, "no-other-upstream",
-                             idle ? least_retry_after : millis{-1}};
+    if (job.execution_ != execution::not_run || !job.used_.empty()) {
+        co_return give_up(job, "no-other-upstream", bad_gateway, "no-other-upstream");
     }
     if (node_.stopping_) {
         co_return own_answer{unavailable, "stopping", millis{0}};
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -34,6 +34,11 @@
     return std::max(least_silence, message_rhythm(peers) * 3);
 }
 
+bool is_heard(entry_node const& node, known_peer const& peer, millis now) noexcept
+{
+    return now - peer.heard_at_ < peer_silence(node.peers_.size());
+}
+
 request_view current_view(entry_node const& node)
 {
     return node.shared_.cell_.read([](entry_view const& view) {
@@ -55,7 +60,6 @@
 
 double heard_share(entry_node const& node, millis now) noexcept
 {
-    auto const longest = peer_silence(node.peers_.size());
     int heard = 1;
     int counted = 1;
     for (auto const& [vm, peer] : node.peers_) {
@@ -63,7 +67,7 @@
             continue; // never alive in this daemon's time
         }
         auto const silence = now - peer.heard_at_;
-        heard += silence < longest ? 1 : 0;
+        heard += is_heard(node, peer, now) ? 1 : 0;
         counted += silence < peer_share_kept ? 1 : 0;
     }
     return static_cast<double>(heard) / static_cast<double>(counted);
@@ -75,9 +79,8 @@
     if (auto const own = node.upstreams_.find(upstream_id); own != node.upstreams_.end()) {
         sum = own->second.use_;
     }
-    auto const longest = peer_silence(node.peers_.size());
     for (auto const& [vm, peer] : node.peers_) {
-        if (now - peer.heard_at_ >= longest) {
+        if (!is_heard(node, peer, now)) {
             continue;
         }
         auto const found = peer.state_.upstreams_.find(upstream_id);
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -113,6 +113,9 @@
 /// Thread safety: pure.
 [[nodiscard]] millis peer_silence(std::size_t peers) noexcept;
 
+/// \returns Whether a message of the peer came lately.
+[[nodiscard]] bool is_heard(entry_node const& node, known_peer const& peer, millis now) noexcept;
+
 /// \returns The current view's parts that a request needs. Thread safety: any thread.
 struct request_view {
     std::shared_ptr<fleet_config const> config_;
--- a/src/transport/entry/entry_view.hpp
+++ b/src/transport/entry/entry_view.hpp
@@ -35,9 +35,7 @@
 /// \brief What the control thread knows; replaced as a whole.
 struct entry_view {
     std::shared_ptr<fleet_config const> config_; ///< Null until one was read.
-    std::shared_ptr<std::string const>
-        config_text_;             ///< As the operator wrote it, for peers that are cut off.
-    std::uint64_t config_next_{}; ///< Offset after the newest record of it that was read.
+    std::uint64_t config_next_{};                ///< Offset after the newest record of it that was read.
     std::shared_ptr<upstream_map const> upstreams_{std::make_shared<upstream_map const>()};
     std::vector<entry_member> members_;
     std::shared_ptr<upstream_news const> news_{
--- a/src/transport/entry/order_keeper.cpp
+++ b/src/transport/entry/order_keeper.cpp
@@ -332,8 +332,6 @@
     auto& state = engine.state_;
     ++engine.orders_;
     engine.changed_at_ = boot_now();
-    auto const* const profile = find_engine(
-        *keeper.shared_.cell_.read([](entry_view const& view) { return view.config_; }), engine.service_);
     switch (order.step_) {
     case placement_step::load_model: {
         state.loading_ = order.model_;
@@ -341,6 +339,8 @@
         state.busy_ = true;
         engine.order_began_ = began;
         engine.loading_from_ = order.from_;
+        auto const config = keeper.shared_.cell_.read([](entry_view const& view) { return view.config_; });
+        auto const* const profile = find_engine(*config, engine.service_);
         auto const* const model = profile != nullptr ? find_hosted_model(*profile, order.model_) : nullptr;
         engine.load_due_ = began + (model != nullptr ? load_time(*model, order.from_) : millis{1'000});
         engine.next_report_at_ = engine.load_due_;
--- a/src/transport/entry/order_keeper.hpp
+++ b/src/transport/entry/order_keeper.hpp
@@ -48,7 +48,6 @@
     millis load_due_{};       ///< When the load that is under way should end.
     weights_from loading_from_{weights_from::store};
     int store_loads_then_{}; ///< Loads from the store under way when this one began, itself included.
-    millis retired_at_{};    ///< When the daemons were told that a model retires.
     millis reserved_at_{};   ///< When room began to be made for a model.
     millis changed_at_{};    ///< Last change by an order.
 };
--- a/src/transport/entry/peer_exchange.cpp
+++ b/src/transport/entry/peer_exchange.cpp
@@ -5,6 +5,7 @@
 
 #include <auburnchute/error.hpp>
 #include <auburnchute/ids.hpp>
+#include <auburnchute/model_planner.hpp>
 
 #include <algorithm>
 #include <array>
@@ -19,9 +20,6 @@
 /// Largest datagram.
 constexpr std::size_t max_datagram = 60'000;
 
-/// Needs below this rate, in requests a second, are no longer told; see `least_rate` of the planner.
-constexpr double least_rate = 0.02;
-
 /// VMs that read the store for all: two may fail at the same time.
 constexpr int store_readers = 3;
 
@@ -39,7 +37,7 @@
     need_map needs;
     for (auto const& [key, own] : node.needs_) {
         auto const rate = decayed_rate(own, now);
-        if (!key.model_.empty() && (own.waiting_ > 0 || own.running_ > 0 || rate >= least_rate)) {
+        if (!key.model_.empty() && (own.waiting_ > 0 || own.running_ > 0 || rate >= least_need_rate)) {
             auto& need = needs[key];
             need.waiting_ = own.waiting_;
             need.running_ = own.running_;
@@ -66,8 +64,7 @@
     auto const own = stable_hash(node.settings_.vm_);
     return std::none_of(node.peers_.begin(), node.peers_.end(), [&](auto const& known) {
         auto const& peer = known.second;
-        return peer.state_.news_to_ > 0 && now - peer.heard_at_ < peer_silence(node.peers_.size()) &&
-               stable_hash(known.first) < own;
+        return peer.state_.news_to_ > 0 && is_heard(node, peer, now) && stable_hash(known.first) < own;
     });
 }
 
@@ -162,7 +159,7 @@
     auto const own = stable_hash(node.settings_.vm_);
     int before = 0;
     for (auto const& [vm, peer] : node.peers_) {
-        bool const there = peer.state_.ready_ && now - peer.heard_at_ < peer_silence(node.peers_.size());
+        bool const there = peer.state_.ready_ && is_heard(node, peer, now);
         before += there && stable_hash(vm) < own ? 1 : 0;
     }
     node.shared_.reads_for_all_.store(before < store_readers, std::memory_order_release);
@@ -260,7 +257,10 @@
     auto const now = boot_now();
     choose_readers(node, now);
     auto full = own_state(node, now);
-    auto const for_holder = encode_state(full);
+    bool const peer_places = std::any_of(node.peers_.begin(), node.peers_.end(), [](auto const& peer) {
+        return peer.second.state_.lease_epoch_ != 0;
+    });
+    auto const for_holder = peer_places ? encode_state(full) : std::vector<std::uint8_t>{};
     full.needs_.clear(); // only the VM that places models needs them
     auto const for_others = encode_state(full);
     for (auto const& [vm, peer] : node.peers_) {
@@ -323,7 +323,7 @@
 {
     auto needs = own_needs(node, now);
     for (auto const& [vm, peer] : node.peers_) {
-        if (now - peer.heard_at_ < peer_silence(node.peers_.size())) {
+        if (is_heard(node, peer, now)) {
             add_needs(needs, peer.state_.needs_);
         }
     }
@@ -337,7 +337,7 @@
         addresses.push_back(node.settings_.callers_listen_);
     }
     for (auto const& [vm, peer] : node.peers_) {
-        if (peer.state_.ready_ && now - peer.heard_at_ < peer_silence(node.peers_.size())) {
+        if (peer.state_.ready_ && is_heard(node, peer, now)) {
             addresses.push_back(peer.state_.callers_address_);
         }
     }
--- a/src/transport/entry/plain_server.cpp
+++ b/src/transport/entry/plain_server.cpp
@@ -48,22 +48,4 @@
     });
 }
 
-std::string_view query_value(std::string_view target, std::string_view name) noexcept
-{
-    auto const mark = target.find('?');
-    if (mark == std::string_view::npos) {
-        return {};
-    }
-    target.remove_prefix(mark + 1);
-    while (!target.empty()) {
-        auto const end = std::min(target.find('&'), target.size());
-        auto const field = target.substr(0, end);
-        if (field.size() > name.size() && field.starts_with(name) && field[name.size()] == '=') {
-            return field.substr(name.size() + 1);
-        }
-        target.remove_prefix(std::min(end + 1, target.size()));
-    }
-    return {};
-}
-
 } // namespace auburnchute
--- a/src/transport/entry/plain_server.hpp
+++ b/src/transport/entry/plain_server.hpp
@@ -15,7 +15,4 @@
 /// \throws error with step `listen` if the address cannot be had.
 void serve_pages(net::io_context& loop, std::string const& address, page_handler handler);
 
-/// \returns The value of a field of the query, without decoding; empty if it is absent. Thread safety: pure.
-[[nodiscard]] std::string_view query_value(std::string_view target, std::string_view name) noexcept;
-
 } // namespace auburnchute
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -83,7 +83,6 @@
                                              {"offset", next}});
         }
         reader.draft_.config_ = std::move(config);
-        reader.draft_.config_text_ = std::make_shared<std::string const>(document);
     } catch (error const& failure) {
         log_failure("config-unreadable", {{"fault", failure.what()}, {"offset", next}});
     }
