--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -113,7 +113,7 @@
     node.stopping_ = true;
     log_decision("stop", {{"open", node.open_calls_}});
     node.stop_placing_();
-    node.send_state_();
+    node.send_state_(message_targets::all);
     wake_waiting(node);
     auto const end = began + node.settings_.shutdown_grace_ - kill_margin;
     auto const least = began + directory_lifetime * 2 + quiet_before_end;
@@ -161,13 +161,13 @@
         }
         sent_at_ = now;
         if (node_.own_lease_epoch_ == 0) {
-            node_.send_state_();
+            node_.send_state_(message_targets::holder);
             return;
         }
         auto demand = std::make_shared<fleet_demand>();
         demand->needs_ = fleet_needs(node_, now);
         for (auto const& [id, own] : node_.upstreams_) {
-            demand->running_[id] = fleet_use(node_, id, now).requests_;
+            demand->running_[id] = fleet_use(node_, id).requests_;
         }
         net::post(keeper_.loop_, [&keeper = keeper_, demand] { take_demand(keeper, demand); });
     }
@@ -183,7 +183,7 @@
     }
 
 private:
-    static constexpr millis least_pause{15};
+    static constexpr millis least_pause{25};
     static constexpr millis rhythm{100};
 
     entry_node& node_;
@@ -201,12 +201,11 @@
     if (report.epoch_ != 0) {
         node.lease_end_ = report.lease_end_;
         node.orders_from_ = report.orders_from_;
-        node.placements_epoch_ = report.epoch_;
-        node.placements_ = std::move(report.notices_);
-        node.placements_at_ = boot_now();
+        set_notices(node.placements_, report.epoch_, std::move(report.notices_), boot_now());
     }
     wake_waiting(node);
-    node.send_state_();
+    node.send_state_(held_before == (node.own_lease_epoch_ != 0) ? message_targets::waiting
+                                                                 : message_targets::all);
 }
 
 int run(entry_settings const& settings, std::string const& settings_file)
@@ -218,8 +217,6 @@
     entry_node node{loop, settings, shared, counters};
     node.incarnation_ = draw_incarnation();
     node.started_at_ = boot_now();
-    node.retries_.limit_ = std::max<std::int64_t>(1'000, settings.retry_extra_ * 100);
-    node.retries_.balance_ = node.retries_.limit_;
     log_decision(
         "start",
         {{"vm", settings.vm_}, {"incarnation", node.incarnation_}, {"version", AUBURNCHUTE_VERSION}});
@@ -231,7 +228,9 @@
             wake_waiting(node);
             if (auto const next = current_view(node).config_next_; next != node.config_told_) {
                 node.config_told_ = next;
-                node.send_state_(); // peers that do not read learn of a new configuration at once
+                if (shared.reads_for_all_.load(std::memory_order_acquire)) {
+                    node.send_state_(message_targets::all); // those that do not read learn of it at once
+                }
             }
         });
     };
--- a/include/auburnchute/model_need.hpp
+++ b/include/auburnchute/model_need.hpp
@@ -25,10 +25,9 @@
 struct model_need {
     std::int64_t waiting_{}; ///< Requests that wait for it to be loaded.
     std::int64_t running_{};
-    double rate_{};              ///< Requests a second, smoothed.
-    std::int64_t urgency_{9};    ///< Most urgent priority among those that wait; 0 first.
-    millis oldest_wait_{};       ///< Age of the oldest request that waits.
-    millis patience_{3'600'000}; ///< Least time left of a request that waits.
+    double rate_{};           ///< Requests a second, smoothed.
+    std::int64_t urgency_{9}; ///< Most urgent priority among those that wait; 0 first.
+    millis oldest_wait_{};    ///< Age of the oldest request that waits.
 };
 
 /// \brief Needs by model and adapter.
--- a/include/auburnchute/retry.hpp
+++ b/include/auburnchute/retry.hpp
@@ -2,6 +2,7 @@
 
 #include <auburnchute/clock.hpp>
 
+#include <cstddef>
 #include <cstdint>
 
 namespace auburnchute {
@@ -31,6 +32,14 @@
 
 inline constexpr int max_tries = 3;
 
+/// \brief Sets a VM's part of a budget that all VMs share.
+///
+/// The parts add up to the fleet's budget: what all VMs may try again at once is `extra`, and each first try
+/// earns `ratio` of a retry where it arrives. A part that shrinks loses what is above it.
+/// \param ratio Retries for each first try. \param extra Retries at once, all VMs together.
+/// \param vms VMs that may retry at the same time. \pre `vms > 0`. Thread safety: the caller owns the budget.
+void set_part(retry_budget& budget, double ratio, double extra, std::size_t vms) noexcept;
+
 /// \brief Books a first try. Thread safety: the caller holds the budget's lock.
 void earn(retry_budget& budget) noexcept;
 
--- a/include/auburnchute/upstream_choice.hpp
+++ b/include/auburnchute/upstream_choice.hpp
@@ -14,6 +14,7 @@
     std::int64_t running_{};        ///< Requests under way there.
     std::int64_t slots_{1};         ///< Requests that it runs at the same time.
     std::int64_t running_tokens_{}; ///< Prompt and output tokens of those requests.
+    std::int64_t unread_tokens_{};  ///< Prompt tokens of those that have not begun to answer.
     std::int64_t kv_tokens_{};      ///< Its memory for them; 0: not an engine.
     bool same_zone_{};
     bool suspect_{}; ///< Failed lately.
@@ -29,13 +30,22 @@
     std::uint64_t draw_{};         ///< Of the request; breaks ties.
 };
 
+/// \brief What was chosen.
+struct chosen_option {
+    std::size_t index_{};          ///< Into the options.
+    std::int64_t unread_tokens_{}; ///< Prompt tokens that the upstream still has to read.
+};
+
 /// \brief Chooses the upstream that should begin to answer first.
 ///
+/// An engine reads prompts one after another between the tokens of running requests, so a request waits for
+/// the prompts that came before it, and hardly for requests that are answering already.
+///
 /// Requests with the same shared prompt prefer the same upstream on every VM, by rendezvous hashing, because
 /// it has read that part already. The preference yields when that upstream is busier by more than the reading
 /// would take.
 /// \returns None if all are full or were used. Thread safety: pure.
-[[nodiscard]] std::optional<std::size_t> choose_upstream(std::span<upstream_option const> options,
+[[nodiscard]] std::optional<chosen_option> choose_upstream(std::span<upstream_option const> options,
                                                          choice_request const& request) noexcept;
 
 } // namespace auburnchute
--- a/src/coordination/model_need.cpp
+++ b/src/coordination/model_need.cpp
@@ -13,7 +13,6 @@
         sum.rate_ += need.rate_;
         sum.urgency_ = std::min(sum.urgency_, need.urgency_);
         sum.oldest_wait_ = std::max(sum.oldest_wait_, need.oldest_wait_);
-        sum.patience_ = std::min(sum.patience_, need.patience_);
     }
 }
 
--- a/src/coordination/model_planner.cpp
+++ b/src/coordination/model_planner.cpp
@@ -42,7 +42,8 @@
     std::int64_t waiting_{};
     std::int64_t running_{};
     millis oldest_wait_{};
-    int replicas_{}; ///< Loaded or being loaded, not retiring, on engines that stay.
+    std::int64_t urgency_{9}; ///< Most urgent priority among the requests that wait; 0 first.
+    int replicas_{};          ///< Loaded or being loaded, not retiring, on engines that stay.
     int needed_{};
 
     [[nodiscard]] double value() const noexcept
@@ -81,6 +82,7 @@
         wanted.running_ += need.running_;
         if (need.waiting_ > 0) {
             wanted.oldest_wait_ = std::max(wanted.oldest_wait_, need.oldest_wait_);
+            wanted.urgency_ = std::min(wanted.urgency_, need.urgency_);
         }
     }
     int engines = 0;
@@ -89,10 +91,16 @@
             continue;
         }
         ++engines;
-        for (auto& [name, wanted] : all) {
-            bool const there = engine.models_.contains(name) && !engine.retiring_.contains(name);
-            bool const coming = engine.loading_ == name || engine.reserved_for_ == name;
-            wanted.replicas_ += there || coming ? 1 : 0;
+        std::set<std::string_view> there{engine.loading_, engine.reserved_for_};
+        for (auto const& [name, held] : engine.models_) {
+            if (!engine.retiring_.contains(name)) {
+                there.insert(name);
+            }
+        }
+        for (auto const name : there) {
+            if (auto const wanted = all.find(name); wanted != all.end()) {
+                ++wanted->second.replicas_;
+            }
         }
     }
     for (auto& [name, wanted] : all) {
@@ -130,6 +138,44 @@
     return left;
 }
 
+/// Where the models of a service are, worked out once for a plan.
+struct engine_index {
+    std::map<std::string_view, std::vector<engine_state const*>> holders_; ///< By model.
+    std::map<std::string_view, std::int64_t> free_mb_;                     ///< By engine.
+    /// By engine: requests a second for adapters of models that it holds and no other free engine does.
+    std::map<std::string_view, double> adapters_blocked_;
+};
+
+engine_index index_engines(planner_input const& input)
+{
+    engine_index index;
+    for (auto const& engine : input.engines_) {
+        index.free_mb_[engine.id_] = free_memory(input, engine);
+        for (auto const& [name, held] : engine.models_) {
+            index.holders_[name].push_back(&engine);
+        }
+    }
+    for (auto const& [key, need] : input.needs_) {
+        auto const holders = index.holders_.find(key.model_);
+        if (key.service_ != input.service_ || key.adapter_.empty() || holders == index.holders_.end()) {
+            continue;
+        }
+        auto const is_free = [](engine_state const* engine) { return !engine->busy_ && !engine->leaving_; };
+        auto const free = std::count_if(holders->second.begin(), holders->second.end(), is_free);
+        for (auto const* const engine : holders->second) {
+            bool const elsewhere = free > (is_free(engine) ? 1 : 0);
+            index.adapters_blocked_[engine->id_] += elsewhere ? 0.0 : need.rate_;
+        }
+    }
+    return index;
+}
+
+double adapters_blocked(engine_index const& index, engine_state const& engine)
+{
+    auto const found = index.adapters_blocked_.find(engine.id_);
+    return found == index.adapters_blocked_.end() ? 0.0 : found->second;
+}
+
 /// A way to get a model onto an engine.
 struct option {
     engine_state const* engine_{};
@@ -160,27 +206,8 @@
     return wanted.value();
 }
 
-/// Requests a second for adapters of models that this engine holds and no other free engine does.
-double adapters_blocked(planner_input const& input, engine_state const& engine)
-{
-    double rate = 0;
-    for (auto const& need : input.needs_) {
-        auto const& key = need.first;
-        if (key.service_ != input.service_ || key.adapter_.empty() || !engine.models_.contains(key.model_)) {
-            continue;
-        }
-        bool const elsewhere =
-            std::any_of(input.engines_.begin(), input.engines_.end(), [&](engine_state const& other) {
-                return other.id_ != engine.id_ && !other.busy_ && !other.leaving_ &&
-                       other.models_.contains(key.model_);
-            });
-        rate += elsewhere ? 0.0 : need.second.rate_;
-    }
-    return rate;
-}
-
-std::optional<option> option_at(planner_input const& input, wanted_map const& all, engine_state const& engine,
-                                wanted_model const& wanted, bool may_evict)
+std::optional<option> option_at(planner_input const& input, engine_index const& index, wanted_map const& all,
+                                engine_state const& engine, wanted_model const& wanted, bool may_evict)
 {
     bool const reserved = !engine.reserved_for_.empty() && engine.reserved_for_ != wanted.model_->name_;
     if (engine.leaving_ || reserved || engine.models_.contains(wanted.model_->name_)) {
@@ -189,8 +216,8 @@
     option way{&engine, {}, load_source_of(engine, wanted.model_->name_), 0};
     way.cost_ms_ = static_cast<double>(load_time(*wanted.model_, way.from_).count_);
     way.cost_ms_ += engine.busy_ ? static_cast<double>(engine.free_in_.count_) : 0.0;
-    way.cost_ms_ += way.cost_ms_ * blocked_adapters_share * adapters_blocked(input, engine);
-    auto left = free_memory(input, engine);
+    way.cost_ms_ += way.cost_ms_ * blocked_adapters_share * adapters_blocked(index, engine);
+    auto left = index.free_mb_.at(engine.id_);
     if (left >= wanted.model_->memory_mb_) {
         return way;
     }
@@ -259,14 +286,15 @@
 }
 
 /// Goes on with loads for which room is being made.
-void continue_reservations(planner_input const& input, wanted_map& all, draft& plan)
+void continue_reservations(planner_input const& input, engine_index const& index, wanted_map& all,
+                           draft& plan)
 {
     for (auto const& engine : input.engines_) {
         auto const found = all.find(engine.reserved_for_);
         if (engine.reserved_for_.empty() || found == all.end()) {
             continue;
         }
-        auto const way = option_at(input, all, engine, found->second, true);
+        auto const way = option_at(input, index, all, engine, found->second, true);
         if (way && !engine.busy_ && may_load(plan, way->from_, 0)) {
             take_way(all, found->second, *way, plan, "room-was-made");
         }
@@ -275,8 +303,8 @@
 
 /// Plans one more replica. \param spare Places at the store that stay free. \returns False if none is
 /// possible.
-bool add_replica(planner_input const& input, wanted_map& all, wanted_model& wanted, draft& plan,
-                 bool may_evict, int spare, std::string_view reason)
+bool add_replica(planner_input const& input, engine_index const& index, wanted_map& all, wanted_model& wanted,
+                 draft& plan, bool may_evict, int spare, std::string_view reason)
 {
     std::optional<option> best;
     std::int64_t best_left = 0;
@@ -284,12 +312,12 @@
         if (plan.taken_.contains(engine.id_) || !engine.reserved_for_.empty()) {
             continue;
         }
-        auto way = option_at(input, all, engine, wanted, may_evict);
+        auto way = option_at(input, index, all, engine, wanted, may_evict);
         if (!way || !may_load(plan, way->from_, spare)) {
             continue;
         }
         // Of equal ways, the one that leaves the least memory unused.
-        auto const left = free_memory(input, engine);
+        auto const left = index.free_mb_.at(engine.id_);
         if (!best || way->cost_ms_ < best->cost_ms_ ||
             (way->cost_ms_ == best->cost_ms_ && left < best_left)) {
             best = std::move(way);
@@ -345,17 +373,21 @@
     return least;
 }
 
-void plan_adapter(planner_input const& input, need_key const& key, model_need const& need, draft& plan,
-                  std::set<std::string_view>& taken)
+void plan_adapter(planner_input const& input, engine_index const& index, need_key const& key,
+                  model_need const& need, draft& plan, std::set<std::string_view>& taken)
 {
+    auto const holders = index.holders_.find(key.model_);
+    if (holders == index.holders_.end()) {
+        return;
+    }
     engine_state const* place = nullptr;
     engine_state const* crowded = nullptr;
-    for (auto const& engine : input.engines_) {
-        auto const held = engine.models_.find(key.model_);
-        if (held == engine.models_.end() || engine.leaving_ || engine.retiring_.contains(key.model_)) {
+    for (auto const* const holder : holders->second) {
+        auto const& engine = *holder;
+        if (engine.leaving_ || engine.retiring_.contains(key.model_)) {
             continue;
         }
-        if (held->second.adapters_.contains(key.adapter_)) {
+        if (engine.models_.at(key.model_).adapters_.contains(key.adapter_)) {
             return;
         }
         if (taken.contains(engine.id_) || engine.busy_) {
@@ -386,7 +418,7 @@
     }
 }
 
-void plan_adapters(planner_input const& input, draft& plan)
+void plan_adapters(planner_input const& input, engine_index const& index, draft& plan)
 {
     std::vector<std::pair<need_key const*, model_need const*>> wanted;
     for (auto const& [key, need] : input.needs_) {
@@ -401,7 +433,7 @@
     });
     std::set<std::string_view> taken;
     for (auto const& [key, need] : wanted) {
-        plan_adapter(input, *key, *need, plan, taken);
+        plan_adapter(input, index, *key, *need, plan, taken);
     }
 }
 
@@ -432,7 +464,8 @@
 {
     draft plan;
     plan.store_ = input.store_;
-    plan_adapters(input, plan);
+    auto const index = index_engines(input);
+    plan_adapters(input, index, plan);
     auto all = collect(input);
     std::vector<wanted_model*> order;
     for (auto& [name, wanted] : all) {
@@ -446,23 +479,23 @@
         }
         return a_waits ? a->oldest_wait_ > b->oldest_wait_ : a->rate_ > b->rate_;
     });
-    continue_reservations(input, all, plan);
+    continue_reservations(input, index, all, plan);
     for (auto* const wanted : order) {
         if (wanted->needed_ > 0 && wanted->replicas_ == 0) {
             bool const may_evict = wanted->waiting_ > 0 || wanted->rate_ >= rate_to_evict;
-            (void)add_replica(input, all, *wanted, plan, may_evict, 0,
+            (void)add_replica(input, index, all, *wanted, plan, may_evict, 0,
                               wanted->waiting_ > 0 ? "waited-for" : "asked-for");
         }
     }
     for (auto* const wanted : order) {
         if (wanted->replicas_ > 0 && wanted->replicas_ < wanted->needed_) {
-            (void)add_replica(input, all, *wanted, plan, true, 0, "busy");
+            (void)add_replica(input, index, all, *wanted, plan, true, 0, "busy");
         }
     }
     for (auto* const wanted : order) {
         // One place at the store stays free for a model that somebody asks for meanwhile.
         if (wanted->replicas_ == 0) {
-            (void)add_replica(input, all, *wanted, plan, false, 1, "unloaded-nowhere");
+            (void)add_replica(input, index, all, *wanted, plan, false, 1, "unloaded-nowhere");
         }
     }
     return plan.orders_;
--- a/src/coordination/retry.cpp
+++ b/src/coordination/retry.cpp
@@ -26,6 +26,17 @@
 
 } // namespace
 
+void set_part(retry_budget& budget, double ratio, double extra, std::size_t vms) noexcept
+{
+    auto const thousandths = [](double retries) {
+        return static_cast<std::int64_t>(std::max(0.0, retries) * static_cast<double>(one_retry));
+    };
+    // At least one whole retry can be saved up, else a small part of a large fleet's budget is never used.
+    budget.limit_ = std::max(one_retry, thousandths(extra / static_cast<double>(vms)));
+    budget.per_request_ = thousandths(ratio);
+    budget.balance_ = std::min(budget.balance_, budget.limit_);
+}
+
 void earn(retry_budget& budget) noexcept
 {
     budget.balance_ = std::min(budget.limit_, budget.balance_ + budget.per_request_);
--- a/src/coordination/upstream_choice.cpp
+++ b/src/coordination/upstream_choice.cpp
@@ -11,7 +11,12 @@
 /// Prompt tokens that an engine reads in a millisecond; the order of the engines on the platform's sheets.
 constexpr double prompt_tokens_per_ms = 38.0;
 
-/// Delay that each request under way adds to the first token, in ms: its own prompt is read part of the time.
+/// Delay that each answering request adds to the first token of an engine, in ms: its tokens are made between
+/// the pieces of a prompt.
+constexpr double delay_per_answering_ms = 4.0;
+
+/// Delay that each request under way adds at a plain service with one slot, in ms; the order of the work of
+/// the services on the platform's sheets.
 constexpr double delay_per_running_ms = 40.0;
 
 /// Delay that an upstream outside the VM's availability zone adds, in ms.
@@ -34,6 +39,11 @@
     return option.running_ >= option.slots_ || !fits;
 }
 
+std::int64_t unread_part(choice_request const& request, bool home) noexcept
+{
+    return std::max<std::int64_t>(request.prompt_tokens_ - (home ? request.shared_tokens_ : 0), 0);
+}
+
 double expected_delay(upstream_option const& option, choice_request const& request, bool home) noexcept
 {
     auto delay = (option.same_zone_ ? 0.0 : other_zone_ms) + (option.suspect_ ? suspect_ms : 0.0);
@@ -41,15 +51,15 @@
         return delay + delay_per_running_ms * static_cast<double>(option.running_) /
                            static_cast<double>(std::max<std::int64_t>(option.slots_, 1));
     }
-    auto const unread = request.prompt_tokens_ - (home ? request.shared_tokens_ : 0);
-    return delay + static_cast<double>(std::max<std::int64_t>(unread, 0)) / prompt_tokens_per_ms +
-           delay_per_running_ms * static_cast<double>(option.running_);
+    auto const unread = option.unread_tokens_ + unread_part(request, home);
+    return delay + static_cast<double>(unread) / prompt_tokens_per_ms +
+           delay_per_answering_ms * static_cast<double>(option.running_);
 }
 
 } // namespace
 
-std::optional<std::size_t> choose_upstream(std::span<upstream_option const> options,
-                                           choice_request const& request) noexcept
+std::optional<chosen_option> choose_upstream(std::span<upstream_option const> options,
+                                             choice_request const& request) noexcept
 {
     std::optional<std::size_t> home;
     std::uint64_t home_weight = 0;
@@ -75,7 +85,7 @@
             best_draw = draw;
         }
     }
-    return best;
+    return best ? std::optional{chosen_option{*best, unread_part(request, home == best)}} : std::nullopt;
 }
 
 } // namespace auburnchute
--- a/src/protocol/entry_settings.cpp
+++ b/src/protocol/entry_settings.cpp
@@ -53,15 +53,13 @@
     add("ip", true, into.ip_);
     add("availability_zone", true, into.availability_zone_);
     add("first_start", false, into.first_start_);
+    add("processor_share", false, into.processor_share_);
     add("callers_listen", true, into.callers_listen_);
     add("ready_listen", true, into.ready_listen_);
     add("directory_listen", true, into.directory_listen_);
     add("peer_port", true, into.peer_port_);
     add("metrics_port", false, into.metrics_port_);
     add("store_address", true, into.store_address_);
-    add("max_descriptors", false, into.max_descriptors_);
-    add("engines_check_fences", false, into.engines_check_fences_);
-    add("upstream_report_ms", false, into.upstream_report_);
     add("config_in_force_ms", false, into.config_in_force_);
     add("key_withdrawal_ms", false, into.key_withdrawal_);
     add("order_lease_ms", false, into.order_lease_);
@@ -69,9 +67,7 @@
     add("directory_lifetime_s", false, into.directory_lifetime_);
     add("retry_ratio", false, into.retry_ratio_);
     add("retry_extra", false, into.retry_extra_);
-    add("retry_window_s", false, into.retry_window_);
     add("load_window_s", false, into.load_window_);
-    add("load_overage", false, into.load_overage_);
     return keys;
 }
 
--- a/src/protocol/entry_settings.hpp
+++ b/src/protocol/entry_settings.hpp
@@ -15,26 +15,22 @@
     std::string vm_;
     std::string ip_;
     std::string availability_zone_;
-    bool first_start_{};           ///< The whole system starts for the first time.
-    std::string callers_listen_;   ///< `IP:PORT` for callers.
-    std::string ready_listen_;     ///< `IP:PORT` for the platform's readiness checks.
-    std::string directory_listen_; ///< `IP:PORT` for callers that ask which address to use.
-    int peer_port_{};              ///< UDP, for messages between entry daemons.
-    int metrics_port_{};           ///< TCP on all addresses of the VM; 0: none.
-    std::string store_address_;    ///< `IP:PORT` of the platform's store.
-    int max_descriptors_{1'024};
-    bool engines_check_fences_{};      ///< Upstreams refuse an order with an old fencing number.
-    millis upstream_report_{1'200};    ///< How often upstreams write to the store.
+    bool first_start_{};               ///< The whole system starts for the first time.
+    double processor_share_{1.0};      ///< Part of a core that the VM may use.
+    std::string callers_listen_;       ///< `IP:PORT` for callers.
+    std::string ready_listen_;         ///< `IP:PORT` for the platform's readiness checks.
+    std::string directory_listen_;     ///< `IP:PORT` for callers that ask which address to use.
+    int peer_port_{};                  ///< UDP, for messages between entry daemons.
+    int metrics_port_{};               ///< TCP on all addresses of the VM; 0: none.
+    std::string store_address_;        ///< `IP:PORT` of the platform's store.
     millis config_in_force_{2'000};    ///< Time within which a confirmed configuration is in force.
     millis key_withdrawal_{5'000};     ///< Time after which a withdrawn key no longer works anywhere.
     millis order_lease_{3'000};        ///< Least time between orders of two holders.
     millis shutdown_grace_{8'000};     ///< Time between the stop signal and the kill.
     millis directory_lifetime_{5'000}; ///< Longest time for which callers keep a directory answer.
     double retry_ratio_{0.2};          ///< Retries over requests, all VMs together.
-    std::int64_t retry_extra_{10};     ///< Retries on top of the ratio, all VMs together.
-    millis retry_window_{10'000};
-    millis load_window_{5'000}; ///< Window of the weight store's limit.
-    double load_overage_{1.0};  ///< Part of the weight store's limit that may be used in a window.
+    double retry_extra_{10};           ///< Retries at once on top of the ratio, all VMs together.
+    millis load_window_{5'000};        ///< Window of the weight store's limit.
 };
 
 /// \brief What reading the settings found besides the values.
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -13,7 +13,7 @@
     auto rows = json::array();
     for (auto const& [key, need] : needs) {
         rows.push_back({key.service_, key.model_, key.adapter_, need.waiting_, need.running_, need.rate_,
-                        need.urgency_, need.oldest_wait_.count_, need.patience_.count_});
+                        need.urgency_, need.oldest_wait_.count_});
     }
     return rows;
 }
@@ -23,8 +23,7 @@
     need_map needs;
     for (auto const& row : rows) {
         need_key key{row.at(0), row.at(1), row.at(2)};
-        needs[std::move(key)] = {row.at(3), row.at(4),         row.at(5),
-                                 row.at(6), millis{row.at(7)}, millis{row.at(8)}};
+        needs[std::move(key)] = {row.at(3), row.at(4), row.at(5), row.at(6), millis{row.at(7)}};
     }
     return needs;
 }
@@ -94,7 +93,7 @@
     decode_pairs(fields.at(6), state.used_);
     decode_pairs(fields.at(7), state.level_);
     for (auto const& row : fields.at(8)) {
-        state.upstreams_[row.at(0)] = {row.at(1), row.at(2)};
+        state.upstreams_[row.at(0)] = {row.at(1), row.at(2), row.at(3)};
     }
     decode_pairs(fields.at(9), state.crashes_);
     state.needs_ = decode_needs(fields.at(10));
@@ -113,6 +112,12 @@
     for (auto const& row : fields.at(14)) {
         state.placements_.push_back(decode_placement(row));
     }
+    state.placements_from_ = fields.at(18);
+    state.placements_to_ = fields.at(19);
+    state.seen_epoch_ = fields.at(20);
+    state.seen_placements_ = fields.at(21);
+    state.seen_news_ = fields.at(22);
+    state.strength_ = fields.at(23);
     return state;
 }
 
@@ -122,7 +127,7 @@
 {
     auto upstreams = json::array();
     for (auto const& [id, use] : state.upstreams_) {
-        upstreams.push_back({id, use.requests_, use.tokens_});
+        upstreams.push_back({id, use.requests_, use.tokens_, use.unread_tokens_});
     }
     auto placements = json::array();
     for (auto const& notice : state.placements_) {
@@ -149,7 +154,13 @@
                       placements,
                       state.news_from_,
                       state.news_to_,
-                      news};
+                      news,
+                      state.placements_from_,
+                      state.placements_to_,
+                      state.seen_epoch_,
+                      state.seen_placements_,
+                      state.seen_news_,
+                      state.strength_};
     return json::to_cbor(fields);
 }
 
--- a/src/protocol/peer_message.hpp
+++ b/src/protocol/peer_message.hpp
@@ -17,6 +17,7 @@
 struct upstream_use {
     std::int64_t requests_{};
     std::int64_t tokens_{};
+    std::int64_t unread_tokens_{}; ///< Prompt tokens of the requests that have not begun to answer.
 };
 
 /// \brief A change of an upstream's entry, as it stands in the store.
@@ -35,8 +36,9 @@
     bool ready_{};
     std::uint64_t config_next_{}; ///< Offset after the newest configuration record that it has in force.
     std::int64_t config_age_{-1}; ///< Milliseconds since it knew that there is no newer one; -1: never.
-    std::map<std::string, std::int64_t, std::less<>> used_;      ///< Units spent, by workspace.
-    std::map<std::string, std::int64_t, std::less<>> level_;     ///< Units left in its copy of the bucket.
+    std::map<std::string, std::int64_t, std::less<>> used_;  ///< Units spent, by workspace.
+    std::map<std::string, std::int64_t, std::less<>> level_; ///< Units left in its copy of the bucket; told
+                                                             ///< to VMs that have just started.
     std::map<std::string, upstream_use, std::less<>> upstreams_; ///< By upstream id.
     std::map<std::string, int, std::less<>>
         crashes_; ///< Upstreams that died under a request, by fingerprint.
@@ -48,7 +50,14 @@
     std::uint64_t lease_epoch_{}; ///< Of the placement lease that it holds; 0: none.
     std::uint64_t lease_end_{};   ///< Where the lease's topic ended after the holder's last record.
     std::int64_t orders_in_{};    ///< Milliseconds until the holder may give orders.
+    /// Versions of the holder's board between which `placements_` tells all changes; see placement_board.hpp.
+    std::uint64_t placements_from_{};
+    std::uint64_t placements_to_{};
     std::vector<placement_notice> placements_;
+    std::uint64_t seen_epoch_{};      ///< Lease whose holder's notices it knows.
+    std::uint64_t seen_placements_{}; ///< Version of that holder's board that it has reached.
+    std::uint64_t seen_news_{};       ///< Offset up to which it knows the upstreams' entries.
+    std::int64_t strength_{};         ///< Processor share of its VM, in hundredths of a core.
 };
 
 /// \brief Times that belong to one message between two daemons; in the boot clocks of their makers.
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -87,18 +87,21 @@
 /// Books the request at the upstream while it lives.
 class use_guard {
 public:
-    use_guard(entry_node& node, std::string id, std::int64_t tokens, need_key need)
-        : node_{node}, id_{std::move(id)}, tokens_{tokens}, need_{std::move(need)}
+    use_guard(entry_node& node, chosen_upstream const& upstream, std::int64_t tokens, need_key need)
+        : node_{node}, id_{upstream.id_}, tokens_{tokens}, unread_{upstream.unread_tokens_}, need_{std::move(
+                                                                                                 need)}
     {
         auto& use = node_.upstreams_[id_].use_;
         ++use.requests_;
         use.tokens_ += tokens_;
+        use.unread_tokens_ += unread_;
         ++node_.needs_[need_].running_;
     }
     use_guard(use_guard const&) = delete;
     use_guard& operator=(use_guard const&) = delete;
     ~use_guard()
     {
+        note_answering();
         auto& use = node_.upstreams_[id_].use_;
         --use.requests_;
         use.tokens_ -= tokens_;
@@ -108,10 +111,14 @@
         }
     }
 
+    /// \brief Books that the upstream has read the prompt.
+    void note_answering() { node_.upstreams_[id_].use_.unread_tokens_ -= std::exchange(unread_, 0); }
+
 private:
     entry_node& node_;
     std::string id_;
     std::int64_t tokens_;
+    std::int64_t unread_;
     need_key need_;
 };
 
@@ -169,7 +176,8 @@
     bool keep_{};               ///< The connection stays open after the present request.
     std::string last_upstream_; ///< Of the present request, for its log line.
     int last_status_{};
-    std::function<void()> on_gone_; ///< Called once when the caller leaves.
+    std::function<void()> on_gone_;        ///< Called once when the caller leaves.
+    std::function<void()> on_first_event_; ///< Called once when the upstream begins to answer.
     wake_event* waiting_{};
 };
 
@@ -337,7 +345,8 @@
 net::awaitable<std::optional<own_answer>> caller_session::dispatch(forward_job& job,
                                                                    caller_request const& request)
 {
-    earn(node_.retries_);
+    auto& retries = retries_of(node_, job.service_);
+    earn(retries);
     int connect_failures = 0;
     while (!gone_) {
         auto const now = boot_now();
@@ -366,7 +375,7 @@
             bool const worth_repeating = job.route_->kind_ == call_kind::safe && outcome.status_ >= 500;
             bool const again = worth_repeating &&
                                static_cast<int>(job.used_.size()) < job.route_->max_upstreams_ &&
-                               try_again(node_.retries_, try_result::refused, true,
+                               try_again(retries, try_result::refused, true,
                                          static_cast<int>(job.used_.size()), boot_now(), job.deadline_);
             if (!again) {
                 if (!co_await send_answer(std::move(*outcome.answer_))) {
@@ -382,8 +391,8 @@
         bool const may_repeat = is_repeatable(job) || job.execution_ == execution::not_run;
         bool const upstreams_left = static_cast<int>(job.used_.size()) < job.route_->max_upstreams_;
         if (!ran_nowhere && (!may_repeat || !upstreams_left ||
-                             !try_again(node_.retries_, outcome.result_, true,
-                                        static_cast<int>(job.used_.size()), boot_now(), job.deadline_))) {
+                             !try_again(retries, outcome.result_, true, static_cast<int>(job.used_.size()),
+                                        boot_now(), job.deadline_))) {
             bool const late = boot_now() >= job.deadline_;
             co_return give_up(job, "upstream-refused", late ? timed_out : bad_gateway,
                               late ? "deadline" : "upstream-failed");
@@ -416,8 +425,8 @@
                                           {"model", job.call_.model_},
                                           {"load_ms", load.count_},
                                           {"left_ms", left.count_},
-                                          {"holder_epoch", node_.placements_epoch_},
-                                          {"placement_age_ms", (now - node_.placements_at_).count_}});
+                                          {"holder_epoch", node_.placements_.epoch_},
+                                          {"placement_age_ms", (now - node_.placements_.heard_at_).count_}});
             co_return own_answer{unavailable, "load-too-late", load + least_retry_after};
         }
     } else if (now - job.arrived_ > (job.first_deadline_ - job.arrived_) / 2) {
@@ -443,7 +452,7 @@
 {
     try_outcome outcome;
     auto const& from = job.call_;
-    use_guard const use{node_, upstream.id_, from.prompt_tokens_ + from.output_tokens_, need_of(job)};
+    use_guard use{node_, upstream, from.prompt_tokens_ + from.output_tokens_, need_of(job)};
     auto const now = boot_now();
     auto connection = node_.pool_.take_idle(upstream.id_, is_repeatable(job) ? safe_idle : unsafe_idle);
     if (!connection) {
@@ -486,6 +495,7 @@
     log_decision("forward", {{"id", from.request_id_},
                              {"upstream", upstream.id_},
                              {"running", upstream.known_running_},
+                             {"unread_before", upstream.known_unread_},
                              {"left_ms", left.count_},
                              {"config", job.config_->version_},
                              {"config_age_ms", (boot_now() - fresh_at(node_)).count_},
@@ -504,7 +514,9 @@
         report_failure);
     bool reusable = false;
     millis keep_alive = default_keep_alive;
+    on_first_event_ = [&use] { use.note_answering(); };
     co_await read_answer(job, *connection, outcome, reusable, keep_alive);
+    on_first_event_ = nullptr;
     on_gone_ = nullptr;
     if (reusable && *written && !gone_) {
         node_.pool_.keep(connection, keep_alive);
@@ -620,6 +632,9 @@
         if (parser.is_done() && !fault) {
             events += std::exchange(cutter.pending_, {}); // the last event may lack its blank line
         }
+        if (!events.empty() && on_first_event_) {
+            std::exchange(on_first_event_, nullptr)();
+        }
         if (!events.empty() && !co_await pass_events(job, parser, events, in_order)) {
             gone_ = true;
             co_return;
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -19,9 +19,6 @@
 /// on keys, after which a peer that is cut off spends nothing.
 constexpr millis peer_share_kept{15'000};
 
-/// How long the holder's notices count after its last message.
-constexpr millis notice_lifetime{10'000};
-
 } // namespace
 
 millis message_rhythm(std::size_t peers) noexcept
@@ -73,33 +70,37 @@
     return static_cast<double>(heard) / static_cast<double>(counted);
 }
 
-upstream_use fleet_use(entry_node const& node, std::string_view upstream_id, millis now)
+void count_use(entry_node& node, known_peer& peer, bool counted)
 {
-    upstream_use sum;
-    if (auto const own = node.upstreams_.find(upstream_id); own != node.upstreams_.end()) {
-        sum = own->second.use_;
+    if (peer.counted_ == counted) {
+        return;
     }
-    for (auto const& [vm, peer] : node.peers_) {
-        if (!is_heard(node, peer, now)) {
-            continue;
-        }
-        auto const found = peer.state_.upstreams_.find(upstream_id);
-        if (found != peer.state_.upstreams_.end()) {
-            sum.requests_ += found->second.requests_;
-            sum.tokens_ += found->second.tokens_;
+    peer.counted_ = counted;
+    std::int64_t const sign = counted ? 1 : -1;
+    for (auto const& [id, use] : peer.state_.upstreams_) {
+        auto const found = node.peers_use_.try_emplace(id).first;
+        auto& sum = found->second;
+        sum.requests_ += sign * use.requests_;
+        sum.tokens_ += sign * use.tokens_;
+        sum.unread_tokens_ += sign * use.unread_tokens_;
+        if (sum.requests_ == 0) {
+            node.peers_use_.erase(found);
         }
     }
-    return sum;
 }
 
-placement_notice const* find_notice(entry_node const& node, std::string_view upstream_id) noexcept
+upstream_use fleet_use(entry_node const& node, std::string_view upstream_id)
 {
-    if (boot_now() - node.placements_at_ > notice_lifetime) {
-        return nullptr;
+    upstream_use sum;
+    if (auto const own = node.upstreams_.find(upstream_id); own != node.upstreams_.end()) {
+        sum = own->second.use_;
     }
-    auto const found = std::find_if(node.placements_.begin(), node.placements_.end(),
-                                    [&](auto const& notice) { return notice.upstream_id_ == upstream_id; });
-    return found == node.placements_.end() ? nullptr : &*found;
+    if (auto const peers = node.peers_use_.find(upstream_id); peers != node.peers_use_.end()) {
+        sum.requests_ += peers->second.requests_;
+        sum.tokens_ += peers->second.tokens_;
+        sum.unread_tokens_ += peers->second.unread_tokens_;
+    }
+    return sum;
 }
 
 bool is_ready(entry_node const& node, millis now)
@@ -120,6 +121,17 @@
     return count;
 }
 
+retry_budget& retries_of(entry_node& node, std::string const& service)
+{
+    auto const [found, fresh] = node.retries_.try_emplace(service);
+    auto& budget = found->second;
+    set_part(budget, node.settings_.retry_ratio_, node.settings_.retry_extra_, node.peers_.size() + 1);
+    if (fresh && !node.settings_.first_start_) {
+        budget.balance_ = 0; // an earlier process of this VM may just have spent it
+    }
+    return budget;
+}
+
 void wake_waiting(entry_node& node)
 {
     node.waiting_.sort([](waiting_call const* a, waiting_call const* b) {
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -9,6 +9,7 @@
 
 #include <auburnchute/call.hpp>
 #include <auburnchute/model_need.hpp>
+#include <auburnchute/placement_board.hpp>
 #include <auburnchute/retry.hpp>
 #include <auburnchute/shared_bucket.hpp>
 
@@ -30,7 +31,16 @@
     millis heard_at_{};         ///< Of the newest message; 0: never.
     std::int64_t last_stamp_{}; ///< Its newest message's `sent_at_`.
     peer_state state_;
-    booked_use booked_; ///< Of its use.
+    booked_use booked_;  ///< Of its use.
+    millis joined_at_{}; ///< When this process of it was first heard.
+    bool counted_{};     ///< Its requests are part of `peers_use_`.
+};
+
+/// \brief Which peers a message goes to.
+enum class message_targets : std::uint8_t {
+    all,
+    holder,  ///< The VM that places models.
+    waiting, ///< Those with requests that wait for a model.
 };
 
 /// \brief A workspace's use at this VM.
@@ -85,20 +95,19 @@
     std::map<std::string, known_peer, std::less<>> peers_; ///< By VM.
     std::map<std::string, workspace_use, std::less<>> workspaces_;
     std::uint64_t limits_version_{}; ///< Configuration version that the buckets follow.
-    std::map<std::string, own_use, std::less<>> upstreams_; ///< By upstream id.
+    std::map<std::string, own_use, std::less<>> upstreams_;      ///< By upstream id.
+    std::map<std::string, upstream_use, std::less<>> peers_use_; ///< Of all peers that are heard.
     std::map<need_key, own_need> needs_;
     std::list<waiting_call*> waiting_;
-    std::map<std::string, int, std::less<>> crashes_; ///< By fingerprint; own ones.
-    retry_budget retries_;
-    std::vector<placement_notice> placements_; ///< From the holder of the placement lease.
-    std::uint64_t placements_epoch_{};
-    millis placements_at_{};
+    std::map<std::string, int, std::less<>> crashes_;          ///< By fingerprint; own ones.
+    std::map<std::string, retry_budget, std::less<>> retries_; ///< By service; this VM's parts.
+    placement_board placements_;
     std::uint64_t own_lease_epoch_{};    ///< Of the lease while this VM holds it; 0: it does not.
     std::uint64_t lease_end_{};          ///< End of the lease's topic, as the holder last told.
     millis orders_from_{};               ///< When the holder may give orders; boot clock.
     millis handed_freshness_{};          ///< Proof of freshness that a peer handed over; boot clock.
     std::function<void()> need_changed_; ///< Called when a request starts to wait for a model.
-    std::function<void()> send_state_;   ///< Sends this daemon's state to its peers now.
+    std::function<void(message_targets)> send_state_; ///< Sends this daemon's state to peers now.
     std::function<void(std::uint64_t)>
         lease_told_; ///< Called with the lease's end when a holder tells a new one.
     std::function<void(upstream_news)> news_told_; ///< Called with news of upstreams that a peer read.
@@ -133,12 +142,11 @@
 /// \returns The part of the members that this VM hears, itself included; above 0, at most 1.
 [[nodiscard]] double heard_share(entry_node const& node, millis now) noexcept;
 
-/// \returns Requests and tokens at an upstream over all VMs that are heard.
-[[nodiscard]] upstream_use fleet_use(entry_node const& node, std::string_view upstream_id, millis now);
+/// \brief Adds the peer's requests to `peers_use_`, or takes them out; does nothing if that is so already.
+void count_use(entry_node& node, known_peer& peer, bool counted);
 
-/// \returns The holder's notice about an upstream, or null.
-[[nodiscard]] placement_notice const* find_notice(entry_node const& node,
-                                                  std::string_view upstream_id) noexcept;
+/// \returns Requests and tokens at an upstream over all VMs that are heard.
+[[nodiscard]] upstream_use fleet_use(entry_node const& node, std::string_view upstream_id);
 
 /// \returns Whether callers may be sent here.
 [[nodiscard]] bool is_ready(entry_node const& node, millis now);
@@ -146,6 +154,9 @@
 /// \returns How often upstreams died under requests with this fingerprint, as far as all VMs told.
 [[nodiscard]] int crash_count(entry_node const& node, std::string_view fingerprint);
 
+/// \returns This VM's part of the service's retry budget, as of the members that it knows.
+[[nodiscard]] retry_budget& retries_of(entry_node& node, std::string const& service);
+
 /// \brief Wakes the requests that wait, most urgent first.
 void wake_waiting(entry_node& node);
 
--- a/src/transport/entry/entry_view.hpp
+++ b/src/transport/entry/entry_view.hpp
@@ -37,6 +37,8 @@
     std::shared_ptr<fleet_config const> config_; ///< Null until one was read.
     std::uint64_t config_next_{};                ///< Offset after the newest record of it that was read.
     std::shared_ptr<upstream_map const> upstreams_{std::make_shared<upstream_map const>()};
+    std::uint64_t
+        upstreams_next_{}; ///< Offset up to which the upstreams' entries are known; 0: not read yet.
     std::vector<entry_member> members_;
     std::shared_ptr<upstream_news const> news_{
         std::make_shared<upstream_news const>()}; ///< Of the last seconds.
@@ -55,6 +57,11 @@
     std::atomic<std::uint64_t> config_hint_{0};
     /// Whether this VM is one of those that read the store for all.
     std::atomic<bool> reads_for_all_{true};
+    /// Whether a ready peer comes before this VM in taking work for all; see `duty_rank` in
+    /// peer_exchange.cpp.
+    std::atomic<bool> defers_{false};
+    /// Set when a message came from a VM that is not among the members.
+    std::atomic<bool> unknown_heard_{false};
     /// When a peer that holds the placement lease was last heard; boot clock. 0: never.
     std::atomic<std::int64_t> holder_heard_at_{0};
 };
--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -168,15 +168,19 @@
             continue;
         }
         service_there = true;
-        if (job.engine_ != nullptr && !job.call_.model_.empty() &&
-            !is_usable(entry, find_notice(node, id), job.call_.model_, job.call_.adapter_)) {
-            continue;
+        if (job.engine_ != nullptr && !job.call_.model_.empty()) {
+            auto const* const told = find_notice(node.placements_, id, now);
+            if (!is_usable(entry, told != nullptr ? &told->notice_ : nullptr, job.call_.model_,
+                           job.call_.adapter_)) {
+                continue;
+            }
         }
-        auto const use = fleet_use(node, id, now);
+        auto const use = fleet_use(node, id);
         options.push_back({.id_ = id,
                            .running_ = use.requests_,
                            .slots_ = entry.slots_,
                            .running_tokens_ = use.tokens_,
+                           .unread_tokens_ = use.unread_tokens_,
                            .kv_tokens_ = job.engine_ != nullptr ? job.engine_->kv_tokens_ : 0,
                            .same_zone_ = entry.availability_zone_ == node.settings_.availability_zone_,
                            .suspect_ = known && own->second.suspect_until_ > now,
@@ -199,19 +203,20 @@
         chosen.fault_ = choice_fault::all_full;
         return chosen;
     }
-    chosen.upstream_ =
-        chosen_upstream{entries[*best]->id_, entries[*best]->address_, options[*best].running_};
+    auto const& entry = *entries[best->index_];
+    auto const& option = options[best->index_];
+    chosen.upstream_ = chosen_upstream{entry.id_, entry.address_, option.running_, option.unread_tokens_,
+                                       best->unread_tokens_};
     return chosen;
 }
 
 millis load_remaining(entry_node const& node, forward_job const& job)
 {
     auto const now = boot_now();
-    auto const passed = now - node.placements_at_;
     std::optional<millis> least;
-    for (auto const& notice : node.placements_) {
-        for (auto const& load : notice.loading_) {
-            auto const left = std::max(millis{0}, load.remaining_ - passed);
+    for (auto const& [id, told] : node.placements_.notices_) {
+        for (auto const& load : told.notice_.loading_) {
+            auto const left = std::max(millis{0}, load.remaining_ - (now - told.told_at_));
             if (load.model_ == job.call_.model_ && (!least || left < *least)) {
                 least = left;
             }
@@ -220,7 +225,8 @@
     if (least) {
         return *least;
     }
-    bool const holder_heard = node.own_lease_epoch_ != 0 || passed < peer_silence(node.peers_.size());
+    bool const holder_heard =
+        node.own_lease_epoch_ != 0 || now - node.placements_.heard_at_ < peer_silence(node.peers_.size());
     auto const until_orders = holder_heard ? std::max(millis{0}, node.orders_from_ - now) : takeover_time;
     auto const* const model = find_hosted_model(*job.engine_, job.call_.model_);
     if (model == nullptr) {
--- a/src/transport/entry/forward_job.hpp
+++ b/src/transport/entry/forward_job.hpp
@@ -50,6 +50,8 @@
     std::string id_;
     std::string address_;
     std::int64_t known_running_{};
+    std::int64_t known_unread_{};  ///< Prompt tokens that it has to read before this request's.
+    std::int64_t unread_tokens_{}; ///< Prompt tokens of this request that it has to read.
 };
 
 enum class choice_fault : std::uint8_t {
--- a/src/transport/entry/order_keeper.cpp
+++ b/src/transport/entry/order_keeper.cpp
@@ -21,6 +21,13 @@
 constexpr millis lease_idle_pause{300};
 constexpr millis lease_look_pause{250};
 
+/// Pause between looks while a VM that should hold the lease in place of this one is heard; it takes it
+/// first.
+constexpr millis lease_deferred_pause{1'000};
+
+/// How long after its start a VM leaves the lease alone: by then it has heard who should hold it.
+constexpr millis lease_start_pause{700};
+
 /// Longest time for a call about the lease.
 constexpr millis lease_call_limit{800};
 
@@ -158,6 +165,8 @@
 net::awaitable<void> keep_lease(order_keeper& keeper)
 {
     platform::store_client store{keeper.loop_, keeper.settings_.store_address_, lease_call_limit};
+    co_await pause_for(lease_start_pause);
+    millis deferred_since{0}; // 0: it defers to nobody
     while (true) {
         std::string fault;
         auto const now = boot_now();
@@ -172,6 +181,15 @@
         }
         bool const store_back_lately = now - keeper.store_answers_since_ < incumbent_time;
         bool const incumbent = keeper.lease_.newest_ && keeper.lease_.newest_->vm_ == keeper.lease_.vm_;
+        if (!incumbent && keeper.lease_.epoch_ == 0 &&
+            keeper.shared_.defers_.load(std::memory_order_acquire)) {
+            deferred_since = deferred_since == millis{0} ? now : deferred_since;
+            if (now - deferred_since < lease_deferred_pause) {
+                co_await pause_for(lease_idle_pause);
+                continue;
+            }
+        }
+        deferred_since = millis{0};
         try {
             bool const may_take = may_take_lease(keeper.lease_, now) && (incumbent || !store_back_lately);
             if (keeper.lease_.epoch_ != 0 || may_take) {
--- a/src/transport/entry/peer_exchange.cpp
+++ b/src/transport/entry/peer_exchange.cpp
@@ -10,6 +10,8 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/ip/udp.hpp>
+#include <cmath>
+#include <iterator>
 
 namespace auburnchute {
 
@@ -49,22 +51,34 @@
         if (found != needs.end()) {
             found->second.urgency_ = std::min(found->second.urgency_, call->urgency_);
             found->second.oldest_wait_ = std::max(found->second.oldest_wait_, now - call->arrived_);
-            found->second.patience_ = std::min(found->second.patience_, call->deadline_ - now);
         }
     }
     return needs;
 }
 
+/// Hundredths of a core, at least one.
+std::int64_t strength_of(entry_node const& node)
+{
+    return std::max<std::int64_t>(1, std::llround(node.settings_.processor_share_ * 100.0));
+}
+
+/// Order in which VMs take work for all: strong ones first, equal ones by a hash of their names.
+auto duty_rank(std::int64_t strength, std::string_view vm)
+{
+    return std::pair{-strength, stable_hash(vm)};
+}
+
 /// One of the VMs that read for all tells the news; the others read on and step in when it falls silent.
 bool tells_news(entry_node const& node, millis now)
 {
     if (!node.shared_.reads_for_all_.load(std::memory_order_acquire)) {
         return false;
     }
-    auto const own = stable_hash(node.settings_.vm_);
+    auto const own = duty_rank(strength_of(node), node.settings_.vm_);
     return std::none_of(node.peers_.begin(), node.peers_.end(), [&](auto const& known) {
         auto const& peer = known.second;
-        return peer.state_.news_to_ > 0 && is_heard(node, peer, now) && stable_hash(known.first) < own;
+        return peer.state_.news_to_ > 0 && is_heard(node, peer, now) &&
+               duty_rank(peer.state_.strength_, known.first) < own;
     });
 }
 
@@ -75,12 +89,13 @@
     state.incarnation_ = node.incarnation_;
     state.callers_address_ = node.settings_.callers_listen_;
     state.ready_ = is_ready(node, now);
-    state.config_next_ = current_view(node).config_next_;
+    // The proof first: the control thread may publish a newer configuration between the two reads, and a
+    // proof of that one must not be told with the older offset.
     auto const fresh = fresh_at(node);
+    state.config_next_ = current_view(node).config_next_;
     state.config_age_ = fresh > millis{0} ? (now - fresh).count_ : -1;
     for (auto const& [name, use] : node.workspaces_) {
         state.used_.emplace(name, use.used_);
-        state.level_.emplace(name, static_cast<std::int64_t>(use.bucket_.level_));
     }
     for (auto const& [id, own] : node.upstreams_) {
         if (own.use_.requests_ > 0) {
@@ -88,25 +103,64 @@
         }
     }
     state.crashes_ = node.crashes_;
-    state.needs_ = own_needs(node, now);
-    if (tells_news(node, now)) {
-        auto const news = node.shared_.cell_.read([](entry_view const& view) { return view.news_; });
-        state.news_from_ = news->from_;
-        state.news_to_ = news->to_;
-        state.news_ = news->changes_;
-    }
     state.lease_epoch_ = node.own_lease_epoch_;
     state.lease_end_ = node.lease_end_;
     state.orders_in_ = std::max<std::int64_t>(0, (node.orders_from_ - now).count_);
-    if (node.own_lease_epoch_ != 0) {
-        state.placements_ = node.placements_;
-        for (auto& notice : state.placements_) {
-            for (auto& load : notice.loading_) {
-                load.remaining_ = std::max(millis{0}, load.remaining_ - (now - node.placements_at_));
-            }
+    state.seen_epoch_ = node.placements_.epoch_;
+    state.seen_placements_ = node.placements_.version_;
+    state.seen_news_ = node.shared_.cell_.read([](entry_view const& view) { return view.upstreams_next_; });
+    state.strength_ = strength_of(node);
+    return state;
+}
+
+/// What a message to a peer contains besides the state that all get. Peers with equal parts get equal bytes.
+struct message_parts {
+    bool needs_{};                    ///< Only the VM that places models uses them.
+    bool levels_{};                   ///< Only a VM that has just started uses them.
+    std::uint64_t placements_from_{}; ///< Version of the board that the peer has.
+    std::uint64_t news_from_{};       ///< Offset of the upstreams' entries that the peer has.
+
+    friend auto operator<=>(message_parts const&, message_parts const&) = default;
+};
+
+message_parts parts_for(entry_node const& node, known_peer const& peer, upstream_news const* news, millis now)
+{
+    message_parts parts;
+    auto const& state = peer.state_;
+    parts.needs_ = state.lease_epoch_ != 0;
+    parts.levels_ = now - peer.joined_at_ < joining_time;
+    if (node.own_lease_epoch_ != 0 && state.seen_epoch_ == node.own_lease_epoch_) {
+        parts.placements_from_ = std::min(state.seen_placements_, node.placements_.version_);
+    }
+    if (news != nullptr) {
+        // A peer before the first change cannot use the news; it reads the store itself.
+        parts.news_from_ = std::clamp(state.seen_news_, news->from_, news->to_);
+    }
+    return parts;
+}
+
+void add_parts(entry_node const& node, message_parts const& parts, upstream_news const* news, millis now,
+               peer_state& state)
+{
+    if (parts.needs_) {
+        state.needs_ = own_needs(node, now);
+    }
+    if (parts.levels_) {
+        for (auto const& [name, use] : node.workspaces_) {
+            state.level_.emplace(name, static_cast<std::int64_t>(use.bucket_.level_));
         }
     }
-    return state;
+    if (node.own_lease_epoch_ != 0) {
+        state.placements_from_ = parts.placements_from_;
+        state.placements_to_ = node.placements_.version_;
+        state.placements_ = notices_after(node.placements_, parts.placements_from_, now);
+    }
+    if (news != nullptr) {
+        state.news_from_ = parts.news_from_;
+        state.news_to_ = news->to_;
+        std::copy_if(news->changes_.begin(), news->changes_.end(), std::back_inserter(state.news_),
+                     [&](auto const& change) { return change.offset_ >= parts.news_from_; });
+    }
 }
 
 /// Charges what the peer spent since its last message, and what it knows of others' use before this start.
@@ -156,24 +210,24 @@
 /// Decides whether this VM is among the few that read the store for all.
 void choose_readers(entry_node& node, millis now)
 {
-    auto const own = stable_hash(node.settings_.vm_);
+    auto const own = duty_rank(strength_of(node), node.settings_.vm_);
     int before = 0;
     for (auto const& [vm, peer] : node.peers_) {
         bool const there = peer.state_.ready_ && is_heard(node, peer, now);
-        before += there && stable_hash(vm) < own ? 1 : 0;
+        before += there && duty_rank(peer.state_.strength_, vm) < own ? 1 : 0;
     }
     node.shared_.reads_for_all_.store(before < store_readers, std::memory_order_release);
+    node.shared_.defers_.store(before > 0, std::memory_order_release);
 }
 
 void take_placements(entry_node& node, peer_state const& state, millis now)
 {
-    bool const newer = state.lease_epoch_ > node.placements_epoch_;
-    if (state.lease_epoch_ == 0 || node.own_lease_epoch_ != 0 ||
-        (!newer && state.lease_epoch_ != node.placements_epoch_)) {
+    auto const known_epoch = node.placements_.epoch_;
+    if (state.lease_epoch_ == 0 || node.own_lease_epoch_ != 0 || state.lease_epoch_ < known_epoch) {
         return;
     }
     node.shared_.holder_heard_at_.store(now.count_, std::memory_order_release);
-    if (newer) {
+    if (state.lease_epoch_ > known_epoch) {
         log_decision("placement-holder", {{"vm", state.vm_}, {"epoch", state.lease_epoch_}});
     }
     if (state.lease_end_ != node.lease_end_) {
@@ -181,9 +235,8 @@
         node.lease_told_(state.lease_end_);
     }
     node.orders_from_ = now + millis{state.orders_in_};
-    node.placements_epoch_ = state.lease_epoch_;
-    node.placements_ = state.placements_;
-    node.placements_at_ = now;
+    take_notices(node.placements_, state.lease_epoch_, state.placements_from_, state.placements_to_,
+                 state.placements_, now);
     if (!node.waiting_.empty()) {
         wake_waiting(node);
     }
@@ -195,7 +248,9 @@
     auto const found = node.peers_.find(datagram.state_.vm_);
     if (found == node.peers_.end() || found->second.endpoint_ != from) {
         node.counters_.count("auburnchute_peer_messages_total", "unknown");
-        return; // not read from the store yet, or an earlier one of that name
+        // Not read from the store yet, or one of that name at another address; the store says which.
+        node.shared_.unknown_heard_.store(true, std::memory_order_release);
+        return;
     }
     auto& peer = found->second;
     bool const restarted = peer.state_.incarnation_ != datagram.state_.incarnation_;
@@ -210,10 +265,13 @@
     bool const first = restarted || peer.heard_at_ == millis{0};
     if (first) {
         peer.booked_.clear();
+        peer.joined_at_ = now;
     }
     peer.heard_at_ = now;
     peer.last_stamp_ = datagram.times_.sent_at_;
+    count_use(node, peer, false);
     peer.state_ = std::move(datagram.state_);
+    count_use(node, peer, true);
     book_use(node, peer, first);
     take_freshness(node, peer, datagram.times_);
     take_reader_news(node, peer.state_);
@@ -251,34 +309,65 @@
     }
 }
 
-void send_to_all(exchange& own)
+bool is_target(known_peer const& peer, message_targets targets)
+{
+    switch (targets) {
+    case message_targets::holder:
+        return peer.state_.lease_epoch_ != 0;
+    case message_targets::waiting:
+        return std::any_of(peer.state_.needs_.begin(), peer.state_.needs_.end(),
+                           [](auto const& need) { return need.second.waiting_ > 0; });
+    case message_targets::all:
+        break;
+    }
+    return true;
+}
+
+void send_to(exchange& own, message_targets targets)
 {
     auto& node = own.node_;
     auto const now = boot_now();
-    choose_readers(node, now);
-    auto full = own_state(node, now);
-    bool const peer_places = std::any_of(node.peers_.begin(), node.peers_.end(), [](auto const& peer) {
-        return peer.second.state_.lease_epoch_ != 0;
-    });
-    auto const for_holder = peer_places ? encode_state(full) : std::vector<std::uint8_t>{};
-    full.needs_.clear(); // only the VM that places models needs them
-    auto const for_others = encode_state(full);
+    auto const state = own_state(node, now);
+    auto const news = node.shared_.cell_.read([](entry_view const& view) { return view.news_; });
+    auto const* const told_news = tells_news(node, now) ? news.get() : nullptr;
+    std::map<message_parts, std::vector<std::uint8_t>> encoded;
     for (auto const& [vm, peer] : node.peers_) {
-        auto const& state = peer.state_.lease_epoch_ != 0 ? for_holder : for_others;
+        if (!is_target(peer, targets)) {
+            continue;
+        }
+        auto const parts = parts_for(node, peer, told_news, now);
+        auto& bytes = encoded[parts];
+        if (bytes.empty()) {
+            auto whole = state;
+            add_parts(node, parts, told_news, now, whole);
+            bytes = encode_state(whole);
+        }
         peer_times const times{now.count_, peer.last_stamp_, (now - peer.heard_at_).count_};
-        auto const bytes = encode_datagram(times, state);
         error_code fault;
-        own.socket_.send_to(net::buffer(bytes), peer.endpoint_, 0, fault);
+        own.socket_.send_to(net::buffer(encode_datagram(times, bytes)), peer.endpoint_, 0, fault);
         if (fault) {
             node.counters_.count("auburnchute_peer_messages_total", "unsent");
         }
     }
 }
 
+/// Takes peers that fell silent out of the sums.
+void drop_silent(entry_node& node, millis now)
+{
+    for (auto& [vm, peer] : node.peers_) {
+        if (!is_heard(node, peer, now)) {
+            count_use(node, peer, false);
+        }
+    }
+}
+
 net::awaitable<void> send_regularly(std::shared_ptr<exchange> own)
 {
     while (true) {
-        send_to_all(*own);
+        auto const now = boot_now();
+        drop_silent(own->node_, now);
+        choose_readers(own->node_, now);
+        send_to(*own, message_targets::all);
         co_await pause_for(message_rhythm(own->node_.peers_.size()));
     }
 }
@@ -297,7 +386,7 @@
         throw error{"listen", address, fault.message()};
     }
     own->socket_.non_blocking(true);
-    node.send_state_ = [own] { send_to_all(*own); };
+    node.send_state_ = [own](message_targets targets) { send_to(*own, targets); };
     net::co_spawn(node.loop_, receive(own), report_failure);
     net::co_spawn(node.loop_, send_regularly(own), report_failure);
 }
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <utility>
 
 namespace auburnchute {
 
@@ -17,9 +18,12 @@
 /// milliseconds.
 constexpr millis store_call_limit{1'500};
 
-/// Longest wait of one read for a newer configuration. Each read also proves that there was none when it was
-/// sent, so this bounds the age of that proof.
-constexpr millis config_wait{900};
+/// Parts of the time within which a configuration must be in force: the longest wait of one read for a newer
+/// one, which bounds the age of the proof that there is none, and the age at which a VM reads itself in place
+/// of going by its peers' proofs. Between the two lie two messages; after the second, the read itself must
+/// fit.
+constexpr std::int64_t config_wait_quarters = 1;
+constexpr std::int64_t proof_quarters = 3;
 
 /// Pause between reads of the upstreams' entries, and the longest wait of one: entries change several times a
 /// second, and each read costs.
@@ -39,12 +43,17 @@
 /// Rhythm in which a VM that does not read looks whether it must.
 constexpr millis passive_pause{100};
 
-/// The same for the members, which change rarely.
-constexpr millis member_pause{300};
-constexpr millis member_wait{20'000};
+/// Pause between looks at whether the members must be read: one that joins makes itself known by its
+/// messages.
+constexpr millis member_pause{500};
 
-/// Pause after a failed call, before the next.
+/// The members are read this often even if no unknown one was heard.
+constexpr millis member_refresh{30'000};
+
+/// Pause after the first of a series of failed calls, and the longest one: each call is paid for, also those
+/// that the store refuses, and the store's outages last for seconds.
 constexpr millis failure_pause{150};
+constexpr millis longest_failure_pause{600};
 
 void note_call(store_reader& reader, bool reachable, std::string_view fault)
 {
@@ -60,6 +69,19 @@
     reader.counters_.count("auburnchute_store_changes_total", reachable ? "regained" : "lost");
 }
 
+/// Pauses that double while calls keep failing.
+class growing_pause {
+public:
+    [[nodiscard]] millis next() noexcept
+    {
+        return std::exchange(pause_, std::min(pause_ * 2, longest_failure_pause));
+    }
+    void reset() noexcept { pause_ = failure_pause; }
+
+private:
+    millis pause_{failure_pause};
+};
+
 /// Books a proof that the configuration in force was the newest when a read was sent.
 void note_fresh(store_reader& reader, millis sent_at)
 {
@@ -109,7 +131,8 @@
     auto const& shared = reader.shared_;
     auto const proof = std::max(shared.config_read_at_.load(std::memory_order_acquire),
                                 shared.config_proof_at_.load(std::memory_order_acquire));
-    auto const enough = freshness_bound(reader.settings_.key_withdrawal_) * 7 / 10;
+    auto const enough = std::min(freshness_bound(reader.settings_.key_withdrawal_) * 7 / 10,
+                                 reader.settings_.config_in_force_ * proof_quarters / 4);
     return !shared.reads_for_all_.load(std::memory_order_acquire) &&
            shared.config_hint_.load(std::memory_order_acquire) <= next && boot_now() - millis{proof} < enough;
 }
@@ -119,6 +142,7 @@
     platform::store_client store{reader.loop_, reader.settings_.store_address_, store_call_limit};
     std::optional<std::uint64_t> next;
     millis wait{0};
+    growing_pause after_failure;
     while (true) {
         std::string fault;
         try {
@@ -133,7 +157,8 @@
             auto const sent_at = boot_now();
             auto const page = co_await store.read(platform::config_topic, *next, wait);
             note_call(reader, true, "");
-            wait = config_wait;
+            after_failure.reset();
+            wait = reader.settings_.config_in_force_ * config_wait_quarters / 4;
             if (page.expired_) {
                 next.reset();
                 continue;
@@ -162,7 +187,7 @@
         }
         note_call(reader, false, fault);
         wait = millis{0}; // the next answer should prove freshness at once
-        co_await pause_for(failure_pause);
+        co_await pause_for(after_failure.next());
     }
 }
 
@@ -308,6 +333,7 @@
 net::awaitable<void> follow_upstreams(store_reader& reader)
 {
     platform::store_client store{reader.loop_, reader.settings_.store_address_, store_call_limit};
+    growing_pause after_failure;
     while (true) {
         std::string fault;
         try {
@@ -319,6 +345,7 @@
                 continue;
             }
             co_await read_upstreams_once(reader, store);
+            after_failure.reset();
             co_await pause_for(until_lapse(reader, upstream_pause));
             continue;
         } catch (std::exception const& failure) {
@@ -330,7 +357,7 @@
         reader.draft_.news_ = std::make_shared<upstream_news const>();
         publish(reader);
         reader.upstreams_next_.reset(); // entries may have lapsed meanwhile
-        co_await pause_for(failure_pause);
+        co_await pause_for(after_failure.next());
     }
 }
 
@@ -373,11 +400,38 @@
     return true;
 }
 
+/// Reads the members that are new since `next`, or all of them. \returns Whether the view changed.
+net::awaitable<bool> read_members(store_reader& reader, platform::store_client& store,
+                                  std::optional<std::uint64_t>& next)
+{
+    bool changed = false;
+    if (next) {
+        auto const page = co_await store.read(platform::member_topic, *next, millis{0});
+        for (auto const& stored : page.records_) {
+            if (auto const record = platform::read_keyed(stored.bytes_)) {
+                changed = take_member(reader.draft_, record->key_, record->value_) || changed;
+            }
+        }
+        if (!page.expired_) {
+            next = page.next_;
+            co_return changed;
+        }
+    }
+    auto const newest = co_await store.newest(platform::member_topic);
+    for (auto const& record : newest.records_) {
+        changed = take_member(reader.draft_, record.key_, record.value_) || changed;
+    }
+    next = newest.next_;
+    co_return changed;
+}
+
 net::awaitable<void> follow_members(store_reader& reader)
 {
     platform::store_client store{reader.loop_, reader.settings_.store_address_, store_call_limit};
+    growing_pause after_failure;
     bool registered = false;
     std::optional<std::uint64_t> next;
+    millis read_at{};
     while (true) {
         std::string fault;
         try {
@@ -387,37 +441,24 @@
                     platform::keyed_content(reader.settings_.vm_, member_document(reader)), std::nullopt);
                 registered = outcome.result_ == platform::append_result::stored;
             }
-            bool changed = false;
-            if (!next) {
-                auto const newest = co_await store.newest(platform::member_topic);
-                for (auto const& record : newest.records_) {
-                    changed = take_member(reader.draft_, record.key_, record.value_) || changed;
+            bool const unknown_heard = reader.shared_.unknown_heard_.load(std::memory_order_acquire);
+            if (!next || unknown_heard || boot_now() - read_at > member_refresh) {
+                reader.shared_.unknown_heard_.store(false, std::memory_order_release);
+                read_at = boot_now();
+                if (co_await read_members(reader, store, next)) {
+                    publish(reader);
                 }
-                next = newest.next_;
-            } else {
-                auto const wait = registered ? member_wait : millis{0};
-                auto const page = co_await store.read(platform::member_topic, *next, wait);
-                if (page.expired_) {
-                    next.reset();
-                    continue;
-                }
-                for (auto const& stored : page.records_) {
-                    if (auto const record = platform::read_keyed(stored.bytes_)) {
-                        changed = take_member(reader.draft_, record->key_, record->value_) || changed;
-                    }
-                }
-                next = page.next_;
-            }
-            if (changed) {
-                publish(reader);
             }
+            after_failure.reset();
             co_await pause_for(member_pause);
             continue;
         } catch (std::exception const& failure) {
             fault = failure.what();
         }
         log_failure("members-unread", {{"fault", fault}});
-        co_await pause_for(failure_pause);
+        reader.shared_.unknown_heard_.store(true,
+                                            std::memory_order_release); // what was asked for is still due
+        co_await pause_for(after_failure.next());
     }
 }
 
@@ -442,11 +483,14 @@
     reader.upstreams_next_ = news.to_;
     if (changed) {
         publish_upstreams(reader);
+    } else {
+        publish(reader); // the offset, so that nobody tells the same again
     }
 }
 
 void publish(store_reader& reader)
 {
+    reader.draft_.upstreams_next_ = reader.upstreams_next_.value_or(0);
     reader.shared_.cell_.publish(std::make_unique<entry_view const>(reader.draft_));
     if (reader.changed_) {
         reader.changed_();
--- a/tests/coordination/retry_test.cpp
+++ b/tests/coordination/retry_test.cpp
@@ -34,6 +34,36 @@
     }
 }
 
+// Guards against a fleet whose VMs each hold the whole budget: when an upstream fails, all retry at once.
+TEST_CASE("the parts of all VMs add up to the fleet's retries", "[retry]")
+{
+    struct row {
+        double ratio_;
+        double extra_;
+        std::size_t vms_;
+        int requests_for_each_;
+    };
+    for (auto const& row :
+         {row{0.2, 56, 8, 30}, row{0.2, 216, 88, 20}, row{0.1, 10, 1, 100}, row{0.2, 0, 4, 40}}) {
+        CAPTURE(row.extra_, row.vms_);
+        double retries = 0;
+        for (std::size_t vm = 0; vm < row.vms_; ++vm) {
+            retry_budget budget;
+            set_part(budget, row.ratio_, row.extra_, row.vms_);
+            for (int i = 0; i < row.requests_for_each_; ++i) {
+                earn(budget);
+                while (try_again(budget, try_result::refused, true, 1, millis{0}, millis{100})) {
+                    ++retries;
+                }
+            }
+        }
+        auto const requests = static_cast<double>(row.vms_) * row.requests_for_each_;
+        auto const least_parts = static_cast<double>(row.vms_); // one retry each can always be saved up
+        CHECK(retries <= row.ratio_ * requests + std::max(row.extra_, least_parts) + 0.001);
+        CHECK(retries >= 0.9 * row.ratio_ * requests);
+    }
+}
+
 // Guards against "not run" after a try that may have run.
 TEST_CASE("not run is told only when every try is known not to have run", "[retry][promise-9]")
 {
--- a/tests/coordination/upstream_choice_test.cpp
+++ b/tests/coordination/upstream_choice_test.cpp
@@ -31,22 +31,58 @@
             .draw_ = draw};
 }
 
+std::optional<std::size_t> chosen(std::vector<upstream_option> const& options, choice_request const& request)
+{
+    auto const best = choose_upstream(options, request);
+    return best ? std::optional{best->index_} : std::nullopt;
+}
+
 } // namespace
 
+// Guards against first events that wait for long prompts of other requests, while an engine with more
+// requests that are answering already would begin at once.
+TEST_CASE("a request goes where the fewest prompt tokens are read before its own", "[choice]")
+{
+    struct row {
+        std::int64_t first_running_;
+        std::int64_t first_unread_;
+        std::int64_t second_running_;
+        std::int64_t second_unread_;
+        std::size_t expected_;
+    };
+    for (auto const& row : {row{2, 18'000, 12, 0, 1}, row{12, 0, 2, 18'000, 0}, row{3, 9'000, 3, 6'000, 1},
+                            row{4, 0, 12, 0, 0}}) {
+        CAPTURE(row.first_unread_, row.second_unread_);
+        std::vector<upstream_option> options{engine("e1", row.first_running_),
+                                             engine("e2", row.second_running_)};
+        options[0].unread_tokens_ = row.first_unread_;
+        options[1].unread_tokens_ = row.second_unread_;
+        CHECK(chosen(options, prompt(0)) == row.expected_);
+    }
+}
+
+// Guards against counting a shared prompt as work at the engine that keeps it.
+TEST_CASE("the unread part of a prompt leaves out what its home has read", "[choice]")
+{
+    std::vector<upstream_option> const one{engine("e1", 0)};
+    CHECK(choose_upstream(one, prompt(3))->unread_tokens_ == 3'000);
+    CHECK(choose_upstream(one, prompt(0))->unread_tokens_ == 9'000);
+}
+
 // Guards against reading the same shared prompt on every engine.
 TEST_CASE("requests with one shared prompt meet at one upstream until it is busier", "[choice]")
 {
     std::vector<upstream_option> options{engine("e1", 0), engine("e2", 0), engine("e3", 0)};
     for (std::uint64_t prefix = 1; prefix < 20; ++prefix) {
         CAPTURE(prefix);
-        auto const home = choose_upstream(options, prompt(prefix, 1));
+        auto const home = chosen(options, prompt(prefix, 1));
         REQUIRE(home);
-        CHECK(choose_upstream(options, prompt(prefix, 2)) == home);
+        CHECK(chosen(options, prompt(prefix, 2)) == home);
         auto busier = options;
-        busier[*home].running_ = 3;
-        CHECK(choose_upstream(busier, prompt(prefix)) == home);
-        busier[*home].running_ = 8;
-        CHECK(choose_upstream(busier, prompt(prefix)) != home);
+        busier[*home].unread_tokens_ = 3'000;
+        CHECK(chosen(busier, prompt(prefix)) == home);
+        busier[*home].unread_tokens_ = 9'000;
+        CHECK(chosen(busier, prompt(prefix)) != home);
     }
 }
 
@@ -74,7 +110,7 @@
     for (std::size_t i = 0; i < rows.size(); ++i) {
         CAPTURE(i);
         std::vector<upstream_option> const options{rows[i].first_, rows[i].second_};
-        CHECK(choose_upstream(options, prompt(0)) == rows[i].expected_);
+        CHECK(chosen(options, prompt(0)) == rows[i].expected_);
     }
 }
 
--- a/tests/protocol/entry_settings_test.cpp
+++ b/tests/protocol/entry_settings_test.cpp
@@ -33,6 +33,20 @@
     CHECK(read.unknown_.empty());
 }
 
+// Guards against a daemon that does not start because the platform states a bound as a fraction.
+TEST_CASE("every bound may be a fraction", "[settings]")
+{
+    auto const read =
+        parse_entry_settings("entry.yaml", complete + "retry_extra: 23.5\nretry_ratio: 0.25\n"
+                                                      "load_window_s: 4.5\nkey_withdrawal_ms: 4500.5\n"
+                                                      "directory_lifetime_s: 1.5\n");
+    CHECK(read.values_.retry_extra_ == Approx(23.5));
+    CHECK(read.values_.retry_ratio_ == Approx(0.25));
+    CHECK(read.values_.load_window_ == millis{4'500});
+    CHECK(read.values_.key_withdrawal_ == millis{4'500});
+    CHECK(read.values_.directory_lifetime_ == millis{1'500});
+}
+
 TEST_CASE("a key that is not known is named and ignored", "[settings]")
 {
     CHECK(parse_entry_settings("entry.yaml", complete + "colour: red\n").unknown_ ==
--- a/tests/protocol/peer_message_test.cpp
+++ b/tests/protocol/peer_message_test.cpp
@@ -18,7 +18,7 @@
     state.config_age_ = 340;
     state.used_ = {{"w1", 12'345}, {"w2", -5}};
     state.level_ = {{"w1", 900}};
-    state.upstreams_["i-1"] = {3, 27'000};
+    state.upstreams_["i-1"] = {3, 27'000, 9'000};
     state.crashes_ = {{"f", 2}};
     auto& need = state.needs_[{"llm", "m", "a1"}];
     need.waiting_ = 2;
@@ -33,6 +33,12 @@
     notice.retiring_ = {"n"};
     notice.loading_ = {{"k", "", millis{700}}};
     state.placements_ = {notice};
+    state.placements_from_ = 4;
+    state.placements_to_ = 6;
+    state.seen_epoch_ = 8;
+    state.seen_placements_ = 31;
+    state.seen_news_ = 44;
+    state.strength_ = 12;
     return state;
 }
 
@@ -51,7 +57,14 @@
     CHECK(read->state_.used_ == state.used_);
     CHECK(read->state_.crashes_ == state.crashes_);
     CHECK(read->state_.upstreams_.at("i-1").tokens_ == 27'000);
+    CHECK(read->state_.upstreams_.at("i-1").unread_tokens_ == 9'000);
     CHECK(read->state_.needs_.at({"llm", "m", "a1"}).oldest_wait_ == millis{120});
+    CHECK(read->state_.placements_from_ == 4);
+    CHECK(read->state_.placements_to_ == 6);
+    CHECK(read->state_.seen_epoch_ == 8);
+    CHECK(read->state_.seen_placements_ == 31);
+    CHECK(read->state_.seen_news_ == 44);
+    CHECK(read->state_.strength_ == 12);
     REQUIRE(read->state_.placements_.size() == 1);
     CHECK(read->state_.placements_[0].models_.at("m").adapters_.contains("a2"));
     CHECK(read->state_.placements_[0].retiring_.contains("n"));
