--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -267,6 +267,8 @@
 
 int main(int argc, char** argv)
 {
+    // A reload may be asked for before the handlers stand; its default action would end the process.
+    std::signal(SIGHUP, SIG_IGN);
     auto const arguments =
         docopt::docopt(usage, {argv + 1, argv + argc}, true, "auburnchute-entry " AUBURNCHUTE_VERSION);
     std::signal(SIGPIPE, SIG_IGN);
--- a/include/auburnchute/shared_bucket.hpp
+++ b/include/auburnchute/shared_bucket.hpp
@@ -12,15 +12,32 @@
 /// \brief One VM's copy of a workspace's token bucket that all VMs spend from.
 ///
 /// Each VM charges its own use at once and that of its peers as their messages tell it, so the copies differ
-/// only by what was spent within a message's delay. A VM that does not hear some peers uses only its part of
-/// the rate: `share` below is the part of the members that it hears, itself included.
+/// only by what was spent within a message's delay. With many VMs, or a workspace that asks for several times
+/// its rate, that alone could exceed the limit again and again: whenever the copies fill up, all VMs spend at
+/// the same moment. So each VM also knows how much its peers are asked for, and lets only that part of the
+/// requests through for which the bucket holds enough until the next messages.
+/// A VM that does not hear some peers uses only its part of the rate: `share` below is the part of the
+/// members that it hears, itself included.
 struct shared_bucket {
     double rate_{};  ///< Units a second over all VMs; 0: no limit.
     double burst_{}; ///< Units at once over all VMs.
     double level_{}; ///< Units that may be spent now; below 0 after peers spent at the same time.
     millis refilled_at_{};
+    double asked_{}; ///< Units that peers were asked for, decayed over `asking_memory` up to `asked_at_`.
+    millis asked_at_{};
 };
 
+/// \brief What one request asks of a bucket.
+struct bucket_request {
+    double units_{};
+    double share_{1.0}; ///< Part of the members that this VM hears. \pre `0 < share_ <= 1`.
+    millis delay_{};    ///< Until this VM's use is known to its peers, and theirs here.
+    double draw_{};     ///< In [0, 1), different for each request: decides when only some can be let through.
+};
+
+/// \brief Time constant over which a peer's demand is averaged: a few messages.
+inline constexpr millis asking_memory{1'500};
+
 /// \brief Takes over the limits of a new configuration. A lower burst takes effect at once; a limit that is
 /// new starts with a full bucket. Thread safety of all functions that change a bucket: the caller owns it.
 void set_limit(shared_bucket& bucket, double rate, double burst, millis now) noexcept;
@@ -29,8 +46,14 @@
 void refill(shared_bucket& bucket, double share, millis now) noexcept;
 
 /// \brief Spends units for a request, if they are there. A request that is larger than the burst needs a full
-/// bucket. \returns False, with nothing spent, if they are not. \pre As `refill`.
-[[nodiscard]] bool spend(shared_bucket& bucket, double units, double share, millis now) noexcept;
+/// bucket. \returns False, with nothing spent, if they are not.
+[[nodiscard]] bool spend(shared_bucket& bucket, bucket_request const& request, millis now) noexcept;
+
+/// \brief Books what a peer was asked for since its last message, whether it let it through or not.
+void book_peer_demand(shared_bucket& bucket, double units, millis now) noexcept;
+
+/// \returns Units a second that the peers are asked for. Thread safety: pure.
+[[nodiscard]] double peer_demand(shared_bucket const& bucket, millis now) noexcept;
 
 /// \brief Books units that a peer spent, or, if negative, that it gave back.
 void book_peer_use(shared_bucket& bucket, double units) noexcept;
@@ -44,8 +67,12 @@
 [[nodiscard]] double newly_used(booked_use& booked, std::string const& workspace, std::int64_t used,
                                 bool first);
 
-/// \brief Takes over the level that a peer tells in its first message. Only a VM that has just started does:
-/// it does not know what the others spent before. One that runs knows more than a peer that has just started.
+/// \brief Leaves half of the burst to a VM that has just started among others: what they spent before is not
+/// known until one that runs tells, and nobody may be left who knows.
+void forget_level(shared_bucket& bucket) noexcept;
+
+/// \brief Takes over the level that a running peer tells. \pre The peer has not just started itself. Only a
+/// VM that has just started does; one that runs knows the level.
 void join_level(shared_bucket& bucket, double peer_level, millis own_age) noexcept;
 
 /// \brief How long a VM counts as just started: every peer's first message has come by then.
--- a/src/coordination/shared_bucket.cpp
+++ b/src/coordination/shared_bucket.cpp
@@ -35,19 +35,41 @@
     bucket.level_ = std::min(bucket.burst_ * share, bucket.level_ + earned);
 }
 
-bool spend(shared_bucket& bucket, double units, double share, millis now) noexcept
+bool spend(shared_bucket& bucket, bucket_request const& request, millis now) noexcept
 {
     if (bucket.rate_ <= 0) {
         return true;
     }
-    refill(bucket, share, now);
-    if (bucket.level_ < needed(bucket, units, share)) {
+    refill(bucket, request.share_, now);
+    if (bucket.level_ < needed(bucket, request.units_, request.share_)) {
         return false;
     }
-    bucket.level_ -= units;
+    auto const delay = static_cast<double>(request.delay_.count_) / 1'000.0;
+    auto const unseen = peer_demand(bucket, now) * delay;
+    if (bucket.level_ - request.units_ < unseen) {
+        auto const there = bucket.level_ + bucket.rate_ * request.share_ * delay;
+        if (request.draw_ * (unseen + request.units_) >= there) {
+            return false;
+        }
+    }
+    bucket.level_ -= request.units_;
     return true;
 }
 
+double peer_demand(shared_bucket const& bucket, millis now) noexcept
+{
+    auto const age = static_cast<double>(std::max<std::int64_t>(0, (now - bucket.asked_at_).count_));
+    auto const memory = static_cast<double>(asking_memory.count_);
+    return bucket.asked_ * std::exp(-age / memory) / memory * 1'000.0;
+}
+
+void book_peer_demand(shared_bucket& bucket, double units, millis now) noexcept
+{
+    auto const before = peer_demand(bucket, now) * static_cast<double>(asking_memory.count_) / 1'000.0;
+    bucket.asked_ = before + std::max(0.0, units);
+    bucket.asked_at_ = now;
+}
+
 void book_peer_use(shared_bucket& bucket, double units) noexcept
 {
     bucket.level_ -= units;
@@ -61,10 +83,15 @@
     return first ? 0.0 : static_cast<double>(unknown ? used : used - before);
 }
 
+void forget_level(shared_bucket& bucket) noexcept
+{
+    bucket.level_ = bucket.burst_ / 2;
+}
+
 void join_level(shared_bucket& bucket, double peer_level, millis own_age) noexcept
 {
     if (own_age < joining_time) {
-        bucket.level_ = std::min(bucket.level_, peer_level);
+        bucket.level_ = std::min(peer_level, bucket.burst_);
     }
 }
 
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -118,6 +118,7 @@
     state.seen_placements_ = fields.at(21);
     state.seen_news_ = fields.at(22);
     state.strength_ = fields.at(23);
+    decode_pairs(fields.at(24), state.asked_);
     return state;
 }
 
@@ -160,7 +161,8 @@
                       state.seen_epoch_,
                       state.seen_placements_,
                       state.seen_news_,
-                      state.strength_};
+                      state.strength_,
+                      encode_pairs(state.asked_)};
     return json::to_cbor(fields);
 }
 
--- a/src/protocol/peer_message.hpp
+++ b/src/protocol/peer_message.hpp
@@ -37,6 +37,7 @@
     std::uint64_t config_next_{}; ///< Offset after the newest configuration record that it has in force.
     std::int64_t config_age_{-1}; ///< Milliseconds since it knew that there is no newer one; -1: never.
     std::map<std::string, std::int64_t, std::less<>> used_;  ///< Units spent, by workspace.
+    std::map<std::string, std::int64_t, std::less<>> asked_; ///< Units asked for, let through or not.
     std::map<std::string, std::int64_t, std::less<>> level_; ///< Units left in its copy of the bucket; told
                                                              ///< to VMs that have just started.
     std::map<std::string, upstream_use, std::less<>> upstreams_; ///< By upstream id.
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -151,9 +151,8 @@
     for (auto const& workspace : config.workspaces_) {
         auto const [found, fresh] = node.workspaces_.try_emplace(workspace.name_);
         set_limit(found->second.bucket_, workspace.rate_, workspace.burst_, now);
-        if (fresh && !node.settings_.first_start_) {
-            // What the fleet spent before this daemon started is not known until a peer tells.
-            found->second.bucket_.level_ /= 2;
+        if (fresh && !node.settings_.first_start_ && now - node.started_at_ < joining_time) {
+            forget_level(found->second.bucket_);
         }
     }
 }
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -32,6 +32,7 @@
     std::int64_t last_stamp_{}; ///< Its newest message's `sent_at_`.
     peer_state state_;
     booked_use booked_;  ///< Of its use.
+    booked_use asked_;   ///< Of what it was asked for.
     millis joined_at_{}; ///< When this process of it was first heard.
     bool counted_{};     ///< Its requests are part of `peers_use_`.
 };
@@ -46,7 +47,8 @@
 /// \brief A workspace's use at this VM.
 struct workspace_use {
     shared_bucket bucket_;
-    std::int64_t used_{}; ///< Units spent by this VM since its start.
+    std::int64_t used_{};  ///< Units spent by this VM since its start.
+    std::int64_t asked_{}; ///< Units that it was asked for since its start.
 };
 
 /// \brief This VM's own requests at an upstream, and what it learned about the upstream from them.
--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -32,6 +32,9 @@
 constexpr int too_many_requests = 429;
 constexpr int unavailable = 503;
 
+/// Steps of the draw that decides whether a request of a crowded workspace is let through.
+constexpr std::uint64_t draws = 10'000;
+
 double cost_of(forward_job const& job)
 {
     if (!job.workspace_->in_tokens_) {
@@ -72,7 +75,14 @@
     auto& use = node.workspaces_[job.workspace_->name_];
     auto const units = cost_of(job);
     auto const share = heard_share(node, now);
-    if (!spend(use.bucket_, units, share, now)) {
+    use.asked_ += static_cast<std::int64_t>(units);
+    constexpr millis travel{30}; // on the way and until the peer reads it
+    bucket_request const wanted{.units_ = units,
+                                .share_ = share,
+                                .delay_ = message_rhythm(node.peers_.size()) + travel,
+                                .draw_ = static_cast<double>(stable_hash(job.call_.request_id_) % draws) /
+                                         static_cast<double>(draws)};
+    if (!spend(use.bucket_, wanted, now)) {
         log_failure("rate-limited", {{"id", job.call_.request_id_},
                                      {"workspace", job.workspace_->name_},
                                      {"units", static_cast<std::int64_t>(units)},
--- a/src/transport/entry/peer_exchange.cpp
+++ b/src/transport/entry/peer_exchange.cpp
@@ -96,6 +96,7 @@
     state.config_age_ = fresh > millis{0} ? (now - fresh).count_ : -1;
     for (auto const& [name, use] : node.workspaces_) {
         state.used_.emplace(name, use.used_);
+        state.asked_.emplace(name, use.asked_);
     }
     for (auto const& [id, own] : node.upstreams_) {
         if (own.use_.requests_ > 0) {
@@ -128,7 +129,7 @@
     message_parts parts;
     auto const& state = peer.state_;
     parts.needs_ = state.lease_epoch_ != 0;
-    parts.levels_ = now - peer.joined_at_ < joining_time;
+    parts.levels_ = now - peer.joined_at_ < joining_time && now - node.started_at_ >= joining_time;
     if (node.own_lease_epoch_ != 0 && state.seen_epoch_ == node.own_lease_epoch_) {
         parts.placements_from_ = std::min(state.seen_placements_, node.placements_.version_);
     }
@@ -163,6 +164,18 @@
     }
 }
 
+/// Books what the peer was asked for since its last message.
+void book_demand(entry_node& node, known_peer& peer, bool first, millis now)
+{
+    for (auto const& [name, asked] : peer.state_.asked_) {
+        auto const units = newly_used(peer.asked_, name, asked, first);
+        auto const found = node.workspaces_.find(name);
+        if (found != node.workspaces_.end() && units > 0) {
+            book_peer_demand(found->second.bucket_, units, now);
+        }
+    }
+}
+
 /// Charges what the peer spent since its last message, and what it knows of others' use before this start.
 void book_use(entry_node& node, known_peer& peer, bool first)
 {
@@ -175,7 +188,7 @@
         book_peer_use(found->second.bucket_, units);
         // Its level already contains what it spent.
         auto const level = peer.state_.level_.find(name);
-        if (first && level != peer.state_.level_.end()) {
+        if (level != peer.state_.level_.end()) {
             join_level(found->second.bucket_, static_cast<double>(level->second),
                        boot_now() - node.started_at_);
         }
@@ -265,6 +278,7 @@
     bool const first = restarted || peer.heard_at_ == millis{0};
     if (first) {
         peer.booked_.clear();
+        peer.asked_.clear();
         peer.joined_at_ = now;
     }
     peer.heard_at_ = now;
@@ -273,6 +287,7 @@
     peer.state_ = std::move(datagram.state_);
     count_use(node, peer, true);
     book_use(node, peer, first);
+    book_demand(node, peer, first, now);
     take_freshness(node, peer, datagram.times_);
     take_reader_news(node, peer.state_);
     take_placements(node, peer.state_, now);
--- a/tests/protocol/peer_message_test.cpp
+++ b/tests/protocol/peer_message_test.cpp
@@ -17,6 +17,7 @@
     state.config_next_ = 12;
     state.config_age_ = 340;
     state.used_ = {{"w1", 12'345}, {"w2", -5}};
+    state.asked_ = {{"w1", 20'000}};
     state.level_ = {{"w1", 900}};
     state.upstreams_["i-1"] = {3, 27'000, 9'000};
     state.crashes_ = {{"f", 2}};
@@ -55,6 +56,7 @@
     CHECK(read->times_.echo_held_ == 15);
     CHECK(read->state_.vm_ == state.vm_);
     CHECK(read->state_.used_ == state.used_);
+    CHECK(read->state_.asked_ == state.asked_);
     CHECK(read->state_.crashes_ == state.crashes_);
     CHECK(read->state_.upstreams_.at("i-1").tokens_ == 27'000);
     CHECK(read->state_.upstreams_.at("i-1").unread_tokens_ == 9'000);
--- /dev/null
+++ b/tests/soak/oracle.hpp
@@ -0,0 +1,203 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace auburnchute::tests {
+
+using soak_clock = std::chrono::steady_clock;
+
+/// \brief What may be repeated of a request, as its caller knows it.
+enum class soak_kind : std::uint8_t { purchase, lookup, stream, resumable_stream };
+
+/// \brief What callers and upstreams saw, checked against the promises.
+///
+/// Thread safety: all members may be called from any thread.
+class oracle {
+public:
+    /// Limits of the workspace whose callers send too much; requests a second and at once.
+    static constexpr double limited_rate = 20;
+    static constexpr double limited_burst = 20;
+    /// Window and allowance over which the platform's sheets check rates: 8 s, a tenth, and some seconds'
+    /// worth.
+    static constexpr std::chrono::seconds quota_window{8};
+    static constexpr double quota_excess = 0.1;
+    static constexpr double quota_slack_s = 3.0;
+    /// Time after which a withdrawn key works nowhere, as the daemons' settings say.
+    static constexpr std::chrono::milliseconds key_withdrawal{5'000};
+    /// Least time between orders of two holders, as the daemons' settings say.
+    static constexpr std::chrono::milliseconds order_lease{3'000};
+
+    void note_sent(std::string const& id, soak_kind kind, std::string const& key)
+    {
+        std::scoped_lock const lock{mutex_};
+        requests_[id] = {kind, key, soak_clock::now()};
+    }
+
+    /// \brief An upstream begins to run a request. \param first The first event that it makes.
+    void note_run(std::string const& id, std::string const& workspace, int first)
+    {
+        std::scoped_lock const lock{mutex_};
+        auto const found = requests_.find(id);
+        if (found == requests_.end()) {
+            fail("UNASKED: an upstream ran a request that nobody sent: " + id);
+            return;
+        }
+        auto& request = found->second;
+        ++request.runs_;
+        if (runs_once(request) && request.runs_ > 1) {
+            fail("TWICE: " + id + " ran more than once");
+        }
+        if (request.refused_ && runs_once(request)) {
+            fail("REFUSED: " + id + " ran after its caller was told that it had not");
+        }
+        if (request.kind_ != soak_kind::resumable_stream && first != 1) {
+            fail("ORDER: " + id + " was resumed, although its route does not allow that");
+        }
+        auto const revoked = revoked_.find(request.key_);
+        if (revoked != revoked_.end() && request.sent_at_ > revoked->second + key_withdrawal) {
+            fail("CONFIG: " + id + " ran with a key that was withdrawn " + since(revoked->second) +
+                 " before");
+        }
+        if (workspace != workspace_of(request.key_)) {
+            fail("UNASKED: " + id + " ran for workspace '" + workspace + "'");
+        }
+        if (workspace == "limited") {
+            limited_runs_.push_back({request.sent_at_, soak_clock::now()});
+        }
+    }
+
+    void note_status(std::string const& id, int status)
+    {
+        std::scoped_lock const lock{mutex_};
+        auto& request = requests_[id];
+        ++statuses_[status];
+        request.refused_ = status == 503 || status == 429 || status == 408 || status == 421;
+        if (request.refused_ && request.runs_ > 0 && runs_once(request)) {
+            fail("REFUSED: " + id + " had run, and its caller got " + std::to_string(status));
+        }
+    }
+
+    void note_revoked(std::string const& key)
+    {
+        std::scoped_lock const lock{mutex_};
+        revoked_.emplace(key, soak_clock::now());
+    }
+
+    /// \brief An upstream got an order.
+    void note_order(std::string const& upstream, std::string const& holder, std::uint64_t fence)
+    {
+        std::scoped_lock const lock{mutex_};
+        auto const now = soak_clock::now();
+        auto const found = orders_.find(upstream);
+        if (found != orders_.end()) {
+            auto const& last = found->second;
+            if (last.holder_ != holder && now - last.at_ < order_lease) {
+                fail("ONE: " + upstream + " got orders of " + last.holder_ + " and " + holder + " within " +
+                     since(last.at_));
+            }
+            if (fence < last.fence_ || (last.holder_ != holder && fence == last.fence_)) {
+                fail("ONE: " + upstream + " got an order with generation " + std::to_string(fence) +
+                     " after " + std::to_string(last.fence_));
+            }
+        }
+        orders_[upstream] = {holder, fence, now};
+        ++order_count_;
+    }
+
+    void fail_with(std::string const& what)
+    {
+        std::scoped_lock const lock{mutex_};
+        fail(what);
+    }
+
+    /// \brief Checks what can only be seen at the end. \returns All failures.
+    [[nodiscard]] std::vector<std::string> finish()
+    {
+        std::scoped_lock const lock{mutex_};
+        std::sort(limited_runs_.begin(), limited_runs_.end());
+        auto const seconds = static_cast<double>(quota_window.count());
+        auto const most =
+            (limited_rate * seconds + limited_burst) * (1 + quota_excess) + limited_rate * quota_slack_s;
+        for (auto begin = limited_runs_.begin(); begin != limited_runs_.end(); ++begin) {
+            auto const inside = std::count_if(begin, limited_runs_.end(), [&](auto const& run) {
+                return run.second <= begin->first + quota_window;
+            });
+            if (static_cast<double>(inside) > most) {
+                fail("QUOTA: " + std::to_string(inside) + " runs in a window that allows " +
+                     std::to_string(static_cast<int>(most)));
+                break;
+            }
+        }
+        return failures_;
+    }
+
+    [[nodiscard]] std::string summary() const
+    {
+        std::scoped_lock const lock{mutex_};
+        std::ostringstream text;
+        text << requests_.size() << " requests, " << order_count_ << " orders;";
+        for (auto const& [status, count] : statuses_) {
+            text << ' ' << status << ':' << count;
+        }
+        return text.str();
+    }
+
+    /// \returns The workspace that holds a key of the soak's configuration, which ends with its name.
+    [[nodiscard]] static std::string workspace_of(std::string const& key)
+    {
+        return key.substr(key.rfind('-') + 1);
+    }
+
+private:
+    struct sent_request {
+        soak_kind kind_{};
+        std::string key_;
+        soak_clock::time_point sent_at_;
+        int runs_{};
+        bool refused_{};
+    };
+    struct given_order {
+        std::string holder_;
+        std::uint64_t fence_{};
+        soak_clock::time_point at_;
+    };
+
+    static bool runs_once(sent_request const& made)
+    {
+        return made.kind_ == soak_kind::purchase || made.kind_ == soak_kind::stream;
+    }
+
+    static std::string since(soak_clock::time_point then)
+    {
+        return std::to_string(
+                   std::chrono::duration_cast<std::chrono::milliseconds>(soak_clock::now() - then).count()) +
+               " ms";
+    }
+    void fail(std::string what)
+    {
+        if (failures_.size() < most_failures) {
+            failures_.push_back(std::move(what));
+        }
+    }
+
+    static constexpr std::size_t most_failures = 20;
+
+    mutable std::mutex mutex_;
+    std::map<std::string, sent_request> requests_;
+    std::map<std::string, soak_clock::time_point> revoked_;
+    std::map<std::string, given_order> orders_;
+    std::map<int, std::int64_t> statuses_;
+    std::vector<std::pair<soak_clock::time_point, soak_clock::time_point>> limited_runs_; ///< Sent, run.
+    std::int64_t order_count_{};
+    std::vector<std::string> failures_;
+};
+
+} // namespace auburnchute::tests
--- /dev/null
+++ b/tests/soak/soak_world.hpp
@@ -0,0 +1,357 @@
+#pragma once
+
+#include "soak/loopback_proxy.hpp"
+#include "soak/oracle.hpp"
+#include "transport/child_process.hpp"
+#include "transport/entry/standin_platform.hpp"
+
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <optional>
+#include <random>
+
+namespace auburnchute::tests {
+
+inline constexpr int soak_callers_port = 8221;
+inline constexpr int soak_ready_port = 8224;
+inline constexpr int soak_directory_port = 8220;
+
+/// \returns Events of a request's whole stream; upstream and caller work it out alike.
+inline int events_of(std::string const& id)
+{
+    return 4 + static_cast<int>(std::hash<std::string>{}(id) % 6);
+}
+
+/// \brief A model engine's placement: it carries out one order at a time.
+class soak_engine {
+public:
+    soak_engine(std::string id, oracle& checks) : id_{std::move(id)}, checks_{checks} {}
+
+    /// \returns The answer to an order or a question about the state; empty if the request is another one.
+    [[nodiscard]] std::string answer(received_request const& request)
+    {
+        std::scoped_lock const lock{mutex_};
+        finish_load();
+        if (request.head_.starts_with("GET /auburnchute/report")) {
+            return answer_to(request, report());
+        }
+        if (!request.head_.starts_with("POST /auburnchute/order")) {
+            return {};
+        }
+        auto const order = nlohmann::json::parse(request.body_);
+        checks_.note_order(id_, order.at("holder"), order.at("fence_token"));
+        if (!loading_.empty() || order.value("precondition", accepted_) != accepted_) {
+            return answer_to(request, "{}", 409);
+        }
+        ++accepted_;
+        auto const model = order.at("model").get<std::string>();
+        if (order.at("operation") == "unload") {
+            models_.erase(model);
+        } else if (models_.size() < room) {
+            loading_ = model;
+            loaded_at_ = soak_clock::now() + load_time;
+        } else {
+            checks_.fail_with("LIMIT: " + id_ + " was ordered to load more than it holds");
+        }
+        return answer_to(request, "{}", 202);
+    }
+
+    [[nodiscard]] bool holds(std::string const& model)
+    {
+        std::scoped_lock const lock{mutex_};
+        finish_load();
+        return models_.contains(model);
+    }
+
+private:
+    static constexpr std::size_t room = 2; ///< Models of equal size.
+    static constexpr std::chrono::milliseconds load_time{300};
+
+    void finish_load()
+    {
+        if (!loading_.empty() && soak_clock::now() >= loaded_at_) {
+            models_.insert(std::exchange(loading_, {}));
+        }
+    }
+
+    [[nodiscard]] std::string report() const
+    {
+        auto models = nlohmann::json::array();
+        for (auto const& model : models_) {
+            models.push_back({{"name", model}, {"version", 1}, {"adapters", nlohmann::json::array()}});
+        }
+        return nlohmann::json{{"stage", "both"},       {"models", models},    {"busy", !loading_.empty()},
+                              {"sequence", accepted_}, {"queued", 0},         {"active", 0},
+                              {"kv_used", 0},          {"kv_total", 100'000}, {"handles", 0}}
+            .dump();
+    }
+
+    std::string id_;
+    oracle& checks_;
+    std::mutex mutex_;
+    std::set<std::string> models_;
+    std::string loading_;
+    soak_clock::time_point loaded_at_;
+    std::int64_t accepted_{};
+};
+
+/// \brief An upstream behind a proxy; an engine too, if it is of the service with models.
+struct soak_upstream {
+    std::string id_;
+    std::string service_;
+    std::unique_ptr<soak_engine> engine_;
+    std::unique_ptr<scripted_upstream> server_;
+    std::unique_ptr<loopback_proxy> proxy_;
+    std::atomic<bool> loses_answers_{false};
+    std::atomic<bool> leaving_{false};
+};
+
+/// \brief One entry VM: a real process with its own address, and a proxy on its way to the store.
+struct soak_vm {
+    std::string name_;
+    std::string ip_;
+    std::filesystem::path settings_;
+    std::unique_ptr<loopback_proxy> to_store_;
+    std::optional<child_process> process_;
+    bool frozen_{};
+};
+
+/// \brief All processes and stand-ins of one soak run.
+class soak_world {
+public:
+    soak_world(oracle& checks, int vms, std::uint64_t seed)
+        : checks_{checks}, base_{own_address()}, store_{base_}
+    {
+        prefix_ = base_.substr(0, base_.rfind('.') + 1);
+        put_config();
+        for (int i = 0; i < 3; ++i) {
+            add_upstream("desk");
+        }
+        for (int i = 0; i < 2; ++i) {
+            add_upstream("llm");
+        }
+        for (int i = 0; i < vms; ++i) {
+            add_vm(i, seed);
+        }
+    }
+    ~soak_world()
+    {
+        for (auto& vm : vms_) {
+            if (vm->process_ && vm->frozen_) {
+                vm->process_->resume();
+            }
+            vm->process_.reset(); // before the upstreams, whose threads wait for its connections
+            std::filesystem::remove(vm->settings_);
+        }
+    }
+    soak_world(soak_world const&) = delete;
+    soak_world& operator=(soak_world const&) = delete;
+
+    void start(soak_vm& vm)
+    {
+        vm.process_.emplace("auburnchute-entry",
+                            std::vector<std::string>{"--settings", vm.settings_.string()});
+        vm.frozen_ = false;
+    }
+
+    /// \brief Publishes the configuration as it should be now.
+    void put_config()
+    {
+        ++version_;
+        auto const route = [](std::string const& name, std::string const& type, std::string const& service,
+                              int attempts, bool resumable) {
+            return nlohmann::json{
+                {"name", name},       {"host", "h.example"},      {"path_prefix", "/" + name + "/"},
+                {"route_type", type}, {"timeout_ms", 4'000},      {"target_latency_ms", 300},
+                {"service", service}, {"max_attempts", attempts}, {"resumable", resumable},
+                {"priority", 1}};
+        };
+        nlohmann::json const models{{{"name", "m1"}, {"weights_mb", 40}, {"load_s", 0.3}},
+                                    {{"name", "m2"}, {"weights_mb", 40}, {"load_s", 0.3}},
+                                    {{"name", "m3"}, {"weights_mb", 40}, {"load_s", 0.3}}};
+        nlohmann::json const config{
+            {"version", version_},
+            {"routes",
+             {route("buy", "unsafe", "desk", 1, false), route("look", "safe", "desk", 2, false),
+              route("watch", "streaming", "desk", 1, false), route("resume", "streaming", "desk", 2, true),
+              route("ask", "streaming", "llm", 1, false)}},
+            {"services",
+             {{{"name", "desk"}, {"max_conns", 200}},
+              {{"name", "llm"},
+               {"max_conns", 200},
+               {"engine",
+                {{"slots", 16},
+                 {"kv_capacity", 100'000},
+                 {"weights_mb", 100},
+                 {"adapter_slots", 2},
+                 {"loads_per_s", 50},
+                 {"models", models}}}}}},
+            {"limits",
+             {{"max_header_bytes", 16'384},
+              {"max_body_bytes", 1'000'000},
+              {"header_timeout_ms", 3'000},
+              {"idle_timeout_ms", 15'000}}},
+            {"tenants",
+             {{{"name", "free"}, {"api_keys", free_keys_}},
+              {{"name", "limited"},
+               {"api_keys", {"k0-limited"}},
+               {"rate_per_s", oracle::limited_rate},
+               {"burst", oracle::limited_burst}}}}};
+        store_.put("keyed.op", "config", config.dump());
+    }
+
+    /// \brief Takes the oldest key away and adds a new one.
+    void revoke_key()
+    {
+        std::string gone;
+        {
+            std::scoped_lock const lock{mutex_};
+            gone = free_keys_.front();
+            free_keys_.erase(free_keys_.begin());
+            free_keys_.push_back("k" + std::to_string(++keys_made_) + "-free");
+        }
+        put_config();
+        checks_.note_revoked(gone); // after the store has confirmed it
+    }
+
+    /// \returns The key that is withdrawn next; callers may go on with it afterwards.
+    [[nodiscard]] std::string oldest_key()
+    {
+        std::scoped_lock const lock{mutex_};
+        return free_keys_.front();
+    }
+
+    /// \brief Writes an upstream's entry, or removes it.
+    void put_entry(soak_upstream& upstream, std::string const& state)
+    {
+        std::scoped_lock const lock{mutex_};
+        store_.put("keyed.servers", upstream.id_,
+                   state.empty() ? std::string{}
+                                 : nlohmann::json{{"service", upstream.service_},
+                                                  {"address", upstream.proxy_->address()},
+                                                  {"zone", "a"},
+                                                  {"slots", 16},
+                                                  {"state", state},
+                                                  {"born", 1'700'000'000'000},
+                                                  {"sequence", ++writes_}}
+                                       .dump());
+    }
+
+    oracle& checks_;
+    std::string base_;
+    std::string prefix_;
+    standin_store store_;
+    std::vector<std::unique_ptr<soak_upstream>> upstreams_;
+    std::vector<std::unique_ptr<soak_vm>> vms_;
+
+private:
+    void add_upstream(std::string const& service)
+    {
+        auto made = std::make_unique<soak_upstream>();
+        auto* const upstream = made.get();
+        upstream->id_ = "i-" + service + "-" + std::to_string(upstreams_.size());
+        upstream->service_ = service;
+        if (service == "llm") {
+            upstream->engine_ = std::make_unique<soak_engine>(upstream->id_, checks_);
+        }
+        upstream->server_ = std::make_unique<scripted_upstream>(
+            base_, [this, upstream](received_request const& request, owned_socket& socket) {
+                return run(*upstream, request, socket);
+            });
+        auto const& address = upstream->server_->address();
+        upstream->proxy_ =
+            std::make_unique<loopback_proxy>(base_, base_, std::stoi(address.substr(address.rfind(':') + 1)));
+        upstreams_.push_back(std::move(made));
+        put_entry(*upstream, "ready");
+    }
+
+    void add_vm(int number, std::uint64_t seed)
+    {
+        auto vm = std::make_unique<soak_vm>();
+        vm->name_ = "front-" + std::to_string(number);
+        vm->ip_ =
+            prefix_ + std::to_string(1 + (std::stoi(base_.substr(base_.rfind('.') + 1)) + number) % 254);
+        vm->to_store_ = std::make_unique<loopback_proxy>(base_, base_, store_.port());
+        vm->settings_ =
+            std::filesystem::temp_directory_path() /
+            ("soak-" + std::to_string(::getpid()) + "-" + std::to_string(seed) + "-" + vm->name_ + ".yaml");
+        auto const listen = [&](int port) { return vm->ip_ + ":" + std::to_string(port) + "\n"; };
+        std::ofstream{vm->settings_} << "vm: " << vm->name_ << "\nip: " << vm->ip_
+                                     << "\navailability_zone: a\nfirst_start: false\ncallers_listen: "
+                                     << listen(soak_callers_port)
+                                     << "ready_listen: " << listen(soak_ready_port)
+                                     << "directory_listen: " << listen(soak_directory_port)
+                                     << "peer_port: 7600\nmetrics_port: 7601\nstore_address: "
+                                     << vm->to_store_->address()
+                                     << "\nretry_extra: 50\nretry_ratio: 0.2\norder_lease_ms: 3000\n";
+        start(*vm);
+        vms_.push_back(std::move(vm));
+    }
+
+    /// Runs a request as an upstream does. \returns Whether the connection stays open.
+    bool run(soak_upstream& upstream, received_request const& request, owned_socket& socket)
+    {
+        if (request.field("X-Target-Instance") != upstream.id_) {
+            socket.send("HTTP/1.1 421 X\r\nX-Not-Executed: 1\r\nX-Request-Id: " +
+                        request.field("X-Request-Id") + "\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        }
+        if (upstream.engine_) {
+            if (auto const answer = upstream.engine_->answer(request); !answer.empty()) {
+                socket.send(answer);
+                return true;
+            }
+        }
+        auto const id = request.field("X-Request-Id");
+        bool const model_missing = upstream.engine_ && !upstream.engine_->holds(request.field("X-Model"));
+        if (model_missing) {
+            socket.send("HTTP/1.1 421 X\r\nX-Not-Executed: 1\r\nX-Request-Id: " + id +
+                        "\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        }
+        auto const resumed = request.field("Last-Event-Id");
+        int const first = resumed.empty() ? 1 : std::stoi(resumed) + 1;
+        checks_.note_run(id, request.field("X-Tenant"), first);
+        if (!request.field("Api-Key").empty()) {
+            checks_.fail_with("UNASKED: an upstream saw the caller's key of " + id);
+        }
+        bool const lost = upstream.loses_answers_ && std::hash<std::string>{}(id) % 2 == 0;
+        bool const stream =
+            !request.head_.starts_with("GET /look") && !request.head_.starts_with("POST /buy");
+        if (!stream) {
+            if (!lost) {
+                socket.send(answer_to(request, id + " is whole"));
+            }
+            return !lost;
+        }
+        socket.send("HTTP/1.1 200 X\r\nX-Request-Id: " + id +
+                    "\r\nX-Response-Stamp: proof\r\nContent-Type: text/event-stream\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n");
+        for (int event = first; event <= events_of(id); ++event) {
+            auto const text = "id: " + std::to_string(event) + "\ndata: " + id + "\n\n";
+            std::ostringstream chunk;
+            chunk << std::hex << text.size() << "\r\n" << text << "\r\n";
+            socket.send(chunk.str());
+            if (lost && event == 2) {
+                return false;
+            }
+            pollfd gone{socket.handle(), POLLIN, 0};
+            if (::poll(&gone, 1, event_pause_ms) > 0) {
+                return false; // the daemon closed the connection
+            }
+        }
+        socket.send("0\r\n\r\n");
+        return true;
+    }
+
+    static constexpr int event_pause_ms = 20;
+
+    std::mutex mutex_;
+    int writes_{};
+    int version_{};
+    int keys_made_{1};
+    std::vector<std::string> free_keys_{"k0-free", "k1-free"};
+};
+
+} // namespace auburnchute::tests
--- a/tests/transport/child_process.hpp
+++ b/tests/transport/child_process.hpp
@@ -81,6 +81,15 @@
     /// \returns True until the child's end was seen.
     [[nodiscard]] bool running() const noexcept { return pid_ > 0 && exit_code_ < 0; }
 
+    /// \returns Whether the child has ended, without taking note of it.
+    [[nodiscard]] bool has_ended() const
+    {
+        siginfo_t seen{};
+        return pid_ <= 0 ||
+               (::waitid(P_PID, static_cast<id_t>(pid_), &seen, WEXITED | WNOHANG | WNOWAIT) == 0 &&
+                seen.si_pid == pid_);
+    }
+
     /// \brief Waits for a line of output that begins with the text.
     /// \returns The rest of the line. \throws std::runtime_error if the child ends or the time is over first.
     std::string wait_line(std::string_view beginning,
