Count the members that a starting VM has not heard yet; give late upstreams less

All VMs are killed at 13.0 s, and each new process spends half of the burst and the whole rate until it hears the others (level -216,709 at 14.4 s in the logs). Ruled out: the hot workspace's own peaks (levels between -75,000 and 96,000 before the kill). Change: for its first two seconds a VM takes the part of the rates that it hears of all members in the store; it serves once it has read them. Upstreams that begin to answer later than expected lose requests to others for some seconds. Tests that failed first: the part of the rates at a start, an upstream that answers late.

--- a/include/auburnchute/upstream_choice.hpp
+++ b/include/auburnchute/upstream_choice.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <auburnchute/clock.hpp>
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -16,6 +18,7 @@
     std::int64_t running_tokens_{}; ///< Prompt and output tokens of those requests.
     std::int64_t unread_tokens_{};  ///< Prompt tokens of those that have not begun to answer.
     std::int64_t kv_tokens_{};      ///< Its memory for them; 0: not an engine.
+    double lag_ms_{}; ///< How much later than expected it has begun to answer of late; see `upstream_lag`.
     bool same_zone_{};
     bool suspect_{}; ///< Failed lately.
     bool used_{};    ///< This request was already sent there.
@@ -34,8 +37,22 @@
 struct chosen_option {
     std::size_t index_{};          ///< Into the options.
     std::int64_t unread_tokens_{}; ///< Prompt tokens that the upstream still has to read.
+    double expected_ms_{};         ///< Until it begins to answer, its lag left out.
+};
+
+/// \brief How much later than expected an upstream begins to answer, smoothed. It fades, so that an upstream
+/// that was slow is tried again.
+struct upstream_lag {
+    double ms_{};
+    millis noted_at_{};
 };
 
+/// \brief Notes how long the upstream took to begin its answer. Thread safety: the caller owns the lag.
+void note_answer_time(upstream_lag& lag, double expected_ms, millis took, millis now) noexcept;
+
+/// \returns The lag as of now, in milliseconds. Thread safety: pure.
+[[nodiscard]] double current_lag(upstream_lag const& lag, millis now) noexcept;
+
 /// \brief Chooses the upstream that should begin to answer first.
 ///
 /// An engine reads prompts one after another between the tokens of running requests, so a request waits for
@@ -46,6 +63,6 @@
 /// would take.
 /// \returns None if all are full or were used. Thread safety: pure.
 [[nodiscard]] std::optional<chosen_option> choose_upstream(std::span<upstream_option const> options,
-                                                         choice_request const& request) noexcept;
+                                                           choice_request const& request) noexcept;
 
 } // namespace auburnchute
--- a/src/coordination/upstream_choice.cpp
+++ b/src/coordination/upstream_choice.cpp
@@ -3,6 +3,7 @@
 #include <auburnchute/ids.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace auburnchute {
 
@@ -25,6 +26,15 @@
 /// Disadvantage of an upstream that failed lately, in ms: it is used only if the others are very busy.
 constexpr double suspect_ms = 5'000.0;
 
+/// Weight of the newest answer in an upstream's lag.
+constexpr double newest_weight = 0.3;
+
+/// Time constant with which a lag fades, in ms: an upstream that was slow is tried again within seconds.
+constexpr double lag_memory_ms = 4'000.0;
+
+/// Largest lag that one answer counts for, in ms; beyond it callers leave.
+constexpr double largest_lag_ms = 3'000.0;
+
 /// Plain services queue a few requests; more than this many for each slot are not sent.
 constexpr double plain_queue_factor = 1.5;
 
@@ -46,7 +56,7 @@
 
 double expected_delay(upstream_option const& option, choice_request const& request, bool home) noexcept
 {
-    auto delay = (option.same_zone_ ? 0.0 : other_zone_ms) + (option.suspect_ ? suspect_ms : 0.0);
+    auto delay = option.same_zone_ ? 0.0 : other_zone_ms;
     if (option.kv_tokens_ == 0) {
         return delay + delay_per_running_ms * static_cast<double>(option.running_) /
                            static_cast<double>(std::max<std::int64_t>(option.slots_, 1));
@@ -58,6 +68,19 @@
 
 } // namespace
 
+double current_lag(upstream_lag const& lag, millis now) noexcept
+{
+    auto const age = static_cast<double>((now - lag.noted_at_).count_);
+    return lag.ms_ * std::exp(-std::max(0.0, age) / lag_memory_ms);
+}
+
+void note_answer_time(upstream_lag& lag, double expected_ms, millis took, millis now) noexcept
+{
+    auto const excess = std::clamp(static_cast<double>(took.count_) - expected_ms, 0.0, largest_lag_ms);
+    lag.ms_ = current_lag(lag, now) * (1 - newest_weight) + excess * newest_weight;
+    lag.noted_at_ = now;
+}
+
 std::optional<chosen_option> choose_upstream(std::span<upstream_option const> options,
                                              choice_request const& request) noexcept
 {
@@ -72,20 +95,24 @@
     }
     std::optional<std::size_t> best;
     double best_delay = 0;
+    double best_expected = 0;
     std::uint64_t best_draw = 0;
     for (std::size_t i = 0; i < options.size(); ++i) {
         if (options[i].used_ || is_full(options[i], request)) {
             continue;
         }
-        auto const delay = expected_delay(options[i], request, home == i);
+        auto const expected = expected_delay(options[i], request, home == i);
+        auto const delay = expected + options[i].lag_ms_ + (options[i].suspect_ ? suspect_ms : 0.0);
         auto const draw = stable_hash(options[i].id_, request.draw_);
         if (!best || delay < best_delay || (delay == best_delay && draw > best_draw)) {
             best = i;
             best_delay = delay;
+            best_expected = expected;
             best_draw = draw;
         }
     }
-    return best ? std::optional{chosen_option{*best, unread_part(request, home == best)}} : std::nullopt;
+    return best ? std::optional{chosen_option{*best, unread_part(request, home == best), best_expected}}
+                : std::nullopt;
 }
 
 } // namespace auburnchute
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -101,7 +101,7 @@
     use_guard& operator=(use_guard const&) = delete;
     ~use_guard()
     {
-        note_answering();
+        node_.upstreams_[id_].use_.unread_tokens_ -= std::exchange(unread_, 0);
         auto& use = node_.upstreams_[id_].use_;
         --use.requests_;
         use.tokens_ -= tokens_;
@@ -111,8 +111,14 @@
         }
     }
 
-    /// \brief Books that the upstream has read the prompt.
-    void note_answering() { node_.upstreams_[id_].use_.unread_tokens_ -= std::exchange(unread_, 0); }
+    /// \brief Books that the upstream has begun to answer.
+    void note_answering()
+    {
+        auto& own = node_.upstreams_[id_];
+        own.use_.unread_tokens_ -= std::exchange(unread_, 0);
+        auto const now = boot_now();
+        note_answer_time(own.lag_, expected_ms_, now - began_, now);
+    }
 
 private:
     entry_node& node_;
@@ -120,6 +126,8 @@
     std::int64_t tokens_;
     std::int64_t unread_;
     need_key need_;
+    double expected_ms_;
+    millis began_;
 };
 
 /// How one try at an upstream ended.
@@ -604,6 +612,9 @@
             co_return;
         }
         outcome.result_ = try_result::answered;
+        if (on_first_event_) {
+            std::exchange(on_first_event_, nullptr)();
+        }
         outcome.answer_ = parser.release();
         co_return;
     }
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -39,7 +39,7 @@
 request_view current_view(entry_node const& node)
 {
     return node.shared_.cell_.read([](entry_view const& view) {
-        return request_view{view.config_, view.upstreams_, view.config_next_};
+        return request_view{view.config_, view.upstreams_, view.config_next_, view.members_read_};
     });
 }
 
@@ -59,9 +59,12 @@
 {
     int heard = 1;
     int counted = 1;
+    // After the loss of all VMs, each starts before it hears the others, and none may take the whole rate.
+    bool const joining = !node.settings_.first_start_ && now - node.started_at_ < joining_time;
     for (auto const& [vm, peer] : node.peers_) {
         if (peer.heard_at_ == millis{0}) {
-            continue; // never alive in this daemon's time
+            counted += joining ? 1 : 0; // later, one that was never heard counts as gone
+            continue;
         }
         auto const silence = now - peer.heard_at_;
         heard += is_heard(node, peer, now) ? 1 : 0;
@@ -105,7 +108,8 @@
 
 bool is_ready(entry_node const& node, millis now)
 {
-    return !node.stopping_ && current_view(node).config_ != nullptr && keys_are_fresh(node, now);
+    auto const view = current_view(node);
+    return !node.stopping_ && view.config_ != nullptr && view.members_read_ && keys_are_fresh(node, now);
 }
 
 int crash_count(entry_node const& node, std::string_view fingerprint)
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -12,6 +12,7 @@
 #include <auburnchute/placement_board.hpp>
 #include <auburnchute/retry.hpp>
 #include <auburnchute/shared_bucket.hpp>
+#include <auburnchute/upstream_choice.hpp>
 
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
@@ -54,6 +55,7 @@
 /// \brief This VM's own requests at an upstream, and what it learned about the upstream from them.
 struct own_use {
     upstream_use use_;
+    upstream_lag lag_;
     millis suspect_until_{};
     millis closed_until_{}; ///< It said that it is leaving, or is not the upstream that was meant.
 };
@@ -132,6 +134,7 @@
     std::shared_ptr<fleet_config const> config_;
     std::shared_ptr<upstream_map const> upstreams_;
     std::uint64_t config_next_{};
+    bool members_read_{};
 };
 [[nodiscard]] request_view current_view(entry_node const& node);
 
--- a/src/transport/entry/entry_view.hpp
+++ b/src/transport/entry/entry_view.hpp
@@ -40,6 +40,7 @@
     std::uint64_t
         upstreams_next_{}; ///< Offset up to which the upstreams' entries are known; 0: not read yet.
     std::vector<entry_member> members_;
+    bool members_read_{}; ///< The members were read at least once.
     std::shared_ptr<upstream_news const> news_{
         std::make_shared<upstream_news const>()}; ///< Of the last seconds.
 };
--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -107,7 +107,8 @@
 std::optional<own_answer> admit(entry_node& node, forward_job& job, caller_request const& request)
 {
     auto const now = boot_now();
-    if (!job.config_) {
+    // Without the members, this VM does not know which part of the rates is its own.
+    if (!job.config_ || !current_view(node).members_read_) {
         return own_answer{unavailable, "starting", start_retry_after};
     }
     follow_limits(node, *job.config_, now);
@@ -192,6 +193,7 @@
                            .running_tokens_ = use.tokens_,
                            .unread_tokens_ = use.unread_tokens_,
                            .kv_tokens_ = job.engine_ != nullptr ? job.engine_->kv_tokens_ : 0,
+                           .lag_ms_ = known ? current_lag(own->second.lag_, now) : 0.0,
                            .same_zone_ = entry.availability_zone_ == node.settings_.availability_zone_,
                            .suspect_ = known && own->second.suspect_until_ > now,
                            .used_ = std::find(job.used_.begin(), job.used_.end(), id) != job.used_.end()});
@@ -215,8 +217,9 @@
     }
     auto const& entry = *entries[best->index_];
     auto const& option = options[best->index_];
-    chosen.upstream_ = chosen_upstream{entry.id_, entry.address_, option.running_, option.unread_tokens_,
-                                       best->unread_tokens_};
+    chosen.upstream_ = chosen_upstream{
+        entry.id_,         entry.address_, option.running_, option.unread_tokens_, best->unread_tokens_,
+        best->expected_ms_};
     return chosen;
 }
 
--- a/src/transport/entry/forward_job.hpp
+++ b/src/transport/entry/forward_job.hpp
@@ -52,6 +52,7 @@
     std::int64_t known_running_{};
     std::int64_t known_unread_{};  ///< Prompt tokens that it has to read before this request's.
     std::int64_t unread_tokens_{}; ///< Prompt tokens of this request that it has to read.
+    double expected_ms_{};         ///< Until it begins to answer.
 };
 
 enum class choice_fault : std::uint8_t {
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -435,6 +435,11 @@
     while (true) {
         std::string fault;
         try {
+            if (!next) {
+                (void)co_await read_members(reader, store, next);
+                reader.draft_.members_read_ = true;
+                publish(reader);
+            }
             if (!registered) {
                 auto const outcome = co_await store.append(
                     platform::member_topic,
@@ -442,7 +447,7 @@
                 registered = outcome.result_ == platform::append_result::stored;
             }
             bool const unknown_heard = reader.shared_.unknown_heard_.load(std::memory_order_acquire);
-            if (!next || unknown_heard || boot_now() - read_at > member_refresh) {
+            if (unknown_heard || boot_now() - read_at > member_refresh) {
                 reader.shared_.unknown_heard_.store(false, std::memory_order_release);
                 read_at = boot_now();
                 if (co_await read_members(reader, store, next)) {
--- a/tests/coordination/upstream_choice_test.cpp
+++ b/tests/coordination/upstream_choice_test.cpp
@@ -61,6 +61,34 @@
     }
 }
 
+// Guards against an upstream that works, but several times as slowly as the others, and is used like them.
+TEST_CASE("an upstream that begins to answer late gets less, and is tried again later", "[choice]")
+{
+    struct row {
+        millis took_;
+        int answers_;
+        millis passed_;
+        std::size_t expected_;
+    };
+    for (auto const& row :
+         {row{millis{100}, 5, millis{0}, 0}, row{millis{1'500}, 1, millis{0}, 1},
+          row{millis{1'500}, 5, millis{2'000}, 1}, row{millis{1'500}, 5, millis{30'000}, 0}}) {
+        CAPTURE(row.took_.count_, row.answers_, row.passed_.count_);
+        upstream_lag lag;
+        millis now{10'000};
+        for (int i = 0; i < row.answers_; ++i) {
+            note_answer_time(lag, 250, row.took_, now);
+            now += millis{100};
+        }
+        now += row.passed_;
+        // The second one has a prompt to read first.
+        std::vector<upstream_option> options{engine("e1", 0), engine("e2", 0)};
+        options[0].lag_ms_ = current_lag(lag, now);
+        options[1].unread_tokens_ = 3'000;
+        CHECK(chosen(options, prompt(0)) == row.expected_);
+    }
+}
+
 // Guards against counting a shared prompt as work at the engine that keeps it.
 TEST_CASE("the unread part of a prompt leaves out what its home has read", "[choice]")
 {
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -17,6 +17,14 @@
 inline constexpr int soak_ready_port = 8224;
 inline constexpr int soak_directory_port = 8220;
 
+/// \returns The first three numbers of loopback addresses that no other soak uses at the same time, and a
+/// dot.
+inline std::string own_network()
+{
+    auto const pid = static_cast<unsigned>(::getpid());
+    return "127." + std::to_string(80 + (pid >> 8U) % 128U) + "." + std::to_string(pid & 0xffU) + ".";
+}
+
 /// \returns Events of a request's whole stream; upstream and caller work it out alike.
 inline int events_of(std::string const& id)
 {
@@ -121,9 +129,8 @@
 class soak_world {
 public:
     soak_world(oracle& checks, int vms, std::uint64_t seed)
-        : checks_{checks}, base_{own_address()}, store_{base_}
+        : checks_{checks}, prefix_{own_network()}, base_{prefix_ + "1"}, store_{base_}
     {
-        prefix_ = base_.substr(0, base_.rfind('.') + 1);
         put_config();
         for (int i = 0; i < 3; ++i) {
             add_upstream("desk");
@@ -239,8 +246,8 @@
     }
 
     oracle& checks_;
+    std::string prefix_; ///< Of the addresses of this process.
     std::string base_;
-    std::string prefix_;
     standin_store store_;
     std::vector<std::unique_ptr<soak_upstream>> upstreams_;
     std::vector<std::unique_ptr<soak_vm>> vms_;
@@ -270,8 +277,7 @@
     {
         auto vm = std::make_unique<soak_vm>();
         vm->name_ = "front-" + std::to_string(number);
-        vm->ip_ =
-            prefix_ + std::to_string(1 + (std::stoi(base_.substr(base_.rfind('.') + 1)) + number) % 254);
+        vm->ip_ = prefix_ + std::to_string(2 + number);
         vm->to_store_ = std::make_unique<loopback_proxy>(base_, base_, store_.port());
         vm->settings_ =
             std::filesystem::temp_directory_path() /
--- a/tests/transport/entry/entry_node_test.cpp
+++ b/tests/transport/entry/entry_node_test.cpp
@@ -16,3 +16,34 @@
     }
     CHECK(message_rhythm(8) < millis{250});
 }
+
+// Found on plumavera-gdl-grown, trouble-3 (QUOTA): 65 VMs were killed together, and each let the whole rate
+// and half of the burst through until it heard the others.
+TEST_CASE("a VM that has just started takes its part of the rates, also before it hears the others",
+          "[peers]")
+{
+    struct row {
+        bool first_start_;
+        millis age_;
+        int members_;
+        int heard_;
+        double expected_;
+    };
+    for (auto const& row : {row{false, millis{100}, 64, 0, 1.0 / 65}, row{false, millis{100}, 64, 64, 1.0},
+                            row{false, millis{5'000}, 64, 0, 1.0}, row{true, millis{100}, 64, 0, 1.0},
+                            row{false, millis{100}, 0, 0, 1.0}, row{false, millis{100}, 3, 1, 0.5}}) {
+        CAPTURE(row.age_.count_, row.members_, row.heard_);
+        net::io_context loop;
+        entry_settings settings;
+        settings.first_start_ = row.first_start_;
+        shared_view shared;
+        metrics counters;
+        entry_node node{loop, settings, shared, counters};
+        auto const now = boot_now();
+        node.started_at_ = now - row.age_;
+        for (int i = 0; i < row.members_; ++i) {
+            node.peers_["vm-" + std::to_string(i)].heard_at_ = i < row.heard_ ? now : millis{0};
+        }
+        CHECK(heard_share(node, now) == Approx(row.expected_));
+    }
+}
