--- a/include/auburnchute/model_planner.hpp
+++ b/include/auburnchute/model_planner.hpp
@@ -72,13 +72,14 @@
 /// \brief Plans the orders for the engines of one service.
 ///
 /// Answers two loads: many rare models of which each is asked for now and then, and few busy models that
-/// change during the day. Models that somebody waits for come first, most urgent and then longest waits
-/// first, then replicas of busy ones, then models that nobody has asked for yet: into free memory, or, if no
-/// engine has a copy of the weights, in place of an idle model that stays on the engine's disk. A first
+/// change during the day. Models that somebody waits for come first, the most urgent and then the longest
+/// waits first, then replicas of busy ones, then models that nobody has asked for yet: into free memory, or,
+/// if no engine has a copy of the weights, in place of an idle model that stays on the engine's disk. A first
 /// request for them would wait for the weight store, which takes several times as long as an engine's disk.
 /// The least wanted models make room, never one that is wanted more than the one that needs the room. Memory
-/// and adapter places of an engine are never overcommitted. \returns At most one order for a model of each
-/// engine, most urgent first. Thread safety: pure.
+/// and adapter places of an engine are never overcommitted.
+///
+/// \returns At most one order for a model of each engine, most urgent first. Thread safety: pure.
 [[nodiscard]] std::vector<planned_order> plan_models(planner_input const& input);
 
 /// \returns How long a load takes at full speed. Thread safety: pure.
--- a/src/coordination/model_planner.cpp
+++ b/src/coordination/model_planner.cpp
@@ -209,12 +209,11 @@
     return wanted.value();
 }
 
-/// Why a load may unload other models.
+/// Which models a load may unload.
 enum class eviction : std::uint8_t {
     none,
-    idle_copies, ///< Those that are hardly asked for and stay on the engine's disk, from where they are back
-                 ///< soon.
-    less_wanted,
+    idle_copies, ///< Hardly asked for, and on the engine's disk, from where they are back soon.
+    less_wanted, ///< Wanted less than the model that is loaded.
 };
 
 bool has_copy(engine_state const& engine, std::string_view model)
