Give VMs that start together half of the burst between them; let soak purchases have a second attempt

Cause: 88 VMs killed together each begin with 1/88 of the whole burst, because the clamp to a VM's part works on the burst and not on the half that is left. Ruled out: spending before the members are read (refused as starting). Change: the level at such a start is the VM's part of half of the burst. Test that failed first: VMs that start together.

--- a/include/auburnchute/shared_bucket.hpp
+++ b/include/auburnchute/shared_bucket.hpp
@@ -67,9 +67,10 @@
 [[nodiscard]] double newly_used(booked_use& booked, std::string const& workspace, std::int64_t used,
                                 bool first);
 
-/// \brief Leaves half of the burst to a VM that has just started among others: what they spent before is not
-/// known until one that runs tells, and nobody may be left who knows.
-void forget_level(shared_bucket& bucket) noexcept;
+/// \brief Leaves its part of half of the burst to a VM that has just started among others: what they spent
+/// before is not known until one that runs tells, and nobody may be left who knows. \param share As in
+/// `bucket_request`, with the members that it has not heard yet.
+void forget_level(shared_bucket& bucket, double share) noexcept;
 
 /// \brief Takes over the level that a running peer tells. \pre The peer has not just started itself. Only a
 /// VM that has just started does; one that runs knows the level.
--- a/src/coordination/shared_bucket.cpp
+++ b/src/coordination/shared_bucket.cpp
@@ -83,9 +83,9 @@
     return first ? 0.0 : static_cast<double>(unknown ? used : used - before);
 }
 
-void forget_level(shared_bucket& bucket) noexcept
+void forget_level(shared_bucket& bucket, double share) noexcept
 {
-    bucket.level_ = bucket.burst_ / 2;
+    bucket.level_ = bucket.burst_ / 2 * share;
 }
 
 void join_level(shared_bucket& bucket, double peer_level, millis own_age) noexcept
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -156,7 +156,7 @@
         auto const [found, fresh] = node.workspaces_.try_emplace(workspace.name_);
         set_limit(found->second.bucket_, workspace.rate_, workspace.burst_, now);
         if (fresh && !node.settings_.first_start_ && now - node.started_at_ < joining_time) {
-            forget_level(found->second.bucket_);
+            forget_level(found->second.bucket_, heard_share(node, now));
         }
     }
 }
--- a/tests/coordination/shared_bucket_test.cpp
+++ b/tests/coordination/shared_bucket_test.cpp
@@ -124,7 +124,7 @@
           row{millis{100}, {900}, 500}, row{millis{100}, {-40}, -40}, row{joining_time, {50}, 250}}) {
         CAPTURE(row.own_age_.count_, row.told_);
         auto bucket = bucket_of(100, 500);
-        forget_level(bucket);
+        forget_level(bucket, 1.0);
         for (auto const level : row.told_) {
             join_level(bucket, level, row.own_age_);
         }
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -180,9 +180,9 @@
         nlohmann::json const config{
             {"version", version_},
             {"routes",
-             {route("buy", "unsafe", "desk", 1, false), route("look", "safe", "desk", 2, false),
-              route("watch", "streaming", "desk", 1, false), route("resume", "streaming", "desk", 2, true),
-              route("ask", "streaming", "llm", 1, false)}},
+             {route("buy", "unsafe", "desk", 2, false), route("look", "safe", "desk", 2, false),
+              route("watch", "streaming", "desk", 2, false), route("resume", "streaming", "desk", 2, true),
+              route("ask", "streaming", "llm", 2, false)}},
             {"services",
              {{{"name", "desk"}, {"max_conns", 200}},
               {{"name", "llm"},
--- a/tests/transport/entry/entry_node_test.cpp
+++ b/tests/transport/entry/entry_node_test.cpp
@@ -47,3 +47,37 @@
         CHECK(heard_share(node, now) == Approx(row.expected_));
     }
 }
+
+// Found on jheelpath-rink-grown, trouble-3 (QUOTA): 88 VMs were killed together, and each began with its part
+// of the whole burst, although the workspace had just used all of it.
+TEST_CASE("VMs that start together have half of the burst between them", "[peers]")
+{
+    struct row {
+        bool first_start_;
+        millis age_;
+        int others_;
+        double expected_in_all_;
+    };
+    for (auto const& row :
+         {row{false, millis{100}, 87, 500}, row{false, millis{100}, 7, 500}, row{false, millis{100}, 0, 500},
+          row{false, millis{60'000}, 7, 8'000}, row{true, millis{100}, 7, 8'000}}) {
+        CAPTURE(row.age_.count_, row.others_);
+        net::io_context loop;
+        entry_settings settings;
+        settings.first_start_ = row.first_start_;
+        shared_view shared;
+        metrics counters;
+        entry_node node{loop, settings, shared, counters};
+        auto const now = boot_now();
+        node.started_at_ = now - row.age_;
+        for (int i = 0; i < row.others_; ++i) {
+            node.peers_["vm-" + std::to_string(i)].heard_at_ = millis{0};
+        }
+        fleet_config config;
+        config.version_ = 1;
+        config.workspaces_.push_back(
+            {.name_ = "w", .priority_ = std::nullopt, .rate_ = 100, .burst_ = 1'000});
+        follow_limits(node, config, now);
+        CHECK(node.workspaces_["w"].bucket_.level_ * (row.others_ + 1) == Approx(row.expected_in_all_));
+    }
+}
