--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -144,13 +144,17 @@
         client.set_keep_alive(true);
         client.set_connection_timeout(1s);
         client.set_read_timeout(5s);
-        auto const key = limited ? std::string{"k0-limited"} : shared.world_.oldest_key();
+        // Some callers go on with a key that was withdrawn.
+        bool const withdrawn = !limited && random() % 4 == 0;
+        auto const key = limited     ? std::string{"k0-limited"}
+                         : withdrawn ? shared.world_.withdrawn_key()
+                                     : shared.world_.oldest_key();
         // An open connection is used on until the daemon ends it, as callers of the platform do.
         for (int i = 0; i < 40 && !shared.ended_; ++i) {
             auto const& made = rows[random() % rows.size()];
             auto const model = made.model_ ? "m" + std::to_string(1 + random() % 3) : std::string{};
             auto const status = call_once(shared, client, made.kind_, key, made.path_, model);
-            if (status <= 0 || status == 401) {
+            if (status <= 0 || (status == 401 && !withdrawn)) {
                 break;
             }
             std::this_thread::sleep_for(std::chrono::milliseconds{random() % 40}); // between two requests
@@ -229,10 +233,13 @@
 
     bool is_busy(void const* target) const { return busy_.contains(target); }
 
-    void schedule(void const* target, std::string name, std::function<void()> end)
+    void schedule(void const* target, std::string name, std::function<void()> end,
+                  std::chrono::milliseconds longest = 4'500ms)
     {
         busy_.insert(target);
-        auto const lasts = std::chrono::milliseconds{500 + random_() % 4'000};
+        constexpr std::uint64_t least = 500;
+        auto const lasts = std::chrono::milliseconds{
+            least + random_() % (static_cast<std::uint64_t>(longest.count()) - least)};
         say("begin " + name + " for " + std::to_string(lasts.count()) + " ms");
         under_way_.push_back(
             {soak_clock::now() + lasts, std::move(name), [this, target, end = std::move(end)] {
@@ -302,8 +309,10 @@
             auto& vm = *world_.vms_[random_() % world_.vms_.size()];
             if (!is_busy(vm.to_store_.get())) {
                 vm.to_store_->set_fault(any_link_fault(true));
-                schedule(vm.to_store_.get(), "link to store of " + vm.name_,
-                         [&vm] { vm.to_store_->set_fault(link_fault::none); });
+                // Longer than a withdrawn key may work at a daemon that cannot read of it.
+                schedule(
+                    vm.to_store_.get(), "link to store of " + vm.name_,
+                    [&vm] { vm.to_store_->set_fault(link_fault::none); }, oracle::key_withdrawal + 5'000ms);
             }
             return;
         }
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -215,6 +215,7 @@
         {
             std::scoped_lock const lock{mutex_};
             gone = free_keys_.front();
+            withdrawn_ = gone;
             free_keys_.erase(free_keys_.begin());
             free_keys_.push_back("k" + std::to_string(++keys_made_) + "-free");
         }
@@ -229,6 +230,13 @@
         return free_keys_.front();
     }
 
+    /// \returns The key that was withdrawn last; before the first one, a key that is in force.
+    [[nodiscard]] std::string withdrawn_key()
+    {
+        std::scoped_lock const lock{mutex_};
+        return withdrawn_;
+    }
+
     /// \brief Writes an upstream's entry, or removes it.
     void put_entry(soak_upstream& upstream, std::string const& state)
     {
@@ -358,6 +366,7 @@
     int version_{};
     int keys_made_{1};
     std::vector<std::string> free_keys_{"k0-free", "k1-free"};
+    std::string withdrawn_{"k0-free"};
 };
 
 } // namespace auburnchute::tests
