Let one piece of test code listen on loopback and one make a started node

Found on the last read of the change: the soak's proxy repeated how the scripted upstream listens, and two cases built the same node. Behaviour and assertions as before.

--- a/tests/soak/loopback_proxy.hpp
+++ b/tests/soak/loopback_proxy.hpp
@@ -31,14 +31,7 @@
         : listener_{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)}, target_ip_{target_ip}, target_port_{
                                                                                                   target_port}
     {
-        auto address = to_sockaddr(ip, 0);
-        socklen_t size = sizeof address;
-        if (::bind(listener_.handle(), reinterpret_cast<sockaddr const*>(&address), size) != 0 ||
-            ::listen(listener_.handle(), 64) != 0 ||
-            ::getsockname(listener_.handle(), reinterpret_cast<sockaddr*>(&address), &size) != 0) {
-            throw std::runtime_error{"the proxy cannot listen"};
-        }
-        address_ = ip + ":" + std::to_string(ntohs(address.sin_port));
+        address_ = listen_at(listener_, ip);
         acceptor_ = std::thread{[this] { accept_all(); }};
     }
     ~loopback_proxy()
--- a/tests/transport/entry/entry_node_test.cpp
+++ b/tests/transport/entry/entry_node_test.cpp
@@ -4,6 +4,25 @@
 
 using namespace auburnchute;
 
+namespace {
+
+/// A node with what it refers to, as of its start.
+struct started_node {
+    started_node(bool first_start, millis started_at)
+    {
+        settings_.first_start_ = first_start;
+        node_.started_at_ = started_at;
+    }
+
+    net::io_context loop_;
+    entry_settings settings_;
+    shared_view shared_;
+    metrics counters_;
+    entry_node node_{loop_, settings_, shared_, counters_};
+};
+
+} // namespace
+
 // Found on jheelpath-rink-grown, trouble-1: with 88 VMs a message comes every 0.7 s, and a silence of 1 s
 // took peers that live for gone: callers got no address, rates shrank, and everyone read the lease from the
 // store.
@@ -33,14 +52,9 @@
                             row{false, millis{5'000}, 64, 0, 1.0}, row{true, millis{100}, 64, 0, 1.0},
                             row{false, millis{100}, 0, 0, 1.0}, row{false, millis{100}, 3, 1, 0.5}}) {
         CAPTURE(row.age_.count_, row.members_, row.heard_);
-        net::io_context loop;
-        entry_settings settings;
-        settings.first_start_ = row.first_start_;
-        shared_view shared;
-        metrics counters;
-        entry_node node{loop, settings, shared, counters};
         auto const now = boot_now();
-        node.started_at_ = now - row.age_;
+        started_node made{row.first_start_, now - row.age_};
+        auto& node = made.node_;
         for (int i = 0; i < row.members_; ++i) {
             node.peers_["vm-" + std::to_string(i)].heard_at_ = i < row.heard_ ? now : millis{0};
         }
@@ -62,14 +76,9 @@
          {row{false, millis{100}, 87, 500}, row{false, millis{100}, 7, 500}, row{false, millis{100}, 0, 500},
           row{false, millis{60'000}, 7, 8'000}, row{true, millis{100}, 7, 8'000}}) {
         CAPTURE(row.age_.count_, row.others_);
-        net::io_context loop;
-        entry_settings settings;
-        settings.first_start_ = row.first_start_;
-        shared_view shared;
-        metrics counters;
-        entry_node node{loop, settings, shared, counters};
         auto const now = boot_now();
-        node.started_at_ = now - row.age_;
+        started_node made{row.first_start_, now - row.age_};
+        auto& node = made.node_;
         for (int i = 0; i < row.others_; ++i) {
             node.peers_["vm-" + std::to_string(i)].heard_at_ = millis{0};
         }
--- a/tests/transport/entry/standin_platform.hpp
+++ b/tests/transport/entry/standin_platform.hpp
@@ -117,6 +117,21 @@
     return made;
 }
 
+/// \brief Listens at a port that the kernel picks. \returns The address `IP:PORT`. \throws std::runtime_error
+/// if that fails.
+inline std::string listen_at(owned_socket const& listener, std::string const& ip)
+{
+    constexpr int backlog = 64;
+    auto address = to_sockaddr(ip, 0);
+    socklen_t size = sizeof address;
+    if (::bind(listener.handle(), reinterpret_cast<sockaddr const*>(&address), size) != 0 ||
+        ::listen(listener.handle(), backlog) != 0 ||
+        ::getsockname(listener.handle(), reinterpret_cast<sockaddr*>(&address), &size) != 0) {
+        throw std::runtime_error{"cannot listen at " + ip};
+    }
+    return ip + ":" + std::to_string(ntohs(address.sin_port));
+}
+
 /// \brief The platform's store: topics in memory, with conditional appends and reads that wait.
 class standin_store {
 public:
@@ -319,14 +334,7 @@
     scripted_upstream(std::string const& ip, script answer)
         : listener_{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)}, answer_{std::move(answer)}
     {
-        auto address = to_sockaddr(ip, 0);
-        socklen_t size = sizeof address;
-        if (::bind(listener_.handle(), reinterpret_cast<sockaddr const*>(&address), size) != 0 ||
-            ::listen(listener_.handle(), 64) != 0 ||
-            ::getsockname(listener_.handle(), reinterpret_cast<sockaddr*>(&address), &size) != 0) {
-            throw std::runtime_error{"the upstream cannot listen"};
-        }
-        address_ = ip + ":" + std::to_string(ntohs(address.sin_port));
+        address_ = listen_at(listener_, ip);
         acceptor_ = std::thread{[this] { accept_all(); }};
     }
     ~scripted_upstream()
