--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -84,6 +84,17 @@
                                                 : own_answer{failure_status, failure, millis{-1}};
 }
 
+/// \returns The ids of the prompt parts that other requests may share, for a log line.
+std::string shared_part_ids(request_attributes const& call)
+{
+    std::ostringstream text;
+    text << std::hex;
+    for (std::size_t i = 0; i + 1 < call.prompt_parts_.size(); ++i) {
+        text << (i == 0 ? "" : ",") << call.prompt_parts_[i].id_;
+    }
+    return text.str();
+}
+
 /// How one try at an upstream ended.
 struct try_outcome {
     try_result result_{try_result::not_sent};
@@ -127,6 +138,8 @@
     void start_watch();
     void end_watch();
     void note_result(forward_job const& job, chosen_upstream const& upstream, try_outcome const& outcome);
+    void note_crash(forward_job const& job, chosen_upstream const& upstream, try_outcome const& outcome,
+                    std::int64_t own_crashes) const;
     void log_end(forward_job const& job, std::string_view outcome, int status, std::string_view reason) const;
 
     entry_node& node_;
@@ -496,7 +509,9 @@
         auto const probe = co_await node_.pool_.open(upstream.id_, upstream.address_, millis{300}, fault);
         outcome.upstream_gone_ = !probe && fault == net::error::connection_refused;
         if (outcome.upstream_gone_) {
-            ++node_.crashes_[fingerprint_of(job, request)];
+            auto& crashes = node_.crashes_[fingerprint_of(job, request)];
+            ++crashes;
+            note_crash(job, upstream, outcome, crashes);
         }
     }
     co_return outcome;
@@ -727,6 +742,24 @@
     }
 }
 
+void caller_session::note_crash(forward_job const& job, chosen_upstream const& upstream,
+                                try_outcome const& outcome, std::int64_t own_crashes) const
+{
+    bool const answering = job.first_event_at_ > millis{0};
+    node_.counters_.count("auburnchute_upstream_crashes_total", answering ? "answering" : "before-answer");
+    log_failure("upstream-crashed",
+                {{"id", job.call_.request_id_},
+                 {"upstream", upstream.id_},
+                 {"workspace", job.workspace_ != nullptr ? std::string_view{job.workspace_->name_} : ""},
+                 {"route", job.route_->name_},
+                 {"model", job.call_.model_},
+                 {"shared_parts", shared_part_ids(job.call_)},
+                 {"status", outcome.status_},
+                 {"answered_ms", answering ? (boot_now() - job.first_event_at_).count_ : -1},
+                 {"tries", job.used_.size()},
+                 {"same_request_crashes", own_crashes}});
+}
+
 void caller_session::log_end(forward_job const& job, std::string_view outcome, int status,
                              std::string_view reason) const
 {
