Go past upstreams that refuse connections

Callers saw 503 upstreams-unreachable within 2 ms, for up to 3 s after a crash: the entry of a crashed upstream lasts that long, and a failed upstream was only ranked lower, so the only holder of a model was connected to four times in a row. Change: an upstream that refuses a connection, or no longer listens after one broke, gets nothing for 1 s; refused connections do not count as failed attempts.

--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -28,12 +28,17 @@
 /// Longest time for connecting to an upstream; they answer within milliseconds or are gone.
 constexpr millis connect_limit{1'000};
 
-/// Upstreams that may refuse a connection before a request is given up.
+/// Upstreams to which connecting may fail before a request is given up; refused connections do not count, as
+/// they cost no time.
 constexpr int max_connect_failures = 4;
 
 /// How long an upstream that failed is used only if the others are very busy.
 constexpr millis suspect_time{2'000};
 
+/// How long an upstream that refuses connections gets nothing; its process has ended and takes longer to
+/// return.
+constexpr millis refused_time{1'000};
+
 /// How long an upstream that said it is leaving, or is another one, gets nothing. Its entry follows by then.
 constexpr millis closed_time{3'000};
 
@@ -101,7 +106,7 @@
     std::optional<upstream_answer> answer_; ///< A whole answer, if it is not a stream.
     bool streamed_{};                       ///< The whole stream has gone to the caller.
     int status_{};                          ///< Of the upstream's answer; 0: none.
-    bool upstream_gone_{};                  ///< The upstream stopped listening after the connection broke.
+    bool upstream_gone_{};                  ///< The upstream stopped listening, before or after the try.
     std::string fault_;
 };
 
@@ -370,7 +375,7 @@
             co_return give_up(job, "upstream-refused", late ? timed_out : bad_gateway,
                               late ? "deadline" : "upstream-failed");
         }
-        if (ran_nowhere && ++connect_failures >= max_connect_failures) {
+        if (ran_nowhere && !outcome.upstream_gone_ && ++connect_failures >= max_connect_failures) {
             co_return give_up(job, "upstreams-unreachable", bad_gateway, "upstreams-unreachable");
         }
     }
@@ -436,6 +441,7 @@
                                                std::min(connect_limit, job.deadline_ - now), fault);
         if (!connection) {
             outcome.fault_ = "connect: " + fault.message();
+            outcome.upstream_gone_ = fault == net::error::connection_refused;
             co_return outcome;
         }
     }
@@ -730,6 +736,9 @@
         break;
     default:
         own.suspect_until_ = now + suspect_time;
+        if (outcome.upstream_gone_) {
+            own.closed_until_ = now + refused_time;
+        }
         node_.pool_.forget(upstream.id_);
     }
     if (outcome.result_ != try_result::answered) {
--- a/tests/transport/entry/entry_daemon_test.cpp
+++ b/tests/transport/entry/entry_daemon_test.cpp
@@ -84,6 +84,25 @@
     CHECK(world.arrivals() == 2);
 }
 
+// Guards against requests that fail on crashed upstreams, whose entries last some seconds, beside a sound
+// one.
+TEST_CASE("a request goes past all upstreams that refuse connections", "[entry][promise-8]")
+{
+    constexpr std::size_t upstreams = 9;
+    auto const sound = GENERATE(std::size_t{0}, std::size_t{4}, std::size_t{8});
+    entry_world world{std::vector<scripted_upstream::script>(upstreams, after_probe(answering("the goods")))};
+    for (std::size_t i = 0; i < upstreams; ++i) {
+        if (i != sound) {
+            world.upstreams_[i]->stop_listening();
+        }
+    }
+    for (int i = 0; i < 4; ++i) {
+        CAPTURE(sound, i);
+        auto const answer = world.call("POST", "/buy/now", "an order").receive_until("the goods");
+        CHECK(entry_world::status_of(answer) == 200);
+    }
+}
+
 TEST_CASE("a refusal that says not run is true", "[entry][promise-9]")
 {
     entry_world world{{after_probe([](received_request const& request, owned_socket& connection) {
