Count crashes for each prompt part, and block the fewest parts that explain them

Cause: crashes were counted for whole requests (caller, path and body). Requests that share only the part of the prompt that is deadly never reached the limit. Class of fault: evidence kept under a key narrower than what the failures have in common. Each crash marks the parts, and the request as a whole, of the requests that the upstream had not answered; an answer removes the marks of its request's traits; the fewest traits that explain the crashes are blocked, for the workspaces with marks of their own, or for all once two are blocked. A blocked trait is tried again after 10 s, then with doubled pauses, by few VMs. Records merge over the peers' messages and blocked ones are kept in the store. It replaces the sums of crash counts in the messages, which grew without bound and were lost with a VM. Why it works: a deadly part never gets an answer, sound ones do; marks that another blocked trait explains do not count.

--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -219,6 +219,7 @@
     entry_node node{loop, settings, shared, counters};
     node.exchange_.incarnation_ = draw_incarnation();
     node.exchange_.started_at_ = boot_now();
+    node.evidence_.first_version_ = node.evidence_.version_ = node.exchange_.incarnation_;
     log_decision("start", {{"vm", settings.vm_},
                            {"incarnation", node.exchange_.incarnation_},
                            {"version", AUBURNCHUTE_VERSION}});
@@ -242,6 +243,11 @@
             }
         });
     };
+    reader.evidence_read_ = [&](std::vector<trait_record> records) {
+        net::post(loop, [&node, records = std::move(records)]() mutable {
+            take_stored_evidence(node, std::move(records));
+        });
+    };
     order_keeper keeper{control_loop, settings, shared, counters, {}};
     keeper.report_ = [&](placement_report report) {
         net::post(loop, [&node, report = std::move(report)]() mutable {
@@ -256,6 +262,10 @@
     node.news_received_ = [&reader](upstream_news news) {
         net::post(reader.loop_, [&reader, news = std::move(news)] { take_news(reader, news); });
     };
+    node.keep_evidence_ = [&reader](trait_hash trait, std::optional<trait_record> record) {
+        net::post(reader.loop_,
+                  [&reader, trait, record = std::move(record)] { keep_evidence(reader, trait, record); });
+    };
     node.reread_upstreams_ = [&reader] { net::post(reader.loop_, [&reader] { reread_upstreams(reader); }); };
     node.stop_placing_ = [&keeper] { net::post(keeper.loop_, [&keeper] { give_up_lease(keeper); }); };
     serve_callers(node, settings.callers_listen_);
--- a/include/auburnchute/fleet_exchange.hpp
+++ b/include/auburnchute/fleet_exchange.hpp
@@ -42,7 +42,6 @@
     std::vector<spend_row> spent_;
     std::vector<level_row> levels_;
     std::vector<upstream_use_row> use_;
-    std::vector<crash_row> crashes_;
     std::vector<need_row> needs_;
     bool holds_lease_{};
     std::uint64_t lease_epoch_{}; ///< Of the order lease if its holder is responsive or this VM; else 0.
@@ -59,10 +58,10 @@
 
 /// \brief What this VM knows of a VM with which it exchanges messages.
 struct peer_state {
-    fleet_message last_;               ///< Its newest message, without `placements_` and `news_`.
-    millis received_at_{};             ///< When `last_` arrived; 0: never.
-    millis sending_since_{};           ///< When this VM began to send to it; 0: it does not send.
-    bool in_sums_{};                   ///< Its load and crashes are part of `use_` and `crashes_`.
+    fleet_message last_;     ///< Its newest message, without `placements_`, `news_` and `evidence_`.
+    millis received_at_{};   ///< When `last_` arrived; 0: never.
+    millis sending_since_{}; ///< When this VM began to send to it; 0: it does not send.
+    bool in_sums_{};         ///< Its load is part of `use_`.
     std::int64_t charged_in_term_{-1}; ///< `term_` of this VM when the peer's totals were last charged.
     spend_totals last_totals_;         ///< The totals in its newest messages.
     spend_totals charged_totals_;      ///< For a leaf: usage charged for its current process.
@@ -100,7 +99,6 @@
     std::string relay_;             ///< For a leaf: its relay.
     std::vector<std::string> mesh_; ///< For a relay: the other relays.
     std::unordered_map<short_hash, upstream_use> use_; ///< Sums over all other VMs.
-    std::map<std::uint64_t, std::int64_t> crashes_;    ///< By request fingerprint; sums over all other VMs.
     spend_totals remote_totals_;       ///< Usage charged for other VMs since this process started.
     spend_totals leaf_totals_;         ///< For a relay: the part of it from leaves in this term.
     spend_totals acknowledged_totals_; ///< This VM's usage that its relays have charged.
@@ -170,9 +168,6 @@
 /// \returns Requests and tokens of all other VMs in flight at an upstream.
 [[nodiscard]] upstream_use remote_use(fleet_exchange const& exchange, short_hash upstream) noexcept;
 
-/// \returns How many times an upstream crashed during requests of other VMs with this fingerprint.
-[[nodiscard]] std::int64_t remote_crashes(fleet_exchange const& exchange, std::uint64_t fingerprint) noexcept;
-
 /// \returns The share of the VMs whose state this VM receives, directly or over relays, itself included;
 /// above 0, at most 1. VMs that are no longer listed stay in the denominator for a while, as they may still
 /// admit requests; so do members not listed yet just after a restart, as VMs that restart together would
--- a/include/auburnchute/fleet_message.hpp
+++ b/include/auburnchute/fleet_message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <auburnchute/clock.hpp>
+#include <auburnchute/crash_evidence.hpp>
 #include <auburnchute/model_need.hpp>
 
 #include <cstdint>
@@ -56,14 +57,6 @@
     friend bool operator==(level_row const&, level_row const&) = default;
 };
 
-/// \brief Number of upstream crashes during requests with the same fingerprint.
-struct crash_row {
-    std::uint64_t fingerprint_{};
-    std::int64_t count_{};
-
-    friend bool operator==(crash_row const&, crash_row const&) = default;
-};
-
 /// \brief Demand for a model or adapter.
 struct need_row {
     name_hash need_{};
@@ -118,7 +111,6 @@
     bool wants_levels_{};         ///< The sender may have missed usage and asks for `levels_`.
     std::vector<level_row> levels_;
     std::vector<upstream_use_row> use_;
-    std::vector<crash_row> crashes_;
     std::vector<need_row> needs_; ///< Model demand, for the holder of the order lease.
 
     /// Epoch of the order lease if the sender holds it or, in a digest, the holder is responsive; else 0.
@@ -139,6 +131,12 @@
     std::vector<upstream_entry_update> news_;
     std::uint64_t seen_news_{}; ///< Offset up to which the sender has the upstream entries.
     std::uint64_t registry_{};  ///< Digest of the upstream entries at that offset.
+
+    /// The sender's crash evidence that changed after the version that the receiver has seen.
+    std::vector<trait_record> evidence_;
+    std::uint64_t evidence_version_{};
+    std::uint64_t
+        seen_evidence_{}; ///< Last `evidence_version_` of the receiver whose records the sender has.
 };
 
 } // namespace auburnchute
--- a/src/coordination/fleet_exchange.cpp
+++ b/src/coordination/fleet_exchange.cpp
@@ -87,13 +87,6 @@
             exchange.use_.erase(found);
         }
     }
-    for (auto const& row : peer.last_.crashes_) {
-        auto const found = exchange.crashes_.try_emplace(row.fingerprint_).first;
-        found->second += sign * row.count_;
-        if (found->second == 0) {
-            exchange.crashes_.erase(found);
-        }
-    }
 }
 
 /// Returns whether the load and usage in a message are not also in messages from other senders, so that
@@ -414,25 +407,6 @@
     }
 }
 
-void add_rows(std::map<std::uint64_t, std::int64_t>& sums, std::vector<crash_row> const& rows,
-              std::int64_t sign)
-{
-    for (auto const& row : rows) {
-        sums[row.fingerprint_] += sign * row.count_;
-    }
-}
-
-std::vector<crash_row> to_rows(std::map<std::uint64_t, std::int64_t> const& sums)
-{
-    std::vector<crash_row> rows;
-    for (auto const& [fingerprint, count] : sums) {
-        if (count > 0) {
-            rows.push_back({fingerprint, count});
-        }
-    }
-    return rows;
-}
-
 void add_needs(std::map<name_hash, model_need>& sums, std::vector<need_row> const& rows)
 {
     for (auto const& row : rows) {
@@ -683,9 +657,7 @@
 
     auto spent = kind == message_kind::mesh ? mesh_totals(exchange, own.spent_) : to_totals(own.spent_);
     std::map<short_hash, upstream_use> use;
-    std::map<std::uint64_t, std::int64_t> crashes;
     add_rows(use, own.use_, 1);
-    add_rows(crashes, own.crashes_, 1);
     if (kind == message_kind::digest) {
         for (auto const& [workspace, total] : exchange.remote_totals_) {
             add_total(spent, total);
@@ -693,20 +665,15 @@
         for (auto const& [upstream, sum] : exchange.use_) {
             add_rows(use, {{upstream, sum}}, 1);
         }
-        for (auto const& [fingerprint, count] : exchange.crashes_) {
-            crashes[fingerprint] += count;
-        }
     } else if (kind == message_kind::mesh) {
         for (auto const& [vm, peer] : exchange.peers_) {
             if (peer.in_sums_ && peer.last_.kind_ == message_kind::report) {
                 add_rows(use, peer.last_.use_, 1);
-                add_rows(crashes, peer.last_.crashes_, 1);
             }
         }
     }
     message.spent_ = to_rows(spent);
     message.use_ = to_rows(use);
-    message.crashes_ = to_rows(crashes);
     if (kind == message_kind::report) {
         message.needs_ = own.needs_;
     }
@@ -726,6 +693,7 @@
     message.echo_ = last.sent_at_;
     message.echo_held_ = (now - peer.received_at_).count_;
     message.seen_roster_ = last.roster_;
+    message.seen_evidence_ = last.evidence_version_;
     message.roster_told_ = last.seen_roster_ != message.roster_;
     if (!message.roster_told_) {
         message.ready_.clear();
@@ -772,10 +740,6 @@
         add_rows(use, message.use_, 1);
         add_rows(use, last.use_, -1);
         message.use_ = to_rows(use);
-        std::map<std::uint64_t, std::int64_t> crashes;
-        add_rows(crashes, message.crashes_, 1);
-        add_rows(crashes, last.crashes_, -1);
-        message.crashes_ = to_rows(crashes);
     }
 }
 
@@ -831,6 +795,7 @@
     auto previous = std::exchange(peer.last_, message);
     peer.last_.placements_.clear();
     peer.last_.news_.clear();
+    peer.last_.evidence_.clear();
     if (!message.roster_told_) {
         peer.last_.ready_ = std::move(previous.ready_);
         peer.last_.unready_ = std::move(previous.unready_);
@@ -867,12 +832,6 @@
     return found == exchange.use_.end() ? upstream_use{} : found->second;
 }
 
-std::int64_t remote_crashes(fleet_exchange const& exchange, std::uint64_t fingerprint) noexcept
-{
-    auto const found = exchange.crashes_.find(fingerprint);
-    return found == exchange.crashes_.end() ? 0 : found->second;
-}
-
 std::size_t live_count(fleet_exchange const& exchange) noexcept
 {
     return 1 + static_cast<std::size_t>(std::count_if(exchange.known_vms_.begin(), exchange.known_vms_.end(),
--- a/src/protocol/fleet_codec.cpp
+++ b/src/protocol/fleet_codec.cpp
@@ -139,6 +139,36 @@
     return placement;
 }
 
+void write_evidence(trait_record const& record, wire::CrashEvidence& into)
+{
+    into.set_trait(record.trait_.hash_);
+    into.set_depth(record.trait_.depth_);
+    into.set_round(record.round_);
+    into.set_trials(record.trials_);
+    for (auto const& mark : record.marks_) {
+        into.add_crash(mark.crash_);
+        into.add_workspace(mark.workspace_);
+        into.add_weight(static_cast<std::uint32_t>(mark.weight_));
+        into.add_warned(mark.warned_);
+    }
+}
+
+trait_record read_evidence(wire::CrashEvidence const& from)
+{
+    trait_record record{.trait_ = {from.trait(), narrow<std::uint8_t>(from.depth())},
+                        .round_ = from.round(),
+                        .trials_ = from.trials()};
+    check_columns(from.crash_size(), from.workspace(), from.weight(), from.warned());
+    for (int i = 0; i < from.crash_size(); ++i) {
+        record.marks_.push_back({from.crash(i), from.workspace(i),
+                                 from.weight(i) >= static_cast<std::uint32_t>(crash_weight::begun)
+                                     ? crash_weight::begun
+                                     : crash_weight::waiting,
+                                 from.warned(i)});
+    }
+    return record;
+}
+
 void write_tables(fleet_message const& message, wire::Message& into)
 {
     for (auto const& row : message.spent_) {
@@ -156,9 +186,10 @@
         into.add_level(row.level_);
     }
     write_use(message.use_, into);
-    for (auto const& row : message.crashes_) {
-        into.add_fingerprint(row.fingerprint_);
-        into.add_crashes(narrow<std::uint32_t>(row.count_));
+    for (auto const& record : message.evidence_) {
+        auto& row = *into.add_evidence();
+        write_evidence(record, row);
+        row.set_age_ms(narrow<std::uint32_t>(message.sent_at_ - record.changed_at_.count_));
     }
     write_needs(message.needs_, into);
     for (auto const& placement : message.placements_) {
@@ -183,9 +214,9 @@
         message.levels_.push_back({from.level_workspace(i), checked(from.level(i))});
     }
     read_use(from, message.use_);
-    check_columns(from.fingerprint_size(), from.crashes());
-    for (int i = 0; i < from.fingerprint_size(); ++i) {
-        message.crashes_.push_back({from.fingerprint(i), from.crashes(i)});
+    for (auto const& row : from.evidence()) {
+        message.evidence_.push_back(read_evidence(row));
+        message.evidence_.back().changed_at_ = millis{message.sent_at_ - row.age_ms()};
     }
     read_needs(from, message.needs_);
     for (auto const& placement : from.placements()) {
@@ -232,6 +263,8 @@
     message.news_to_ = from.news_to();
     message.seen_news_ = from.seen_news();
     message.registry_ = from.registry();
+    message.evidence_version_ = from.evidence_version();
+    message.seen_evidence_ = from.seen_evidence();
 }
 
 } // namespace
@@ -270,12 +303,34 @@
     into.set_news_to(message.news_to_);
     into.set_seen_news(message.seen_news_);
     into.set_registry(message.registry_);
+    into.set_evidence_version(message.evidence_version_);
+    into.set_seen_evidence(message.seen_evidence_);
     write_tables(message, into);
     std::vector<std::uint8_t> bytes(into.ByteSizeLong());
     into.SerializeWithCachedSizesToArray(bytes.data());
     return bytes;
 }
 
+std::string encode_evidence(trait_record const& record)
+{
+    wire::CrashEvidence into;
+    write_evidence(record, into);
+    return into.SerializeAsString();
+}
+
+std::optional<trait_record> decode_evidence(std::string_view bytes)
+{
+    wire::CrashEvidence from;
+    if (!from.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || from.trait() == 0) {
+        return std::nullopt;
+    }
+    try {
+        return read_evidence(from);
+    } catch (unusable_message const&) {
+        return std::nullopt; // logged by the caller
+    }
+}
+
 std::optional<fleet_message> decode_message(std::span<std::uint8_t const> bytes)
 {
     google::protobuf::Arena arena;
--- a/src/protocol/fleet_codec.hpp
+++ b/src/protocol/fleet_codec.hpp
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace auburnchute {
@@ -15,4 +17,10 @@
 /// \returns The message, or none if the bytes are not one or hold numbers that no daemon sends.
 [[nodiscard]] std::optional<fleet_message> decode_message(std::span<std::uint8_t const> bytes);
 
+/// \returns A record of the crash evidence as it is kept in the store, without times.
+[[nodiscard]] std::string encode_evidence(trait_record const& record);
+
+/// \returns The record, or none if the bytes are not one.
+[[nodiscard]] std::optional<trait_record> decode_evidence(std::string_view bytes);
+
 } // namespace auburnchute
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -143,8 +143,9 @@
     void start_watch();
     void end_watch();
     void note_result(forward_job const& job, chosen_upstream const& upstream, try_outcome const& outcome);
-    void note_crash(forward_job const& job, chosen_upstream const& upstream, try_outcome const& outcome,
-                    std::int64_t own_crashes) const;
+    void note_crash(forward_job& job, caller_request const& request, chosen_upstream const& upstream,
+                    try_outcome const& outcome);
+    void note_survival(forward_job& job, caller_request const& request);
     void log_end(forward_job const& job, std::string_view outcome, int status, std::string_view reason) const;
 
     entry_node& node_;
@@ -158,6 +159,7 @@
     int last_status_{};
     std::function<void()> on_gone_;        ///< Called once when the caller leaves.
     std::function<void()> on_first_event_; ///< Called once when the upstream begins to answer.
+    std::function<void()> on_survival_;    ///< Called once when it has answered for `crash_onset`.
     wake_event* waiting_{};
 };
 
@@ -331,6 +333,12 @@
         if (now >= job.deadline_) {
             co_return give_up(job, "deadline", timed_out, "deadline");
         }
+        std::vector<trait_hash> trials;
+        if (auto refusal = refuse_deadly(node_, job, request, trials)) {
+            co_return job.execution_ == execution::not_run
+                ? refusal
+                : own_answer{bad_gateway, "crashes-upstreams", millis{-1}};
+        }
         auto const chosen = choose(node_, job);
         if (!chosen.upstream_) {
             auto refusal = co_await wait_for_upstream(job, chosen.fault_);
@@ -339,6 +347,7 @@
             }
             continue;
         }
+        begin_trial(node_, trials, job.call_.request_id_);
         auto outcome = co_await try_upstream(job, request, *chosen.upstream_);
         last_upstream_ = chosen.upstream_->id_;
         last_status_ = outcome.status_;
@@ -485,6 +494,8 @@
                              {"config_age_ms", (boot_now() - fresh_at(node_)).count_},
                              {"reused", connection->reused_}});
     job.used_.push_back(upstream.id_);
+    job.sent_at_ = boot_now();
+    job.answer_began_at_ = {};
     // The answer may come before a long body is written, so both run at the same time.
     auto written = std::make_shared<bool>(false);
     connection->stream_.expires_after(to_chrono(left));
@@ -498,10 +509,18 @@
         report_failure);
     bool reusable = false;
     millis keep_alive = default_keep_alive;
-    on_first_event_ = [&booking] { booking.note_answering(boot_now()); };
+    on_first_event_ = [&booking, &job] {
+        job.answer_began_at_ = boot_now();
+        booking.note_answering(job.answer_began_at_);
+    };
+    on_survival_ = [this, &job, &request] { note_survival(job, request); };
     co_await read_answer(job, *connection, outcome, reusable, keep_alive);
     on_first_event_ = nullptr;
+    on_survival_ = nullptr;
     on_gone_ = nullptr;
+    if (outcome.result_ == try_result::answered) {
+        note_survival(job, request);
+    }
     if (reusable && *written && !gone_) {
         node_.pool_.keep(connection, keep_alive);
     } else {
@@ -515,9 +534,7 @@
         auto const probe = co_await node_.pool_.open(upstream.id_, upstream.address_, millis{300}, fault);
         outcome.upstream_gone_ = !probe && fault == net::error::connection_refused;
         if (outcome.upstream_gone_) {
-            auto& crashes = node_.crashes_[fingerprint_of(job, request)];
-            ++crashes;
-            note_crash(job, upstream, outcome, crashes);
+            note_crash(job, request, upstream, outcome);
         }
     }
     co_return outcome;
@@ -624,6 +641,10 @@
         if (!events.empty() && on_first_event_) {
             std::exchange(on_first_event_, nullptr)();
         }
+        if (on_survival_ && job.answer_began_at_ > millis{0} &&
+            boot_now() - job.answer_began_at_ >= crash_onset) {
+            std::exchange(on_survival_, nullptr)();
+        }
         if (!events.empty() && !co_await pass_events(job, parser, events, in_order)) {
             gone_ = true;
             co_return;
@@ -751,10 +772,13 @@
     }
 }
 
-void caller_session::note_crash(forward_job const& job, chosen_upstream const& upstream,
-                                try_outcome const& outcome, std::int64_t own_crashes) const
+void caller_session::note_crash(forward_job& job, caller_request const& request,
+                                chosen_upstream const& upstream, try_outcome const& outcome)
 {
-    bool const answering = job.first_event_at_ > millis{0};
+    auto const now = boot_now();
+    bool const answering = job.answer_began_at_ > millis{0};
+    bool const suspect = !answering || now - job.answer_began_at_ < crash_onset;
+    bool const head_only = !answering && outcome.status_ != 0;
     node_.counters_.count("auburnchute_upstream_crashes_total", answering ? "answering" : "before-answer");
     log_failure("upstream-crashed",
                 {{"id", job.call_.request_id_},
@@ -764,9 +788,24 @@
                  {"model", job.call_.model_},
                  {"shared_parts", shared_part_ids(job.call_)},
                  {"status", outcome.status_},
-                 {"answered_ms", answering ? (boot_now() - job.first_event_at_).count_ : -1},
+                 {"answered_ms", answering ? (now - job.answer_began_at_).count_ : -1},
                  {"tries", job.used_.size()},
-                 {"same_request_crashes", own_crashes}});
+                 {"suspect", suspect}});
+    if (suspect) {
+        book_crash(node_, {.traits_ = traits_of(job, request),
+                           .crash_ = short_hash_of(upstream.id_ + "/" + std::to_string(upstream.started_at_)),
+                           .workspace_ = evidence_workspace(job),
+                           .weight_ = head_only ? crash_weight::begun : crash_weight::waiting,
+                           .sent_at_ = job.sent_at_});
+    }
+}
+
+void caller_session::note_survival(forward_job& job, caller_request const& request)
+{
+    if (!node_.evidence_.records_.empty()) {
+        auto const began_at = job.answer_began_at_ > millis{0} ? job.answer_began_at_ : boot_now();
+        book_answer(node_, traits_of(job, request), began_at);
+    }
 }
 
 void caller_session::log_end(forward_job const& job, std::string_view outcome, int status,
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -1,8 +1,12 @@
 #include "transport/entry/entry_node.hpp"
 
+#include "protocol/decision_log.hpp"
+
+#include <auburnchute/ids.hpp>
 #include <auburnchute/order_lease.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace auburnchute {
 
@@ -93,10 +97,118 @@
     return !node.stopping_ && view.config_ != nullptr && view.members_read_ && keys_are_fresh(node, now);
 }
 
-std::int64_t crash_count(entry_node const& node, std::uint64_t fingerprint) noexcept
+namespace {
+
+/// Least time between the rounds in which further VMs may try a blocked trait.
+constexpr millis least_trial_round{500};
+
+std::set<trait_hash> blocked_hashes(entry_node const& node)
+{
+    std::set<trait_hash> hashes;
+    for (auto const& blocked : node.evidence_.blocked_) {
+        hashes.insert(blocked.hash_);
+    }
+    return hashes;
+}
+
+/// Logs which traits became blocked or free, and keeps in the store what this VM's own requests took part in.
+void note_blocked(entry_node& node, std::set<trait_hash> const& before)
+{
+    for (auto const& blocked : node.evidence_.blocked_) {
+        auto const& record = node.evidence_.records_.at(blocked.hash_);
+        if (before.contains(blocked.hash_)) {
+            continue;
+        }
+        log_failure("trait-blocked", {{"trait", trait_name(blocked.hash_)},
+                                      {"depth", record.trait_.depth_},
+                                      {"crashes", blocked.crashes_},
+                                      {"everywhere", blocked.everywhere_},
+                                      {"workspaces", blocked.workspaces_.size()},
+                                      {"retry_ms", (blocked.retry_at_ - boot_now()).count_}});
+        if (record.observed_ && node.keep_evidence_) {
+            node.keep_evidence_(blocked.hash_, record);
+        }
+    }
+    for (auto const hash : before) {
+        if (find_blocked(node.evidence_, hash) == nullptr) {
+            log_decision("trait-free", {{"trait", trait_name(hash)}});
+        }
+    }
+    node.counters_.gauge("auburnchute_blocked_traits", "",
+                         static_cast<double>(node.evidence_.blocked_.size()));
+    node.counters_.gauge("auburnchute_crash_records", "",
+                         static_cast<double>(node.evidence_.records_.size()));
+}
+
+void tell_evidence(entry_node& node)
 {
-    auto const own = node.crashes_.find(fingerprint);
-    return (own == node.crashes_.end() ? 0 : own->second) + remote_crashes(node.exchange_, fingerprint);
+    if (node.send_state_) {
+        node.send_state_(message_targets::all);
+    }
+}
+
+} // namespace
+
+void book_crash(entry_node& node, crashed_request const& request)
+{
+    auto const before = blocked_hashes(node);
+    record_crash(node.evidence_, request, boot_now());
+    note_blocked(node, before);
+    tell_evidence(node);
+}
+
+void book_answer(entry_node& node, std::span<request_trait const> traits, millis began_at)
+{
+    auto const before = blocked_hashes(node);
+    auto const version = node.evidence_.version_;
+    for (auto const hash : record_answer(node.evidence_, traits, began_at, boot_now())) {
+        if (node.keep_evidence_) {
+            node.keep_evidence_(hash, std::nullopt);
+        }
+    }
+    if (node.evidence_.version_ != version) {
+        note_blocked(node, before);
+        tell_evidence(node);
+    }
+}
+
+bool take_evidence(entry_node& node, std::span<trait_record const> records)
+{
+    auto const before = blocked_hashes(node);
+    bool const changed = merge_records(node.evidence_, records, boot_now());
+    if (changed) {
+        note_blocked(node, before);
+    }
+    return changed;
+}
+
+void take_stored_evidence(entry_node& node, std::vector<trait_record> records)
+{
+    auto const before = blocked_hashes(node);
+    if (restore_records(node.evidence_, std::move(records), boot_now())) {
+        note_blocked(node, before);
+    }
+}
+
+request_verdict judge_request(entry_node const& node, std::span<request_trait const> traits,
+                              std::uint32_t workspace)
+{
+    trial_rights const rights{.vm_ = stable_hash(node.settings_.vm_),
+                              .vms_ = live_count(node.exchange_),
+                              .round_ = std::max(least_trial_round, propagation_delay(node.exchange_) * 2)};
+    return judge_request(node.evidence_, traits, workspace, rights, boot_now());
+}
+
+void begin_trial(entry_node& node, std::span<trait_hash const> traits, std::string_view request_id)
+{
+    if (traits.empty()) {
+        return;
+    }
+    for (auto const hash : traits) {
+        log_decision("trait-trial", {{"id", request_id}, {"trait", trait_name(hash)}});
+    }
+    record_trial(node.evidence_, traits, boot_now());
+    tell_evidence(node);
 }
 
 retry_budget& retries_of(entry_node& node, std::string const& service)
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -6,6 +6,7 @@
 #include "transport/entry/entry_view.hpp"
 #include "transport/entry/upstream_pool.hpp"
 
+#include <auburnchute/crash_evidence.hpp>
 #include <auburnchute/fleet_exchange.hpp>
 #include <auburnchute/model_need.hpp>
 #include <auburnchute/placement_table.hpp>
@@ -100,7 +101,7 @@
     need_names need_names_;
     std::uint64_t need_names_version_{}; ///< Configuration version of `need_names_`.
     std::list<waiting_call*> waiting_;
-    std::map<std::uint64_t, std::int64_t> crashes_;            ///< By fingerprint; own ones.
+    crash_evidence evidence_;
     std::map<std::string, retry_budget, std::less<>> retries_; ///< By service; this VM's parts.
     placement_table placements_;
     std::uint64_t own_lease_epoch_{};    ///< Of the lease while this VM holds it; 0: it does not.
@@ -115,6 +116,8 @@
         news_received_;                      ///< Called with upstream entry updates that a peer sent.
     std::function<void()> reread_upstreams_; ///< Called when a record of the upstreams was missed.
     std::function<void()> stop_placing_;     ///< Gives up the order lease for good.
+    /// Keeps the record of a blocked trait in the store, or deletes it there if there is none.
+    std::function<void(trait_hash, std::optional<trait_record>)> keep_evidence_;
 };
 
 /// \returns The current view's parts that a request needs. Thread safety: any thread.
@@ -156,8 +159,26 @@
 /// \returns Whether callers may be sent here.
 [[nodiscard]] bool is_ready(entry_node const& node, millis now);
 
-/// \returns How many times an upstream crashed during requests with this fingerprint, summed over all VMs.
-[[nodiscard]] std::int64_t crash_count(entry_node const& node, std::uint64_t fingerprint) noexcept;
+/// \brief Books a request whose upstream crashed, tells the other VMs, and keeps in the store what is
+/// blocked.
+void book_crash(entry_node& node, crashed_request const& request);
+
+/// \brief Books that a request was answered. \param began_at When its answer began; boot clock.
+void book_answer(entry_node& node, std::span<request_trait const> traits, millis began_at);
+
+/// \brief Takes over evidence of a peer; its times are in this VM's boot clock.
+/// \returns Whether any of it was new.
+bool take_evidence(entry_node& node, std::span<trait_record const> records);
+
+/// \brief Takes over the evidence that the store held when this VM started.
+void take_stored_evidence(entry_node& node, std::vector<trait_record> records);
+
+/// \brief Judges a request by the crash evidence of all VMs.
+[[nodiscard]] request_verdict judge_request(entry_node const& node, std::span<request_trait const> traits,
+                                            std::uint32_t workspace);
+
+/// \brief Lets a request through that tries blocked traits, and tells the other VMs.
+void begin_trial(entry_node& node, std::span<trait_hash const> traits, std::string_view request_id);
 
 /// \returns This VM's part of the service's retry budget, as of the members that it knows.
 [[nodiscard]] retry_budget& retries_of(entry_node& node, std::string const& service);
--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-/// Upstreams that a request may crash before it is refused.
-constexpr int crashes_before_refusal = 3;
-
 /// Time constant of the smoothed request rates; a model that fell silent is forgotten within a minute.
 constexpr double rate_memory_ms = 10'000.0;
 
@@ -140,9 +137,9 @@
     job.urgency_ = job.workspace_ != nullptr && job.workspace_->priority_ ? *job.workspace_->priority_
                                                                           : job.route_->priority_;
     job.last_event_ = job.call_.resume_after_;
-    bool const any_crashes = !node.crashes_.empty() || !node.exchange_.crashes_.empty();
-    if (any_crashes && crash_count(node, fingerprint_of(job, request)) >= crashes_before_refusal) {
-        return own_answer{unavailable, "crashes-upstreams", left};
+    std::vector<trait_hash> trials; // begun when the request is sent
+    if (auto refusal = refuse_deadly(node, job, request, trials)) {
+        return refusal;
     }
     if (job.workspace_ != nullptr) {
         return charge(node, job, now);
@@ -220,9 +217,9 @@
     }
     auto const& entry = *entries[best->index_];
     auto const& option = options[best->index_];
-    chosen.upstream_ = chosen_upstream{
-        entry.id_,         entry.address_, option.running_, option.unread_tokens_, best->unread_tokens_,
-        best->expected_ms_};
+    chosen.upstream_ = chosen_upstream{entry.id_,         entry.address_,        entry.started_at_,
+                                       option.running_,   option.unread_tokens_, best->unread_tokens_,
+                                       best->expected_ms_};
     return chosen;
 }
 
@@ -282,12 +279,44 @@
     need.rated_at_ = now;
 }
 
-std::uint64_t fingerprint_of(forward_job const& job, caller_request const& request)
+std::span<request_trait const> traits_of(forward_job& job, caller_request const& request)
+{
+    if (job.traits_.empty()) {
+        auto const workspace = job.workspace_ != nullptr ? std::string_view{job.workspace_->name_} : "";
+        auto const target = std::string_view{request.target().data(), request.target().size()};
+        auto const whole = stable_hash(
+            request.body(), stable_hash(target, stable_hash(job.call_.host_, stable_hash(workspace))));
+        std::vector<std::uint64_t> parts;
+        for (std::size_t i = 0; i + 1 < job.call_.prompt_parts_.size(); ++i) {
+            parts.push_back(job.call_.prompt_parts_[i].id_);
+        }
+        job.traits_ = traits_of(parts, stable_hash(job.service_), evidence_workspace(job), whole);
+    }
+    return job.traits_;
+}
+
+std::uint32_t evidence_workspace(forward_job const& job) noexcept
 {
-    auto const workspace = job.workspace_ != nullptr ? std::string_view{job.workspace_->name_} : "";
-    auto const target = std::string_view{request.target().data(), request.target().size()};
-    return stable_hash(request.body(),
-                       stable_hash(target, stable_hash(job.call_.host_, stable_hash(workspace))));
+    return job.workspace_ != nullptr ? short_hash_of(job.workspace_->name_) | 1U : 0;
+}
+
+std::optional<own_answer> refuse_deadly(entry_node& node, forward_job& job, caller_request const& request,
+                                        std::vector<trait_hash>& trials)
+{
+    trials.clear();
+    if (node.evidence_.blocked_.empty()) {
+        return std::nullopt;
+    }
+    auto verdict = judge_request(node, traits_of(job, request), evidence_workspace(job));
+    if (!verdict.refused_) {
+        trials = std::move(verdict.trials_);
+        return std::nullopt;
+    }
+    log_failure("crashes-upstreams", {{"id", job.call_.request_id_},
+                                      {"trait", trait_name(verdict.refused_for_)},
+                                      {"tries", job.used_.size()},
+                                      {"retry_ms", verdict.retry_after_.count_}});
+    return own_answer{unavailable, "crashes-upstreams", verdict.retry_after_};
 }
 
 } // namespace auburnchute
--- a/src/transport/entry/forward_job.hpp
+++ b/src/transport/entry/forward_job.hpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,9 @@
     std::string last_event_;        ///< Id of the last event passed on to the caller.
     bool head_sent_{};              ///< The head of the answer has gone to the caller.
     millis first_event_at_{};
+    millis sent_at_{};                  ///< Of the last try.
+    millis answer_began_at_{};          ///< When the body of the last try's answer began; 0: it has not.
+    std::vector<request_trait> traits_; ///< Computed when first needed; see `traits_of`.
 };
 
 /// \returns Whether the request may run more than once. Thread safety: pure.
@@ -49,6 +53,7 @@
 struct chosen_upstream {
     std::string id_;
     std::string address_;
+    std::int64_t started_at_{}; ///< Of its process; see `upstream`.
     std::int64_t known_running_{};
     std::int64_t known_unread_{};  ///< Prompt tokens that it has to read before this request's.
     std::int64_t unread_tokens_{}; ///< Prompt tokens of this request that it has to read.
@@ -82,7 +87,16 @@
 /// \returns The smoothed rate as of now. Thread safety: pure.
 [[nodiscard]] double decayed_rate(own_need const& need, millis now) noexcept;
 
-/// \returns What identifies a request that comes again: caller, path and body.
-[[nodiscard]] std::uint64_t fingerprint_of(forward_job const& job, caller_request const& request);
+/// \returns What the request has in common with others that may crash upstreams.
+[[nodiscard]] std::span<request_trait const> traits_of(forward_job& job, caller_request const& request);
+
+/// \returns The hash of the request's workspace in crash evidence; 0 on a route open to all.
+[[nodiscard]] std::uint32_t evidence_workspace(forward_job const& job) noexcept;
+
+/// \brief Judges the request by the crash evidence. \returns The refusal, or none if it may be sent.
+/// \param trials Set to the blocked traits that it tries again if it is sent.
+[[nodiscard]] std::optional<own_answer> refuse_deadly(entry_node& node, forward_job& job,
+                                                      caller_request const& request,
+                                                      std::vector<trait_hash>& trials);
 
 } // namespace auburnchute
--- a/src/transport/entry/peer_exchange.cpp
+++ b/src/transport/entry/peer_exchange.cpp
@@ -149,9 +149,6 @@
             own.use_.push_back({use.hash_, use.use_});
         }
     }
-    for (auto const& [fingerprint, count] : node.crashes_) {
-        own.crashes_.push_back({fingerprint, count});
-    }
     own.needs_ = own_needs(node, now);
     own.holds_lease_ = node.own_lease_epoch_ != 0;
     if (own.holds_lease_ || is_holder_responsive(node, now)) {
@@ -189,6 +186,15 @@
     }
 }
 
+/// Adds the crash evidence that the target lacks.
+void add_evidence(entry_node const& node, message_target const& target, fleet_message& message)
+{
+    auto const peer = node.exchange_.peers_.find(target.vm_);
+    message.evidence_version_ = node.evidence_.version_;
+    message.evidence_ = records_after(
+        node.evidence_, peer == node.exchange_.peers_.end() ? 0 : peer->second.last_.seen_evidence_);
+}
+
 bool has_waiting(fleet_message const& message)
 {
     return std::any_of(message.needs_.begin(), message.needs_.end(),
@@ -241,6 +247,7 @@
         add_target_fields(node.exchange_, *state, target, now, message);
         bool const tells = target.kind_ == message_kind::digest || teller;
         add_changes(node, target, tells ? news.get() : nullptr, now, message);
+        add_evidence(node, target, message);
         auto const bytes = encode_message(message);
         error_code fault;
         own.socket_.send_to(net::buffer(bytes), endpoint->second, 0, fault);
@@ -323,6 +330,18 @@
     }
 }
 
+/// Takes over the sender's crash evidence, and forwards what is new to VMs that do not hear the sender.
+void take_evidence_of(exchange_socket& own, fleet_message& message, millis now)
+{
+    for (auto& record : message.evidence_) {
+        record.changed_at_ = now - (millis{message.sent_at_} - record.changed_at_);
+    }
+    if (!message.evidence_.empty() && take_evidence(own.node_, message.evidence_)) {
+        ask_urgently(own, {.leaves_ = message.kind_ == message_kind::mesh,
+                           .all_ = message.kind_ == message_kind::report});
+    }
+}
+
 void take_placements(exchange_socket& own, fleet_message const& message, millis now)
 {
     auto& node = own.node_;
@@ -381,6 +400,7 @@
     take_freshness(node, message, effects.config_confirmed_at_);
     compare_registries(own, message);
     take_news_of(node, message);
+    take_evidence_of(own, message, now);
     take_placements(own, message, now);
     if (!effects.models_awaited_) {
         return;
@@ -458,6 +478,7 @@
     refresh_peers(node.exchange_, own_spending(node), now);
     note_round(node, relay_before, relay_of_before);
     forget_needs(node, now);
+    expire_records(node.evidence_, now);
     for (auto& [name, use] : node.workspaces_) {
         refill(use.bucket_, peer_visibility_of(node.exchange_, now), now); // its level is sent
     }
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/json_codec.hpp"
 #include "protocol/decision_log.hpp"
+#include "protocol/fleet_codec.hpp"
 
 #include <auburnchute/error.hpp>
 
@@ -443,16 +444,56 @@
     co_return changed;
 }
 
+net::awaitable<void> read_evidence(store_reader& reader, platform::store_client& store)
+{
+    auto const newest = co_await store.read_newest(platform::evidence_topic);
+    std::vector<trait_record> records;
+    for (auto const& stored : newest.records_) {
+        if (auto record = stored.value_ ? decode_evidence(*stored.value_) : std::nullopt) {
+            records.push_back(std::move(*record));
+        } else {
+            log_failure("crash-record-unreadable", {{"trait", stored.key_}});
+        }
+    }
+    if (reader.evidence_read_ && !records.empty()) {
+        log_decision("crash-records-read", {{"records", records.size()}});
+        reader.evidence_read_(std::move(records));
+    }
+}
+
+net::awaitable<void> write_evidence(store_reader& reader, platform::store_client& store)
+{
+    while (!reader.evidence_due_.empty()) {
+        auto const [trait, record] = *reader.evidence_due_.begin();
+        auto const outcome = co_await store.append(
+            platform::evidence_topic, platform::encode_keyed_record(trait_name(trait), record.value_or("")),
+            std::nullopt);
+        if (outcome.result_ != platform::append_result::stored) {
+            log_failure("crash-record-unwritten", {{"trait", trait_name(trait)}});
+            co_return; // written with the next round
+        }
+        auto const due = reader.evidence_due_.find(trait);
+        if (due != reader.evidence_due_.end() && due->second == record) {
+            reader.evidence_due_.erase(due); // else it changed meanwhile
+        }
+    }
+}
+
 net::awaitable<void> follow_members(store_reader& reader)
 {
     platform::store_client store{reader.loop_, reader.settings_.store_address_, store_call_limit};
     growing_pause after_failure;
     bool registered = false;
+    bool evidence_read = false;
     std::optional<std::uint64_t> next;
     millis read_at{};
     while (true) {
         std::string fault;
         try {
+            if (!evidence_read) {
+                co_await read_evidence(reader, store); // before callers are taken
+                evidence_read = true;
+            }
             if (!next) {
                 (void)co_await read_members(reader, store, next);
                 reader.draft_.members_read_ = true;
@@ -474,6 +515,7 @@
                     publish(reader);
                 }
             }
+            co_await write_evidence(reader, store);
             after_failure.reset();
             co_await pause_for(member_pause);
             continue;
@@ -523,6 +565,11 @@
     publish(reader);
 }
 
+void keep_evidence(store_reader& reader, trait_hash trait, std::optional<trait_record> const& record)
+{
+    reader.evidence_due_[trait] = record ? std::optional{encode_evidence(*record)} : std::nullopt;
+}
+
 void publish(store_reader& reader)
 {
     reader.draft_.upstreams_next_ = reader.upstreams_next_.value_or(0);
--- a/src/transport/entry/store_reader.hpp
+++ b/src/transport/entry/store_reader.hpp
@@ -9,6 +9,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 
 namespace auburnchute {
 
@@ -31,6 +32,9 @@
     std::deque<std::pair<millis, upstream_news>>
         news_{};                 ///< Of the last seconds, with the time of each read.
     bool store_reachable_{true}; ///< As of the last call; a change is logged.
+    std::function<void(std::vector<trait_record>)>
+        evidence_read_{}; ///< Called once with the crash evidence that the store holds.
+    std::map<trait_hash, std::optional<std::string>> evidence_due_{}; ///< Records to write; none: to delete.
 };
 
 /// \brief Starts reading until the loop stops. \pre `reader` outlives the loop's work.
@@ -43,6 +47,10 @@
 /// \brief Reads all entries anew: a record was missed. Thread safety: the control loop's thread.
 void reread_upstreams(store_reader& reader);
 
+/// \brief Writes the record of a trait to the store, or deletes it there if there is none, as soon as the
+/// store can be reached. Thread safety: the control loop's thread.
+void keep_evidence(store_reader& reader, trait_hash trait, std::optional<trait_record> const& record);
+
 /// \brief Puts the present draft before the thread that serves requests.
 void publish(store_reader& reader);
 
--- a/tests/protocol/fleet_codec_test.cpp
+++ b/tests/protocol/fleet_codec_test.cpp
@@ -33,7 +33,13 @@
     message.wants_levels_ = true;
     message.levels_ = {{1, -900}};
     message.use_ = {{7, {3, 27'000, 9'000}}};
-    message.crashes_ = {{99, 2}};
+    message.evidence_ = {{.trait_ = {99, 2},
+                          .round_ = 3,
+                          .trials_ = 1,
+                          .marks_ = {{7, 8, crash_weight::begun, true}, {9, 0, crash_weight::waiting, false}},
+                          .changed_at_ = millis{message.sent_at_ - 40}}};
+    message.evidence_version_ = 1'234;
+    message.seen_evidence_ = 5'678;
     message.needs_ = {{5, {2, 1, 0.25, 1, millis{120}}}};
     message.lease_epoch_ = 9;
     message.lease_end_ = 10;
@@ -88,7 +94,14 @@
     CHECK(read->wants_levels_ == message.wants_levels_);
     CHECK(read->levels_ == message.levels_);
     CHECK(read->use_ == message.use_);
-    CHECK(read->crashes_ == message.crashes_);
+    REQUIRE(read->evidence_.size() == 1);
+    CHECK(read->evidence_[0].trait_ == message.evidence_[0].trait_);
+    CHECK(read->evidence_[0].round_ == 3);
+    CHECK(read->evidence_[0].trials_ == 1);
+    CHECK(read->evidence_[0].marks_ == message.evidence_[0].marks_);
+    CHECK(read->evidence_[0].changed_at_ == message.evidence_[0].changed_at_);
+    CHECK(read->evidence_version_ == 1'234);
+    CHECK(read->seen_evidence_ == 5'678);
     CHECK(read->needs_ == message.needs_);
     CHECK(read->lease_epoch_ == message.lease_epoch_);
     CHECK(read->lease_end_ == message.lease_end_);
