--- a/src/coordination/crash_evidence.cpp
+++ b/src/coordination/crash_evidence.cpp
@@ -17,18 +17,15 @@
 /// crashes as the answer began, or four of requests that waited.
 constexpr int blocking_weight = 4;
 
-/// The same if other crashes have no blocked trait that explains them: upstreams also crash for other causes.
-constexpr int blocking_weight_beside_others = 6;
-constexpr std::size_t other_crashes = 2;
-
 /// A trait is blocked for all workspaces if so many are blocked by their own marks, so that a workspace
 /// cannot have the traits of others blocked.
 constexpr std::size_t blocked_workspaces = 2;
 
-/// The same if as many workspaces have marks and the sum of the weights is `blocking_weight_beside_others`.
+/// The same if so many workspaces have marks of this weight together.
 constexpr std::size_t marked_workspaces = 3;
+constexpr int blocking_weight_of_all = 6;
 
-/// Pause before a blocked trait is tried again; doubles with each crash after the second.
+/// Pause before a blocked trait is tried again; doubles with each trial, or crash after the second.
 constexpr millis first_trial_pause{10'000};
 constexpr std::size_t most_doublings = 6;
 
@@ -42,8 +39,9 @@
 /// How long a record without marks is kept, so that late messages do not bring its marks back.
 constexpr millis answered_retention{30'000};
 
-/// Most marks of one record.
-constexpr std::size_t max_marks = 12;
+/// Most marks of one workspace in a record, more than block it, and of all workspaces.
+constexpr std::ptrdiff_t max_workspace_marks = 6;
+constexpr std::size_t max_marks = 24;
 
 /// The lowest bit of a trait's hash tells whole requests from prompt parts, whose ids callers choose.
 constexpr trait_hash whole_request_bit = 1;
@@ -77,20 +75,16 @@
     return weights;
 }
 
-std::size_t crashes_in(trait_record const& record)
+millis trial_pause(trait_record const& record)
 {
-    return weights_of(record.marks_, {}).size();
-}
-
-millis trial_pause(std::size_t crashes) noexcept
-{
-    auto const doublings = std::min(crashes < 2 ? 0 : crashes - 2, most_doublings);
+    auto const crashes = std::max<std::size_t>(weights_of(record.marks_, {}).size(), 2);
+    auto const doublings = std::min(std::max<std::size_t>(crashes - 2, record.trials_), most_doublings);
     return first_trial_pause * (std::int64_t{1} << doublings);
 }
 
 /// Applies the limits to the marks that no other blocked trait explains.
 void block_if_due(trait_record const& record, std::set<std::uint32_t> const& explained,
-                  std::set<std::uint32_t> const& unexplained, std::vector<blocked_trait>& blocked)
+                  std::vector<blocked_trait>& blocked)
 {
     std::map<std::uint32_t, crash_weights> by_workspace;
     crash_weights all;
@@ -105,14 +99,11 @@
     if (!warned) {
         return; // the crashes may have one cause that struck several upstreams at once
     }
-    auto const others = static_cast<std::size_t>(std::count_if(
-        unexplained.begin(), unexplained.end(), [&](std::uint32_t crash) { return !all.contains(crash); }));
-    auto const needed = others < other_crashes ? blocking_weight : blocking_weight_beside_others;
     blocked_trait found{record.trait_.hash_, false, {}, all.size(), {}};
     std::size_t named = 0;
     std::size_t named_blocked = 0;
     for (auto const& [workspace, weights] : by_workspace) {
-        bool const enough = sum_of(weights) >= needed;
+        bool const enough = sum_of(weights) >= blocking_weight;
         if (enough) {
             found.workspaces_.push_back(workspace);
         }
@@ -120,9 +111,9 @@
         named_blocked += workspace != 0 && enough ? 1U : 0U;
     }
     found.everywhere_ = named_blocked >= blocked_workspaces ||
-                        (named >= marked_workspaces && sum_of(all) >= blocking_weight_beside_others);
+                        (named >= marked_workspaces && sum_of(all) >= blocking_weight_of_all);
     if (found.everywhere_ || !found.workspaces_.empty()) {
-        found.retry_at_ = record.changed_at_ + trial_pause(crashes_in(record));
+        found.retry_at_ = record.changed_at_ + trial_pause(record);
         blocked.push_back(std::move(found));
     }
 }
@@ -132,12 +123,8 @@
 void choose_blocked(crash_evidence& evidence)
 {
     evidence.blocked_.clear();
-    std::set<std::uint32_t> unexplained;
     std::vector<trait_record const*> left;
     for (auto const& [hash, record] : evidence.records_) {
-        for (auto const& mark : record.marks_) {
-            unexplained.insert(mark.crash_);
-        }
         if (!record.marks_.empty()) {
             left.push_back(&record);
         }
@@ -156,11 +143,10 @@
         }
         left.erase(best);
         auto const before = evidence.blocked_.size();
-        block_if_due(record, explained, unexplained, evidence.blocked_);
+        block_if_due(record, explained, evidence.blocked_);
         if (evidence.blocked_.size() > before) {
             for (auto const& mark : record.marks_) {
                 explained.insert(mark.crash_);
-                unexplained.erase(mark.crash_);
             }
         }
     }
@@ -177,7 +163,10 @@
         return other.crash_ == mark.crash_ && other.workspace_ == mark.workspace_;
     });
     if (known == record.marks_.end()) {
-        if (record.marks_.size() >= max_marks) {
+        auto const same_workspace =
+            std::count_if(record.marks_.begin(), record.marks_.end(),
+                          [&](crash_mark const& other) { return other.workspace_ == mark.workspace_; });
+        if (record.marks_.size() >= max_marks || same_workspace >= max_workspace_marks) {
             return false;
         }
         record.marks_.push_back(mark);
@@ -345,7 +334,7 @@
 bool restore_records(crash_evidence& evidence, std::vector<trait_record> records, millis now)
 {
     for (auto& record : records) {
-        record.changed_at_ = now + restored_trial_pause - trial_pause(crashes_in(record));
+        record.changed_at_ = now + restored_trial_pause - trial_pause(record);
     }
     return merge_records(evidence, records, now);
 }
