Let a trial of a blocked part go past upstreams that refuse connections

Callers of a part that was no longer deadly got 503 for minutes: a trial that met an upstream without a listener was judged again before its next attempt, found the part blocked by its own trial, and was refused; each such trial doubled the pause. Change: a request on trial is not judged again until it has been sent. Tests with two daemons: a restart of one, a store that is away, a restart of all, a part that serves again and leaves the store.

--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -344,10 +344,12 @@
             co_return give_up(job, "deadline", timed_out, "deadline");
         }
         std::vector<trait_hash> trials;
-        if (auto refusal = refuse_deadly(node_, job, request, trials)) {
-            co_return job.execution_ == execution::not_run
-                ? refusal
-                : own_answer{bad_gateway, "crashes-upstreams", millis{-1}};
+        if (!job.on_trial_) {
+            if (auto refusal = refuse_deadly(node_, job, request, trials)) {
+                co_return job.execution_ == execution::not_run
+                    ? refusal
+                    : own_answer{bad_gateway, "crashes-upstreams", millis{-1}};
+            }
         }
         auto const chosen = choose(node_, job);
         if (!chosen.upstream_) {
@@ -358,7 +360,9 @@
             continue;
         }
         begin_trial(node_, trials, job.call_.request_id_);
+        job.on_trial_ = job.on_trial_ || !trials.empty();
         auto outcome = co_await try_upstream(job, request, *chosen.upstream_);
+        job.on_trial_ = job.on_trial_ && outcome.result_ == try_result::not_sent;
         last_upstream_ = chosen.upstream_->id_;
         last_status_ = outcome.status_;
         note_result(job, *chosen.upstream_, outcome);
--- a/src/transport/entry/forward_job.hpp
+++ b/src/transport/entry/forward_job.hpp
@@ -35,6 +35,7 @@
     millis first_event_at_{};
     millis sent_at_{};                  ///< Of the last try.
     millis answer_began_at_{};          ///< When the body of the last try's answer began; 0: it has not.
+    bool on_trial_{};                   ///< Tries blocked traits again, and has not been sent yet.
     std::vector<request_trait> traits_; ///< Computed when first needed; see `traits_of`.
 };
 
--- a/tests/transport/entry/deadly_part_test.cpp
+++ b/tests/transport/entry/deadly_part_test.cpp
@@ -25,7 +25,8 @@
                           std::string const& ip = "")
     {
         auto const number = std::to_string(++asked_);
-        auto const fields = "Api-Key: " + key + "\r\nX-Prompt-Prefix: " + parts + "," + number + "f:10\r\n";
+        auto const fields = "Connection: close\r\nApi-Key: " + key + "\r\nX-Prompt-Prefix: " + parts + "," +
+                            number + "f:10\r\n";
         auto const answer = world_->call("POST", "/watch/" + number, "question " + number, fields, ip)
                                 .receive_until("\r\n0\r\n\r\n");
         bool const unfinished = entry_world::status_of(answer) == 200 && !answer.ends_with("\r\n0\r\n\r\n");
@@ -63,6 +64,13 @@
     std::optional<entry_world> world_;
 };
 
+/// \returns The loopback address of a second daemon of this test process.
+std::string second_address()
+{
+    auto address = own_address();
+    return address.replace(address.find("127.77."), 7, "127.78.");
+}
+
 /// Crashes after which the users' rules bind.
 constexpr int crash_bound = 5;
 
@@ -80,3 +88,60 @@
     CHECK(fleet.crashes() <= crash_bound);
     CHECK(fleet.ask("aa:100,dead:50,bb:20") == 503);
 }
+
+// Guards against evidence that is lost with a VM, or that the other VMs and a new one do not have.
+TEST_CASE("what is deadly is known to the other VMs and after the restart of all of them",
+          "[entry][promise-3][promise-9]")
+{
+    crashing_fleet fleet{9, {"dead"}};
+    auto& world = fleet.world();
+    auto const second = second_address();
+    world.start_daemon(second, "front-b-1", "b");
+    REQUIRE(eventually(limit, [&] { return world.ready(second); }));
+    while (fleet.crashes() < crash_bound && fleet.ask("aa:100,dead:50,bb:20") != 503) {
+        CHECK(fleet.ask("aa:100,bb:20") == 200);
+    }
+    REQUIRE(fleet.crashes() < crash_bound);
+    auto const refused_at = [&](std::string const& ip) {
+        return fleet.ask("aa:100,dead:50,bb:20", "key", ip) == 503;
+    };
+    auto const before = fleet.crashes();
+    REQUIRE(eventually(limit, [&] { return world.metric(second, "auburnchute_blocked_traits") > 0; }));
+    CHECK(refused_at(second));
+
+    SECTION("one VM is killed; the store is away, and the other VM knows")
+    {
+        world.store_.set_down(true);
+        CHECK(refused_at(second));
+        world.store_.set_down(false);
+        world.start_daemon(world.ip_, "front-a-1", "a");
+        REQUIRE(eventually(limit, [&] { return world.ready(); }));
+        REQUIRE(eventually(limit, [&] { return world.metric(world.ip_, "auburnchute_blocked_traits") > 0; }));
+        CHECK(refused_at(world.ip_));
+    }
+    SECTION("all VMs are killed at once; the store knows")
+    {
+        REQUIRE(eventually(limit, [&] { return world.store_.holds("keyed.auburnchute-crashes"); }));
+        world.daemons_.clear();
+        world.start_daemon(world.ip_, "front-a-1", "a");
+        REQUIRE(eventually(limit, [&] { return world.ready(); }));
+        CHECK(refused_at(world.ip_));
+    }
+    CHECK(fleet.crashes() == before);
+    CHECK(fleet.ask("aa:100,bb:20") == 200);
+}
+
+// Guards against a part that stays refused for good, and a store that keeps it.
+TEST_CASE("a part that is no longer deadly serves again", "[entry][promise-9]")
+{
+    crashing_fleet fleet{9, {"dead"}};
+    while (fleet.crashes() < crash_bound && fleet.ask("aa:100,dead:50,bb:20") != 503) {
+    }
+    REQUIRE(fleet.ask("aa:100,dead:50,bb:20") == 503);
+    auto& store = fleet.world().store_;
+    REQUIRE(eventually(limit, [&] { return store.holds("keyed.auburnchute-crashes"); }));
+    fleet.set_deadly(false);
+    REQUIRE(eventually(90s, [&] { return fleet.ask("aa:100,dead:50,bb:20") == 200; }));
+    CHECK(fleet.ask("aa:100,dead:50,bb:20") == 200);
+    CHECK(eventually(limit, [&] { return !store.holds("keyed.auburnchute-crashes"); }));
+}
--- a/tests/transport/entry/entry_world.hpp
+++ b/tests/transport/entry/entry_world.hpp
@@ -100,6 +100,18 @@
         return answer && answer->status == 200;
     }
 
+    /// \returns The value of a daemon's metric without labels, or 0 if it has none.
+    [[nodiscard]] double metric(std::string const& ip, std::string const& name) const
+    {
+        auto const answer = client_of(ip + ":7601").Get("/metrics");
+        auto const at = answer ? answer->body.find("\n" + name) : std::string::npos;
+        if (at == std::string::npos) {
+            return 0;
+        }
+        auto const line = answer->body.substr(at + 1, answer->body.find('\n', at + 1) - at - 1);
+        return std::stod(line.substr(line.rfind(' ') + 1));
+    }
+
     /// \returns Whether the daemon knows the upstreams: a request to no service of its own is not lost on
     /// them.
     [[nodiscard]] bool served() const
--- a/tests/transport/entry/standin_platform.hpp
+++ b/tests/transport/entry/standin_platform.hpp
@@ -179,6 +179,13 @@
         changed_.notify_all();
     }
 
+    /// \returns Whether the keyed topic holds any key.
+    [[nodiscard]] bool holds(std::string const& topic)
+    {
+        std::scoped_lock const lock{mutex_};
+        return !topics_[topic].newest_.empty();
+    }
+
     /// \brief Makes each call take this much longer.
     void set_slow(std::chrono::milliseconds by)
     {
