--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -801,7 +801,7 @@
     bool const answering = job.answer_began_at_ > millis{0};
     bool const suspect = !answering || now - job.answer_began_at_ < crash_onset;
     bool const head_only = !answering && outcome.status_ != 0;
-    node_.counters_.count("auburnchute_upstream_crashes_total", answering ? "answering" : "before-answer");
+    node_.counters_.count("auburnchute_crashed_requests_total", answering ? "answering" : "before-answer");
     log_failure("upstream-crashed",
                 {{"id", job.call_.request_id_},
                  {"upstream", upstream.id_},
--- a/tests/platform/headers_test.cpp
+++ b/tests/platform/headers_test.cpp
@@ -1,6 +1,7 @@
 #include "platform/headers.hpp"
 
 #include <catch2/catch.hpp>
+#include <set>
 #include <string>
 
 using namespace auburnchute;
@@ -124,3 +125,17 @@
     CHECK(answer.find("Keep-Alive") == answer.end());
     CHECK(answer.find("Transfer-Encoding") == answer.end());
 }
+
+// Guards against evidence on one prompt part that counts against others whose ids cannot be read either.
+TEST_CASE("ids of prompt parts that are no numbers stay different", "[platform][headers]")
+{
+    auto head = caller_head();
+    head.set("X-Prompt-Prefix", "zz:1,12zz:1,12:1,fffffffffffffffff0:1,fffffffffffffffff1:1");
+    auto const read = parse_request_attributes(head);
+    std::set<std::uint64_t> ids;
+    for (auto const& part : read.prompt_parts_) {
+        ids.insert(part.id_);
+    }
+    CHECK(ids.size() == 5);
+    CHECK_FALSE(ids.contains(0));
+}
--- a/tests/protocol/fleet_codec_test.cpp
+++ b/tests/protocol/fleet_codec_test.cpp
@@ -1,6 +1,7 @@
 #include "protocol/fleet_codec.hpp"
 
 #include <catch2/catch.hpp>
+#include <numeric>
 #include <rapidcheck.h>
 
 using namespace auburnchute;
@@ -155,3 +156,24 @@
     CHECK_FALSE(with([](fleet_message& m) { m.needs_[0].amount_.rate_ = -1; }));
     CHECK_FALSE(with([](fleet_message& m) { m.kind_ = static_cast<message_kind>(7); }));
 }
+
+// Guards against crash evidence that grows beyond a datagram, which would never arrive.
+TEST_CASE("the most crash evidence that a VM holds fits a datagram", "[fleet-codec][crash-evidence]")
+{
+    constexpr std::size_t largest_datagram = 60'000;
+    crash_evidence evidence;
+    for (std::uint32_t crash = 1; crash <= 200; ++crash) {
+        std::vector<std::uint64_t> parts(max_part_traits);
+        std::iota(parts.begin(), parts.end(), crash % 10 * max_part_traits);
+        for (std::uint32_t workspace = 1; workspace <= 8; ++workspace) {
+            auto const traits = traits_of(parts, 1, workspace, std::uint64_t{crash} << 8U | workspace << 1U);
+            record_crash(evidence, {traits, crash, workspace, crash_weight::begun, {}}, millis{crash});
+        }
+    }
+    fleet_message message;
+    message.vm_ = "front-a-1";
+    message.sent_at_ = 10'000;
+    message.evidence_ = records_after(evidence, 0);
+    CHECK(message.evidence_.size() == max_trait_records);
+    CHECK(encode_message(message).size() < largest_datagram);
+}
