Log what the end of the process takes from callers

Callers of a VM that stops lose requests, and no line said which: `stopped` had a number only, a request that still ran left no `request` line, and `forward` did not say how long the process had left. The sessions are listed now, so that `request-unanswered` names each request that is being read or served when the process ends, with its upstream; `stop` and `stopped` count connections too. No decision changes.

--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -101,26 +101,53 @@
     if (node.settings_.metrics_port_ != 0) {
         auto const address = node.settings_.ip_ + ":" + std::to_string(node.settings_.metrics_port_);
         serve_pages(node.loop_, address, [&node](plain_request const&) {
-            node.counters_.gauge("auburnchute_open_requests", "", static_cast<double>(node.open_calls_));
+            node.counters_.gauge("auburnchute_open_requests", "",
+                                 static_cast<double>(open_requests(*node.sessions_)));
+            node.counters_.gauge("auburnchute_open_connections", "",
+                                 static_cast<double>(node.sessions_->size()));
             return page(200, node.counters_.text(), "text/plain; version=0.0.4");
         });
     }
 }
 
+/// Names what the end of the process takes from callers.
+void log_unanswered(entry_node& node, millis now)
+{
+    for (auto const* const session : *node.sessions_) {
+        if (owes_answer(*session)) {
+            node.counters_.count("auburnchute_requests_total", "unanswered");
+            log_failure("request-unanswered", {{"id", session->request_id()},
+                                               {"state", to_text(session->state())},
+                                               {"upstream", session->upstream_id()},
+                                               {"ms", (now - session->state_since()).count_}});
+        }
+    }
+}
+
 net::awaitable<void> stop_gracefully(entry_node& node)
 {
     auto const began = boot_now();
     node.stopping_ = true;
-    log_decision("stop", {{"open", node.open_calls_}});
+    node.stop_ends_at_ = began + node.settings_.shutdown_grace_ - kill_margin;
+    log_decision("stop", {{"open", open_requests(*node.sessions_)},
+                          {"connections", node.sessions_->size()},
+                          {"ends_in_ms", (node.stop_ends_at_ - began).count_}});
     node.stop_placing_();
     node.send_state_(message_targets::all);
     wake_waiting(node);
-    auto const end = began + node.settings_.shutdown_grace_ - kill_margin;
+    auto const serving = [&node] {
+        return std::any_of(node.sessions_->begin(), node.sessions_->end(),
+                           [](auto const* session) { return session->state() == session_state::serving; });
+    };
     auto const least = began + directory_lifetime * 2 + quiet_before_end;
-    while (boot_now() < end && (boot_now() < least || node.open_calls_ > 0)) {
+    while (boot_now() < node.stop_ends_at_ && (boot_now() < least || serving())) {
         co_await pause_for(millis{50});
     }
-    log_decision("stopped", {{"open", node.open_calls_}, {"ms", (boot_now() - began).count_}});
+    auto const now = boot_now();
+    log_unanswered(node, now);
+    log_decision("stopped", {{"open", open_requests(*node.sessions_)},
+                             {"connections", node.sessions_->size()},
+                             {"ms", (now - began).count_}});
     node.loop_.stop();
 }
 
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -135,12 +135,15 @@
     std::string fault_;
 };
 
-class caller_session : public std::enable_shared_from_this<caller_session> {
+class caller_session final : public open_session, public std::enable_shared_from_this<caller_session> {
 public:
     caller_session(entry_node& node, tcp::socket socket) : node_{node}, stream_{std::move(socket)} {}
 
     net::awaitable<void> run();
 
+    [[nodiscard]] std::string_view request_id() const noexcept override { return request_id_; }
+    [[nodiscard]] std::string_view upstream_id() const noexcept override { return last_upstream_; }
+
 private:
     net::awaitable<bool> read_request(caller_request& request);
     net::awaitable<void> refuse_and_close(own_answer answer);
@@ -181,6 +184,7 @@
     bool watching_{};
     bool gone_{};
     bool keep_{};               ///< The connection stays open after the present request.
+    std::string request_id_;    ///< Of the present request.
     std::string last_upstream_; ///< Of the present request, for its log line.
     int last_status_{};
     std::function<void()> on_gone_;        ///< Called once when the caller leaves.
@@ -191,13 +195,16 @@
 
 net::awaitable<void> caller_session::run()
 {
+    session_entry const listed{node_.sessions_, *this};
     set_liveness(stream_.socket(), millis{6'000});
     while (true) {
+        enter(session_state::idle);
         caller_request request;
         if (!co_await read_request(request) || !co_await serve(request)) {
             break;
         }
     }
+    enter(session_state::closing);
     error_code ignored; // the caller may have closed first
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
     stream_.socket().close(ignored);
@@ -216,6 +223,9 @@
             co_return false;
         }
     }
+    request_id_.clear();
+    last_upstream_.clear();
+    enter(session_state::reading);
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits.header_bytes_);
     parser.body_limit(limits.body_bytes_);
@@ -316,9 +326,9 @@
     job.arrived_ = boot_now();
     job.config_ = current_view(node_).config_;
     job.call_ = platform::parse_request_attributes(request);
-    last_upstream_.clear();
+    request_id_ = job.call_.request_id_;
     last_status_ = 0;
-    ++node_.open_calls_;
+    enter(session_state::serving);
     std::optional<own_answer> own = admit(node_, job, request);
     if (!own) {
         note_need(node_, job, job.arrived_);
@@ -326,7 +336,6 @@
         own = co_await dispatch(job, request);
         end_watch();
     }
-    --node_.open_calls_;
     on_gone_ = nullptr;
     if (own && job.execution_ == execution::not_run) {
         refund(node_, job);
@@ -377,9 +386,9 @@
         }
         begin_trial(node_, trials, job.call_.request_id_);
         job.on_trial_ = job.on_trial_ || !trials.empty();
+        last_upstream_ = chosen.upstream_->id_;
         auto outcome = co_await try_upstream(job, request, *chosen.upstream_);
         job.on_trial_ = job.on_trial_ && outcome.result_ == try_result::not_sent;
-        last_upstream_ = chosen.upstream_->id_;
         last_status_ = outcome.status_;
         if (outcome.withdrawn_) {
             continue;
@@ -529,15 +538,17 @@
     if (!sent->body().empty() || request.find(http::field::content_length) != request.end()) {
         sent->prepare_payload();
     }
-    log_decision("forward", {{"id", from.request_id_},
-                             {"upstream", upstream.id_},
-                             {"running", upstream.known_running_},
-                             {"unread_before", upstream.known_unread_},
-                             {"left_ms", left.count_},
-                             {"config", job.config_->version_},
-                             {"config_age_ms", (boot_now() - fresh_at(node_)).count_},
-                             {"entries_age_ms", entries_age_ms(node_)},
-                             {"reused", connection->reused_}});
+    log_decision("forward",
+                 {{"id", from.request_id_},
+                  {"upstream", upstream.id_},
+                  {"running", upstream.known_running_},
+                  {"unread_before", upstream.known_unread_},
+                  {"left_ms", left.count_},
+                  {"stop_left_ms", node_.stopping_ ? (node_.stop_ends_at_ - boot_now()).count_ : -1},
+                  {"config", job.config_->version_},
+                  {"config_age_ms", (boot_now() - fresh_at(node_)).count_},
+                  {"entries_age_ms", entries_age_ms(node_)},
+                  {"reused", connection->reused_}});
     job.used_.push_back(upstream.id_);
     job.sent_at_ = boot_now();
     job.answer_began_at_ = {};
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -4,6 +4,7 @@
 #include "protocol/metrics.hpp"
 #include "transport/entry/async.hpp"
 #include "transport/entry/entry_view.hpp"
+#include "transport/entry/open_session.hpp"
 #include "transport/entry/upstream_pool.hpp"
 
 #include <auburnchute/crash_evidence.hpp>
@@ -88,7 +89,8 @@
     std::uint64_t announced_config_{}; ///< `config_next_` of the newest configuration that was announced to
                                        ///< the peers at once.
     bool stopping_{};
-    std::int64_t open_calls_{};
+    millis stop_ends_at_{}; ///< When a planned stop ends whatever still runs; boot clock.
+    std::shared_ptr<session_set> sessions_{std::make_shared<session_set>()}; ///< Callers' connections.
     std::map<std::string, workspace_use, std::less<>> workspaces_;
     std::uint64_t limits_version_{}; ///< Configuration version that the buckets follow.
     std::map<std::string, own_use, std::less<>> upstreams_; ///< By upstream id.
--- /dev/null
+++ b/src/transport/entry/open_session.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <auburnchute/clock.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace auburnchute {
+
+/// \brief What happens on a caller's connection.
+enum class session_state : std::uint8_t {
+    idle,    ///< No byte of a request has come.
+    reading, ///< A part of a request has come.
+    serving, ///< A request was read, and its answer has not been written yet.
+    closing, ///< Nothing more is answered on it.
+};
+
+/// \returns The state's word in the log. Thread safety: pure.
+[[nodiscard]] constexpr std::string_view to_text(session_state state) noexcept
+{
+    switch (state) {
+    case session_state::idle:
+        return "idle";
+    case session_state::reading:
+        return "reading";
+    case session_state::serving:
+        return "serving";
+    case session_state::closing:
+        return "closing";
+    }
+    return "";
+}
+
+/// \brief A caller's connection, as a planned stop sees it. Thread safety: the loop's thread.
+class open_session {
+public:
+    [[nodiscard]] session_state state() const noexcept { return state_; }
+
+    /// \returns Since when the session has its state; boot clock.
+    [[nodiscard]] millis state_since() const noexcept { return state_since_; }
+
+    /// \returns The id of the present request; empty if it was not read yet.
+    [[nodiscard]] virtual std::string_view request_id() const noexcept = 0;
+
+    /// \returns The upstream to which the present request was sent last; empty if it was not sent.
+    [[nodiscard]] virtual std::string_view upstream_id() const noexcept = 0;
+
+protected:
+    open_session() = default;
+    open_session(open_session const&) = default;
+    open_session& operator=(open_session const&) = default;
+    ~open_session() = default;
+
+    void enter(session_state state) noexcept
+    {
+        state_ = state;
+        state_since_ = boot_now();
+    }
+
+private:
+    session_state state_{session_state::idle};
+    millis state_since_{boot_now()};
+};
+
+using session_set = std::set<open_session*>;
+
+/// \brief Keeps a session in the set while this object lives. Thread safety: the loop's thread.
+class session_entry {
+public:
+    session_entry(std::shared_ptr<session_set> sessions, open_session& session)
+        : sessions_{std::move(sessions)}, session_{&session}
+    {
+        sessions_->insert(session_);
+    }
+    ~session_entry() { sessions_->erase(session_); }
+    session_entry(session_entry const&) = delete;
+    session_entry& operator=(session_entry const&) = delete;
+
+private:
+    std::shared_ptr<session_set> sessions_; ///< Shared, as coroutines may outlive the node.
+    open_session* session_;
+};
+
+/// \returns Whether the session owes its caller an answer. Thread safety: pure.
+[[nodiscard]] inline bool owes_answer(open_session const& session) noexcept
+{
+    return session.state() == session_state::reading || session.state() == session_state::serving;
+}
+
+/// \returns How many sessions owe their callers an answer. Thread safety: pure.
+[[nodiscard]] inline std::int64_t open_requests(session_set const& sessions) noexcept
+{
+    return std::count_if(sessions.begin(), sessions.end(),
+                         [](open_session const* session) { return owes_answer(*session); });
+}
+
+} // namespace auburnchute
