--- a/tests/transport/child_process.hpp
+++ b/tests/transport/child_process.hpp
@@ -104,10 +104,22 @@
                     return line.substr(beginning.size());
                 }
             }
-            read_more(deadline);
+            if (!read_more(deadline)) {
+                throw std::runtime_error{"the child closed its output before the awaited line"};
+            }
         }
     }
 
+    /// \brief Reads the child's output until it ends. \returns What no other call has returned.
+    /// \throws std::runtime_error if it does not end in time.
+    std::string read_to_end(std::chrono::milliseconds limit = std::chrono::seconds{30})
+    {
+        auto const deadline = std::chrono::steady_clock::now() + limit;
+        while (read_more(deadline)) {
+        }
+        return std::exchange(unread_, {});
+    }
+
     /// \returns The address `IP:PORT` at which the child listens.
     std::string wait_listening()
     {
@@ -176,7 +188,8 @@
         }
     }
 
-    void read_more(std::chrono::steady_clock::time_point deadline)
+    /// Reads some output. Returns false at its end.
+    bool read_more(std::chrono::steady_clock::time_point deadline)
     {
         auto const left = std::chrono::duration_cast<std::chrono::milliseconds>(
             deadline - std::chrono::steady_clock::now());
@@ -186,12 +199,10 @@
         }
         char buffer[4096];
         auto const got = ::read(output_, buffer, sizeof buffer);
-        if (got == 0) {
-            throw std::runtime_error{"the child closed its output before the awaited line"};
-        }
         if (got > 0) {
             unread_.append(buffer, static_cast<std::size_t>(got));
         }
+        return got != 0;
     }
 
     pid_t pid_{-1};
--- /dev/null
+++ b/tests/transport/entry/planned_stop_test.cpp
@@ -0,0 +1,315 @@
+#include "transport/entry/entry_world.hpp"
+
+#include <atomic>
+#include <future>
+#include <set>
+#include <sys/socket.h>
+
+using namespace auburnchute::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::chrono::milliseconds grace{3'000};
+constexpr auto const* grace_setting = "shutdown_grace_s: 3\n";
+
+/// How much later than a step of the daemon's plan this machine may see it.
+constexpr auto scheduling_slack = 400ms;
+
+/// Begins a planned stop. \returns After the daemon has taken note of it.
+std::chrono::steady_clock::time_point begin_stop(entry_world& world)
+{
+    auto const began = std::chrono::steady_clock::now();
+    ::kill(world.daemon().pid(), SIGTERM);
+    REQUIRE(eventually(limit, [&] { return !world.ready(); }));
+    return began;
+}
+
+std::string request_text(std::string const& method, std::string const& path, std::string const& id,
+                         std::string const& body, std::chrono::milliseconds allowed)
+{
+    return method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id +
+           "\r\nApi-Key: key\r\nX-Deadline-Ms: " + std::to_string(allowed.count()) +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// A connection on which one request was answered, as callers keep them.
+owned_socket kept_connection(entry_world const& world)
+{
+    auto connection = connect_to(world.ip_, callers_port);
+    connection.send(request_text("GET", "/open/probe/", "id-kept", "", 4s));
+    REQUIRE(entry_world::status_of(connection.receive_until("probe")) == 200);
+    return connection;
+}
+
+/// Sends events until the daemon closes the connection.
+bool stream_without_end(received_request const& request, owned_socket& connection)
+{
+    connection.send(stream_head(request));
+    for (int number = 1;; ++number) {
+        connection.send(chunk(event(number)));
+        pollfd ended{connection.handle(), POLLIN, 0};
+        if (::poll(&ended, 1, 50) > 0) { // the pause between two events
+            return false;
+        }
+    }
+}
+
+/// Reads an answer with a length. \returns Head and body; less if the connection ended before.
+std::string receive_whole(owned_socket const& connection)
+{
+    auto answer = connection.receive_until("\r\n\r\n");
+    auto const at = answer.find("Content-Length: ");
+    auto const head = answer.find("\r\n\r\n");
+    if (at == std::string::npos || head == std::string::npos) {
+        return answer;
+    }
+    auto const size = head + 4 + std::stoul(answer.substr(at + 16));
+    while (answer.size() < size) {
+        auto const more = connection.receive();
+        if (more.empty()) {
+            break;
+        }
+        answer += more;
+    }
+    return answer;
+}
+
+bool is_whole(std::string const& answer)
+{
+    auto const at = answer.find("Content-Length: ");
+    auto const head = answer.find("\r\n\r\n");
+    return at != std::string::npos && head != std::string::npos &&
+           answer.size() == head + 4 + std::stoul(answer.substr(at + 16));
+}
+
+} // namespace
+
+// Guards against a stream that is taken during a planned stop and cut when the process ends.
+TEST_CASE("a stopping daemon refuses at once what it may not be able to end", "[entry][promise-12]")
+{
+    bool const kept = GENERATE(true, false);
+    CAPTURE(kept);
+    entry_world world{{after_probe(stream_without_end)}, grace_setting};
+    auto const before = kept_connection(world);
+    begin_stop(world);
+    auto const fresh = connect_to(world.ip_, callers_port);
+    auto const& caller = kept ? before : fresh;
+    auto const sent = std::chrono::steady_clock::now();
+    caller.send(request_text("POST", "/watch/1", "id-late", "a question", 8s));
+    auto const answer = receive_whole(caller);
+    CHECK(std::chrono::steady_clock::now() - sent < scheduling_slack);
+    CHECK(entry_world::status_of(answer) == 503);
+    CHECK(is_whole(answer));
+    CHECK(answer.find("Retry-After: ") != std::string::npos);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    CHECK(caller.receive().empty());
+    CHECK(world.arrivals() == 0);
+}
+
+// Guards against purchases that are cut at the end of a planned stop, and against refusing those that end in
+// time.
+TEST_CASE("a purchase at any moment of a planned stop is answered whole or refused as not run",
+          "[entry][promise-9][promise-10][promise-12]")
+{
+    constexpr auto allowed = 800ms;
+    constexpr int work_ms = 300;
+    entry_world world{{after_probe([](received_request const& request, owned_socket& connection) {
+                          ::poll(nullptr, 0, work_ms);
+                          connection.send(answer_to(request, "bought"));
+                          return true;
+                      })},
+                      grace_setting};
+    constexpr int callers = 60;
+    std::vector<owned_socket> connections;
+    for (int i = 0; i < callers; ++i) {
+        connections.push_back(kept_connection(world));
+    }
+    struct outcome {
+        std::chrono::milliseconds sent_;
+        std::string answer_;
+    };
+    std::vector<std::future<outcome>> outcomes;
+    auto const began = begin_stop(world);
+    for (int i = 0; i < callers; ++i) {
+        outcomes.push_back(std::async(std::launch::async, [&, i] {
+            std::this_thread::sleep_until(began + grace * i / callers); // the moment that the row is about
+            auto const sent = std::chrono::steady_clock::now() - began;
+            connections[static_cast<std::size_t>(i)].send(
+                request_text("POST", "/buy/1", "id-" + std::to_string(i), "an order", allowed));
+            return outcome{std::chrono::duration_cast<std::chrono::milliseconds>(sent),
+                           receive_whole(connections[static_cast<std::size_t>(i)])};
+        }));
+    }
+    std::vector<outcome> ends;
+    for (auto& end : outcomes) {
+        ends.push_back(end.get());
+    }
+    std::set<std::string> ran;
+    for (auto const& request : world.upstreams_[0]->requests()) {
+        ran.insert(request.field("X-Request-Id"));
+    }
+    for (int i = 0; i < callers; ++i) {
+        auto const& end = ends[static_cast<std::size_t>(i)];
+        auto const status = entry_world::status_of(end.answer_);
+        CAPTURE(i, end.sent_.count(), end.answer_);
+        if (ran.contains("id-" + std::to_string(i))) {
+            CHECK(status == 200);
+            CHECK(is_whole(end.answer_));
+        } else {
+            CHECK((status == 503 || end.answer_.empty()));
+        }
+        // A sixth of the grace time is more than enough for the last answers.
+        if (end.sent_ + allowed + scheduling_slack < grace * 5 / 6) {
+            CHECK(status == 200);
+        }
+    }
+    CHECK(world.daemon().wait_end() == 0);
+}
+
+// Guards against requests that end with the process in silence.
+TEST_CASE("what outlasts a planned stop ends before the process, with an answer and a log line",
+          "[entry][promise-8][promise-12]")
+{
+    struct row {
+        char const* path_;
+        bool begun_; ///< The caller has a part of the answer.
+        char const* outcome_;
+    };
+    auto const r = GENERATE(row{"/buy/1", false, "own-answer"}, row{"/watch/1", true, "cut"});
+    CAPTURE(r.path_);
+    entry_world world{{after_probe([&r](received_request const& request, owned_socket& connection) {
+                          if (r.begun_) {
+                              return stream_without_end(request, connection);
+                          }
+                          (void)connection.receive(); // works until the daemon gives up
+                          return false;
+                      })},
+                      grace_setting};
+    auto const caller = connect_to(world.ip_, callers_port);
+    caller.send(request_text("POST", r.path_, "id-long", "a question", 8s));
+    REQUIRE(eventually(limit, [&] { return world.arrivals() == 1; }));
+    auto const began = begin_stop(world);
+    auto const answer = r.begun_ ? caller.receive_until("0\r\n\r\n") : receive_whole(caller);
+    CHECK(std::chrono::steady_clock::now() - began < grace);
+    CHECK(entry_world::status_of(answer) == (r.begun_ ? 200 : 502));
+    if (r.begun_) {
+        CHECK(answer.ends_with("\r\n"));
+        CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+    } else {
+        CHECK(is_whole(answer));
+    }
+    auto const log = world.daemon().read_to_end();
+    CHECK(std::chrono::steady_clock::now() - began < grace);
+    auto const line = log.find("\"event\":\"request\",\"id\":\"id-long\"");
+    REQUIRE(line != std::string::npos);
+    auto const text = log.substr(line, log.find('\n', line) - line);
+    CHECK(text.find(std::string{"\"outcome\":\""} + r.outcome_ + "\"") != std::string::npos);
+    CHECK(text.find("\"reason\":\"stopping\"") != std::string::npos);
+    CHECK(log.find("request-unanswered") == std::string::npos);
+    CHECK(world.daemon().wait_end() == 0);
+}
+
+// Guards against a request that is tried again during a planned stop and cut with the process.
+TEST_CASE("a stopping daemon does not try a request again that may not end in time", "[entry][promise-12]")
+{
+    bool const may_have_run = GENERATE(false, true);
+    CAPTURE(may_have_run);
+    std::promise<void> arrived;
+    std::promise<void> go_on;
+    auto released = go_on.get_future().share();
+    std::atomic<int> tries{0};
+    auto const script = after_probe([&](received_request const& request, owned_socket& connection) {
+        if (++tries > 1) {
+            (void)connection.receive(); // works until the daemon gives up
+            return false;
+        }
+        arrived.set_value();
+        released.wait_for(limit);
+        if (!may_have_run) {
+            connection.send("HTTP/1.1 503 X\r\nX-Request-Id: " + request.field("X-Request-Id") +
+                            "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        }
+        return false;
+    });
+    entry_world world{{script, script}, grace_setting};
+    auto const caller = connect_to(world.ip_, callers_port);
+    caller.send(request_text("GET", "/look/1", "id-again", "", 5s));
+    REQUIRE(arrived.get_future().wait_for(limit) == std::future_status::ready);
+    auto const began = begin_stop(world);
+    go_on.set_value();
+    auto const answer = receive_whole(caller);
+    CHECK(std::chrono::steady_clock::now() - began < grace / 2);
+    CHECK(entry_world::status_of(answer) == (may_have_run ? 502 : 503));
+    CHECK((answer.find("Retry-After: ") != std::string::npos) == !may_have_run);
+    CHECK(tries == 1);
+}
+
+// Guards against a reset that takes the last answer away from a caller that has sent its next request.
+TEST_CASE("the last answer on a connection arrives whole although a further request has come",
+          "[entry][promise-8][promise-12]")
+{
+    bool const stopping = GENERATE(true, false);
+    CAPTURE(stopping);
+    std::string const goods(400'000, 'g');
+    entry_world world{{after_probe(answering(goods))}, grace_setting};
+    owned_socket const caller{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)};
+    int const window = 4'096; // most of the answer waits at the daemon's side
+    ::setsockopt(caller.handle(), SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+    auto const address = to_sockaddr(world.ip_, callers_port);
+    REQUIRE(::connect(caller.handle(), reinterpret_cast<sockaddr const*>(&address), sizeof address) == 0);
+    if (stopping) {
+        begin_stop(world);
+    }
+    auto first = request_text("GET", "/look/1", "id-first", "", 1s);
+    if (!stopping) {
+        first.insert(first.find("\r\n") + 2, "Connection: close\r\n");
+    }
+    caller.send(first);
+    REQUIRE(eventually(limit, [&] { return world.arrivals() == 1; }));
+    caller.send(request_text("GET", "/look/2", "id-second", "", 1s));
+    ::poll(nullptr, 0, 300); // a caller that reads late; the daemon closes meanwhile
+    auto const answer = receive_whole(caller);
+    CHECK(is_whole(answer));
+    CHECK(entry_world::status_of(answer) == 200);
+    CHECK(world.arrivals() == 1);
+}
+
+// Guards against a caller that has sent a part of its request when the process ends and hears nothing.
+TEST_CASE("a request that is still being read at the end of a planned stop is refused", "[entry][promise-12]")
+{
+    entry_world world{{after_probe(answering("x"))}, grace_setting};
+    auto const caller = connect_to(world.ip_, callers_port);
+    auto const text = request_text("POST", "/buy/1", "id-part", "an order", 800ms);
+    auto const shown = GENERATE(as<std::size_t>{}, 9, 60);
+    CAPTURE(shown);
+    auto const began = begin_stop(world);
+    std::this_thread::sleep_until(began + grace / 2); // within the time in which a head may come
+    caller.send(text.substr(0, text.size() - shown));
+    auto const answer = receive_whole(caller);
+    CHECK(std::chrono::steady_clock::now() - began < grace);
+    CHECK(entry_world::status_of(answer) == 503);
+    CHECK(is_whole(answer));
+    CHECK(world.daemon().wait_end() == 0);
+    CHECK(world.arrivals() == 0);
+}
+
+// Guards against a process that was paused during its grace time and takes requests that it has no time for.
+TEST_CASE("a daemon that was paused across the end of its grace time cuts nothing that it takes",
+          "[entry][promise-12]")
+{
+    entry_world world{{after_probe(stream_without_end)}, grace_setting};
+    auto const idle = kept_connection(world);
+    auto const late = kept_connection(world);
+    auto const began = begin_stop(world);
+    world.daemon().freeze();
+    late.send(request_text("POST", "/buy/1", "id-paused", "an order", 800ms));
+    std::this_thread::sleep_until(began + grace + scheduling_slack); // the pause that the test is about
+    world.daemon().resume();
+    auto const answer = receive_whole(late);
+    CHECK(entry_world::status_of(answer) == 503);
+    CHECK(is_whole(answer));
+    CHECK(idle.receive().empty());
+    CHECK(world.daemon().wait_end() == 0);
+    CHECK(world.arrivals() == 0);
+}
