End what outlasts a planned stop with an answer and a log line

Callers whose requests still ran when a stopping VM's process ended saw their connection close without an answer, and the log did not name them: the loop was stopped under the sessions. A request half read, or sent on a kept connection that was idle, met the same end.

The grace time is divided now (shutdown_plan): at five sixths of it, or later, the port closes and each session ends what its caller waits for. A try at an upstream is ended (a connection attempt too), the caller gets 502, or 503 if nothing ran; a stream with a part out is left visibly unfinished; a request half read is refused. The process ends when all sessions have, at the latest 1/12 of the grace time (0.5 s) later, and before the kill. The early end counts requests that are being read.

--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -10,6 +10,7 @@
 #include "transport/entry/order_keeper.hpp"
 #include "transport/entry/peer_exchange.hpp"
 #include "transport/entry/plain_server.hpp"
+#include "transport/entry/planned_stop.hpp"
 #include "transport/entry/store_reader.hpp"
 
 #include <auburnchute/error.hpp>
@@ -43,13 +44,6 @@
 /// How long callers keep a directory answer; a VM that stops is forgotten within that time.
 constexpr millis directory_lifetime{2'000};
 
-/// Time before the kill at which a stopping daemon ends, whatever still runs.
-constexpr millis kill_margin{700};
-
-/// A stopping daemon without open requests waits this long for callers that have not asked the directory
-/// again.
-constexpr millis quiet_before_end{1'000};
-
 entry_settings_file load_settings(std::string const& name)
 {
     auto read = parse_entry_settings(name, read_file(name));
@@ -110,47 +104,6 @@
     }
 }
 
-/// Names what the end of the process takes from callers.
-void log_unanswered(entry_node& node, millis now)
-{
-    for (auto const* const session : *node.sessions_) {
-        if (owes_answer(*session)) {
-            node.counters_.count("auburnchute_requests_total", "unanswered");
-            log_failure("request-unanswered", {{"id", session->request_id()},
-                                               {"state", to_text(session->state())},
-                                               {"upstream", session->upstream_id()},
-                                               {"ms", (now - session->state_since()).count_}});
-        }
-    }
-}
-
-net::awaitable<void> stop_gracefully(entry_node& node)
-{
-    auto const began = boot_now();
-    node.stopping_ = true;
-    node.stop_ends_at_ = began + node.settings_.shutdown_grace_ - kill_margin;
-    log_decision("stop", {{"open", open_requests(*node.sessions_)},
-                          {"connections", node.sessions_->size()},
-                          {"ends_in_ms", (node.stop_ends_at_ - began).count_}});
-    node.stop_placing_();
-    node.send_state_(message_targets::all);
-    wake_waiting(node);
-    auto const serving = [&node] {
-        return std::any_of(node.sessions_->begin(), node.sessions_->end(),
-                           [](auto const* session) { return session->state() == session_state::serving; });
-    };
-    auto const least = began + directory_lifetime * 2 + quiet_before_end;
-    while (boot_now() < node.stop_ends_at_ && (boot_now() < least || serving())) {
-        co_await pause_for(millis{50});
-    }
-    auto const now = boot_now();
-    log_unanswered(node, now);
-    log_decision("stopped", {{"open", open_requests(*node.sessions_)},
-                             {"connections", node.sessions_->size()},
-                             {"ms", (now - began).count_}});
-    node.loop_.stop();
-}
-
 net::awaitable<void> handle_signals(entry_node& node, std::string settings_file)
 {
     boost::asio::signal_set signals{node.loop_, SIGTERM, SIGINT, SIGHUP};
@@ -168,7 +121,8 @@
             } catch (error const& failure) {
                 log_failure("settings-rejected", {{"fault", failure.what()}});
             }
-        } else if (!node.stopping_) {
+        } else if (!node.stop_) {
+            node.stop_ = plan_shutdown(boot_now(), node.settings_.shutdown_grace_, directory_lifetime);
             net::co_spawn(node.loop_, stop_gracefully(node), report_failure);
         }
     }
--- /dev/null
+++ b/include/auburnchute/shutdown_plan.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <auburnchute/clock.hpp>
+
+namespace auburnchute {
+
+/// \brief The moments of a planned stop; boot clock. `docs/platform.md` has the time budget.
+struct shutdown_plan {
+    millis began_at_{};      ///< The stop signal.
+    millis quiet_from_{};    ///< From here on, the process ends as soon as no request is open.
+    millis answers_until_{}; ///< Here, what is still open is given up.
+    millis ends_at_{};       ///< The process ends. Until then, the last answers reach their callers.
+    bool closing_{};         ///< Open requests have been given up, and nothing more is taken.
+};
+
+/// \brief Divides the grace time of a planned stop.
+/// \param grace Time from the stop signal to the kill.
+/// \param directory_lifetime How long callers keep a directory answer that names this VM.
+/// Thread safety: pure.
+[[nodiscard]] shutdown_plan plan_shutdown(millis now, millis grace, millis directory_lifetime) noexcept;
+
+/// \brief Begins the last phase: at the end of the answers' time, before it if no request is open, after it
+/// if the process was paused.
+void begin_closing(shutdown_plan& plan, millis now) noexcept;
+
+/// \returns When a caller that is refused may come back: at once if another VM is ready, else when the
+/// successor of this process may serve.
+/// Thread safety: pure.
+[[nodiscard]] millis stop_retry_after(shutdown_plan const& plan, millis now, bool other_vm_is_ready) noexcept;
+
+} // namespace auburnchute
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -70,6 +70,15 @@
 /// Longest time in which a caller takes nothing of an answer.
 constexpr millis write_limit{10'000};
 
+/// Least time for the rest of a request that a planned stop finds half read.
+constexpr millis least_read_limit{20};
+
+/// Longest time for which a connection whose request was refused unread waits for its caller to close it.
+constexpr millis linger_limit{500};
+
+/// Longest time for a refused connection to show whether its upstream still listens.
+constexpr millis probe_limit{300};
+
 /// Least time that an engine takes for the first token.
 constexpr millis first_token_time{100};
 
@@ -124,6 +133,13 @@
     return boot_now().count_ - node.shared_.entries_proof_at_.load(std::memory_order_acquire);
 }
 
+/// \returns Whether bytes have come that were not read. \pre The socket does not block.
+bool has_input(tcp::socket& socket)
+{
+    error_code ignored; // a broken socket has none
+    return socket.available(ignored) > 0;
+}
+
 /// How one try at an upstream ended.
 struct try_outcome {
     try_result result_{try_result::not_sent};
@@ -143,10 +159,13 @@
 
     [[nodiscard]] std::string_view request_id() const noexcept override { return request_id_; }
     [[nodiscard]] std::string_view upstream_id() const noexcept override { return last_upstream_; }
+    void end_request() override;
 
 private:
     net::awaitable<bool> read_request(caller_request& request);
-    net::awaitable<void> refuse_and_close(own_answer answer);
+    net::awaitable<bool> await_input(millis limit);
+    net::awaitable<void> refuse_unread(own_answer answer, std::string request_id);
+    net::awaitable<void> close_connection();
     net::awaitable<bool> serve(caller_request& request);
     net::awaitable<std::optional<own_answer>> dispatch(forward_job& job, caller_request const& request);
     net::awaitable<std::optional<own_answer>> wait_for_upstream(forward_job& job, choice const& chosen);
@@ -166,9 +185,22 @@
     /// Decides when the answer is written: the VM may have begun to stop since the request came.
     bool keeps_open()
     {
-        keep_ = keep_ && !node_.stopping_;
+        keep_ = keep_ && !node_.stop_;
         return keep_;
     }
+    /// Bounds a wait for the caller's bytes by the end of a planned stop.
+    [[nodiscard]] millis read_limit(millis usual) const
+    {
+        return is_closing(node_)
+                   ? std::clamp((node_.stop_->ends_at_ - boot_now()) / 2, least_read_limit, usual)
+                   : usual;
+    }
+    /// \returns Whether a read has failed as a planned stop ended the wait for the rest of a request.
+    [[nodiscard]] bool ended_by_stop(error_code const& fault) const
+    {
+        return is_closing(node_) &&
+               (fault == net::error::operation_aborted || fault == boost::beast::error::timeout);
+    }
     void start_watch();
     void end_watch();
     void note_result(forward_job const& job, chosen_upstream const& upstream, try_outcome const& outcome);
@@ -183,11 +215,13 @@
     std::uint64_t watch_{};
     bool watching_{};
     bool gone_{};
+    bool given_up_{};           ///< A planned stop has ended the present request.
+    bool refused_unread_{};     ///< Bytes of a request may still be coming.
     bool keep_{};               ///< The connection stays open after the present request.
     std::string request_id_;    ///< Of the present request.
     std::string last_upstream_; ///< Of the present request, for its log line.
     int last_status_{};
-    std::function<void()> on_gone_;        ///< Called once when the caller leaves.
+    std::function<void()> end_try_;        ///< Ends the present try; null: none runs.
     std::function<void()> on_first_event_; ///< Called once when the upstream begins to answer.
     std::function<void()> on_survival_;    ///< Called once when it has answered for `crash_onset`.
     wake_event* waiting_{};
@@ -204,50 +238,104 @@
             break;
         }
     }
+    co_await close_connection();
+}
+
+net::awaitable<void> caller_session::close_connection()
+{
     enter(session_state::closing);
     error_code ignored; // the caller may have closed first
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    if (refused_unread_) {
+        // Closing with unread bytes would reset the connection, and what was written might not arrive.
+        std::array<char, 4'096> sink{};
+        stream_.expires_after(to_chrono(linger_limit));
+        error_code ended;
+        while (!ended) {
+            co_await stream_.async_read_some(net::buffer(sink), outcome_in(ended));
+        }
+    }
     stream_.socket().close(ignored);
 }
 
-net::awaitable<bool> caller_session::read_request(caller_request& request)
+void caller_session::end_request()
+{
+    switch (state()) {
+    case session_state::idle:
+    case session_state::reading:
+        stream_.cancel();
+        break;
+    case session_state::serving:
+        given_up_ = true;
+        if (end_try_) {
+            end_try_();
+        }
+        if (waiting_ != nullptr) {
+            waiting_->notify();
+        }
+        break;
+    case session_state::closing:
+        break;
+    }
+}
+
+/// Waits for the first byte of a request. Returns false if none comes.
+net::awaitable<bool> caller_session::await_input(millis limit)
 {
-    auto const config = current_view(node_).config_;
-    auto const limits = config ? config->limits_ : caller_limits{};
     error_code fault;
-    if (buffer_.size() == 0) {
-        stream_.expires_after(to_chrono(limits.idle_timeout_));
+    while (buffer_.size() == 0) {
+        if (is_closing(node_) && !has_input(stream_.socket())) {
+            co_return false;
+        }
+        stream_.expires_after(to_chrono(limit));
         auto const size = co_await stream_.async_read_some(buffer_.prepare(4'096), outcome_in(fault));
         buffer_.commit(size);
-        if (fault) {
+        bool const woken = fault == net::error::operation_aborted && is_closing(node_);
+        if (fault && !woken) {
             co_return false;
         }
     }
+    co_return true;
+}
+
+net::awaitable<bool> caller_session::read_request(caller_request& request)
+{
+    auto const config = current_view(node_).config_;
+    auto const limits = config ? config->limits_ : caller_limits{};
     request_id_.clear();
     last_upstream_.clear();
+    if (!co_await await_input(limits.idle_timeout_)) {
+        co_return false;
+    }
+    error_code fault;
     enter(session_state::reading);
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits.header_bytes_);
     parser.body_limit(limits.body_bytes_);
-    stream_.expires_after(to_chrono(limits.header_timeout_));
+    stream_.expires_after(to_chrono(read_limit(limits.header_timeout_)));
     co_await http::async_read_header(stream_, buffer_, parser, outcome_in(fault));
     if (fault == http::error::header_limit) {
-        co_await refuse_and_close({431, "header-too-large", millis{-1}});
+        co_await refuse_unread({431, "header-too-large", millis{-1}}, "");
+        co_return false;
+    }
+    if (ended_by_stop(fault)) {
+        co_await refuse_unread(refuse_for_stop(node_, boot_now()), "");
         co_return false;
     }
     if (fault) {
         bool const malformed = fault.category() == make_error_code(http::error::bad_method).category() &&
                                fault != http::error::end_of_stream && fault != http::error::partial_message;
         if (malformed) {
-            co_await refuse_and_close({400, "malformed-request", millis{-1}});
+            co_await refuse_unread({400, "malformed-request", millis{-1}}, "");
         }
         co_return false;
     }
+    request_id_ = platform::parse_request_attributes(parser.get().base()).request_id_;
     // A body whose end cannot be told could hide a second request.
     bool const unclear = parser.get().find(http::field::transfer_encoding) != parser.get().end() &&
                          (!parser.chunked() || parser.get().version() < 11);
     if (unclear || parser.get().count(http::field::host) != 1) {
-        co_await refuse_and_close({400, "malformed-request", millis{-1}});
+        co_await refuse_unread({400, "malformed-request", millis{-1}}, request_id_);
         co_return false;
     }
     if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
@@ -255,10 +343,14 @@
             co_return false;
         }
     }
-    stream_.expires_after(to_chrono(limits.idle_timeout_));
+    stream_.expires_after(to_chrono(read_limit(limits.idle_timeout_)));
     co_await http::async_read(stream_, buffer_, parser, outcome_in(fault));
     if (fault == http::error::body_limit) {
-        co_await refuse_and_close({413, "body-too-large", millis{-1}});
+        co_await refuse_unread({413, "body-too-large", millis{-1}}, request_id_);
+        co_return false;
+    }
+    if (ended_by_stop(fault)) {
+        co_await refuse_unread(refuse_for_stop(node_, boot_now()), request_id_);
         co_return false;
     }
     if (fault) {
@@ -269,19 +361,17 @@
     co_return true;
 }
 
-net::awaitable<void> caller_session::refuse_and_close(own_answer answer)
+net::awaitable<void> caller_session::refuse_unread(own_answer answer, std::string request_id)
 {
     keep_ = false;
-    co_await send_own(answer, "");
-    error_code ignored; // the caller may be gone
-    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    // Reads what is still coming, for a moment: closing with unread bytes would reset the answer away.
-    std::array<char, 4'096> sink{};
-    stream_.expires_after(std::chrono::milliseconds{500});
-    error_code ended;
-    while (!ended) {
-        co_await stream_.async_read_some(net::buffer(sink), outcome_in(ended));
-    }
+    refused_unread_ = true;
+    log_failure("request", {{"id", request_id},
+                            {"outcome", "own-answer"},
+                            {"status", answer.status_},
+                            {"reason", answer.reason_},
+                            {"tries", 0}});
+    node_.counters_.count("auburnchute_requests_total", "own-answer");
+    co_await send_own(answer, std::move(request_id));
 }
 
 void caller_session::start_watch()
@@ -312,8 +402,8 @@
         co_return; // the caller's next request
     }
     gone_ = true;
-    if (on_gone_) {
-        on_gone_();
+    if (end_try_) {
+        end_try_();
     }
     if (waiting_ != nullptr) {
         waiting_->notify();
@@ -326,8 +416,8 @@
     job.arrived_ = boot_now();
     job.config_ = current_view(node_).config_;
     job.call_ = platform::parse_request_attributes(request);
-    request_id_ = job.call_.request_id_;
     last_status_ = 0;
+    given_up_ = false;
     enter(session_state::serving);
     std::optional<own_answer> own = admit(node_, job, request);
     if (!own) {
@@ -336,7 +426,7 @@
         own = co_await dispatch(job, request);
         end_watch();
     }
-    on_gone_ = nullptr;
+    end_try_ = nullptr;
     if (own && job.execution_ == execution::not_run) {
         refund(node_, job);
     }
@@ -368,6 +458,10 @@
         if (now >= job.deadline_) {
             co_return give_up(job, "deadline", timed_out, "deadline");
         }
+        if (is_closing(node_)) {
+            co_return job.execution_ == execution::not_run ? refuse_for_stop(node_, now)
+                                                           : own_answer{bad_gateway, "stopping", millis{-1}};
+        }
         std::vector<trait_hash> trials;
         if (!job.on_trial_) {
             if (auto refusal = refuse_deadly(node_, job, request, trials)) {
@@ -393,6 +487,10 @@
         if (outcome.withdrawn_) {
             continue;
         }
+        if (given_up_ && outcome.result_ != try_result::answered) {
+            job.execution_ = execution_after(job.execution_, outcome.result_);
+            continue; // the failure is this VM's own
+        }
         note_result(job, *chosen.upstream_, outcome);
         if (gone_) {
             break;
@@ -447,7 +545,7 @@
     if (job.execution_ != execution::not_run || !job.used_.empty()) {
         co_return give_up(job, "no-other-upstream", bad_gateway, "no-other-upstream");
     }
-    if (node_.stopping_) {
+    if (node_.stop_) {
         co_return own_answer{unavailable, "stopping", millis{0}};
     }
     if (fault == choice_fault::no_upstream) {
@@ -492,11 +590,20 @@
     auto const now = boot_now();
     upstream_booking booking{node_, upstream, from.prompt_tokens_ + from.output_tokens_, need_of(job), now};
     auto connection = node_.pool_.take_idle(upstream.id_, is_repeatable(job) ? safe_idle : unsafe_idle);
-    if (!connection) {
+    bool const open = connection != nullptr;
+    if (!open) {
+        connection = node_.pool_.make(upstream.id_);
+    }
+    end_try_ = [connection] {
+        error_code ignored; // its reader notices
+        connection->stream_.socket().close(ignored);
+    };
+    if (!open) {
         error_code fault;
-        connection = co_await node_.pool_.open(upstream.id_, upstream.address_,
-                                               std::min(connect_limit, job.deadline_ - now), fault);
-        if (!connection) {
+        co_await upstream_pool::open(connection, upstream.address_,
+                                     std::min(connect_limit, job.deadline_ - now), fault);
+        if (fault) {
+            end_try_ = nullptr;
             outcome.fault_ = "connect: " + fault.message();
             outcome.upstream_gone_ = fault == net::error::connection_refused;
             co_return outcome;
@@ -513,10 +620,6 @@
         outcome.withdrawn_ = true;
         co_return outcome;
     }
-    on_gone_ = [connection] {
-        error_code ignored; // its reader notices
-        connection->stream_.socket().close(ignored);
-    };
     auto const left = job.deadline_ - boot_now();
     if (left <= millis{0}) {
         co_return outcome;
@@ -544,7 +647,7 @@
                   {"running", upstream.known_running_},
                   {"unread_before", upstream.known_unread_},
                   {"left_ms", left.count_},
-                  {"stop_left_ms", node_.stopping_ ? (node_.stop_ends_at_ - boot_now()).count_ : -1},
+                  {"stop_left_ms", node_.stop_ ? (node_.stop_->answers_until_ - boot_now()).count_ : -1},
                   {"config", job.config_->version_},
                   {"config_age_ms", (boot_now() - fresh_at(node_)).count_},
                   {"entries_age_ms", entries_age_ms(node_)},
@@ -573,7 +676,7 @@
     co_await read_answer(job, upstream, *connection, outcome, reusable, keep_alive);
     on_first_event_ = nullptr;
     on_survival_ = nullptr;
-    on_gone_ = nullptr;
+    end_try_ = nullptr;
     if (outcome.result_ == try_result::answered) {
         note_survival(job, request);
     }
@@ -585,10 +688,16 @@
     }
     bool const broke =
         outcome.result_ == try_result::cut_before_answer || outcome.result_ == try_result::cut_in_answer;
-    if (broke && !gone_ && boot_now() < job.deadline_) {
+    if (broke && !gone_ && !given_up_ && boot_now() < job.deadline_) {
+        auto const probe = node_.pool_.make(upstream.id_);
+        end_try_ = [probe] {
+            error_code ignored; // the probe's end is what matters
+            probe->stream_.socket().close(ignored);
+        };
         error_code fault;
-        auto const probe = co_await node_.pool_.open(upstream.id_, upstream.address_, millis{300}, fault);
-        outcome.upstream_gone_ = !probe && fault == net::error::connection_refused;
+        co_await upstream_pool::open(probe, upstream.address_, probe_limit, fault);
+        end_try_ = nullptr;
+        outcome.upstream_gone_ = fault == net::error::connection_refused;
         if (outcome.upstream_gone_) {
             note_crash(job, request, upstream, outcome);
         }
@@ -923,11 +1032,15 @@
 
 void serve_callers(entry_node& node, std::string const& address)
 {
-    accept_connections(node.loop_, address, [&node](tcp::socket socket) {
+    auto acceptor = accept_connections(node.loop_, address, [&node](tcp::socket socket) {
         auto session = std::make_shared<caller_session>(node, std::move(socket));
         net::co_spawn(
             node.loop_, [session] { return session->run(); }, report_failure);
     });
+    node.stop_accepting_ = [acceptor] {
+        error_code ignored; // a port that cannot be closed ends with the process
+        acceptor->close(ignored);
+    };
 }
 
 } // namespace auburnchute
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -124,7 +124,7 @@
 bool is_ready(entry_node const& node, millis now)
 {
     auto const view = current_view(node);
-    return !node.stopping_ && view.config_ != nullptr && view.members_read_ && keys_are_fresh(node, now);
+    return !node.stop_ && view.config_ != nullptr && view.members_read_ && keys_are_fresh(node, now);
 }
 
 namespace {
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -14,6 +14,7 @@
 #include <auburnchute/request_attributes.hpp>
 #include <auburnchute/retry.hpp>
 #include <auburnchute/shared_bucket.hpp>
+#include <auburnchute/shutdown_plan.hpp>
 #include <auburnchute/upstream_choice.hpp>
 #include <auburnchute/upstream_signals.hpp>
 
@@ -22,6 +23,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -86,10 +88,9 @@
     upstream_pool pool_;
     fleet_exchange exchange_;
     std::map<std::string, net::ip::udp::endpoint, std::less<>> endpoints_; ///< Of the members, by VM.
-    std::uint64_t announced_config_{}; ///< `config_next_` of the newest configuration that was announced to
-                                       ///< the peers at once.
-    bool stopping_{};
-    millis stop_ends_at_{}; ///< When a planned stop ends whatever still runs; boot clock.
+    std::uint64_t announced_config_{};  ///< `config_next_` of the newest configuration that was announced to
+                                        ///< the peers at once.
+    std::optional<shutdown_plan> stop_; ///< Of the planned stop that is under way.
     std::shared_ptr<session_set> sessions_{std::make_shared<session_set>()}; ///< Callers' connections.
     std::map<std::string, workspace_use, std::less<>> workspaces_;
     std::uint64_t limits_version_{}; ///< Configuration version that the buckets follow.
@@ -114,10 +115,17 @@
     std::function<void(leave_notice)> leave_noticed_; ///< Called when an upstream says that it leaves.
     std::function<void()> reread_upstreams_;          ///< Called when a record of the upstreams was missed.
     std::function<void()> stop_placing_;              ///< Gives up the order lease for good.
+    std::function<void()> stop_accepting_;            ///< Closes the port for callers.
     /// Keeps the record of a blocked trait in the store, or deletes it there if there is none.
     std::function<void(trait_hash, std::optional<trait_record>)> keep_evidence_;
 };
 
+/// \returns Whether the planned stop has reached its last phase.
+[[nodiscard]] inline bool is_closing(entry_node const& node) noexcept
+{
+    return node.stop_ && node.stop_->closing_;
+}
+
 /// \returns The current view's parts that a request needs. Thread safety: any thread.
 struct request_view {
     std::shared_ptr<fleet_config const> config_;
--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -1,6 +1,7 @@
 #include "transport/entry/forward_job.hpp"
 
 #include "protocol/decision_log.hpp"
+#include "transport/entry/peer_exchange.hpp"
 
 #include <auburnchute/ids.hpp>
 #include <auburnchute/upstream_choice.hpp>
@@ -137,6 +138,9 @@
     job.urgency_ = job.workspace_ != nullptr && job.workspace_->priority_ ? *job.workspace_->priority_
                                                                           : job.route_->priority_;
     job.last_event_ = job.call_.resume_after_;
+    if (is_closing(node)) {
+        return refuse_for_stop(node, now);
+    }
     std::vector<trait_hash> trials; // begun when the request is sent
     if (auto refusal = refuse_deadly(node, job, request, trials)) {
         return refusal;
@@ -147,6 +151,11 @@
     return std::nullopt;
 }
 
+own_answer refuse_for_stop(entry_node const& node, millis now)
+{
+    return {unavailable, "stopping", stop_retry_after(*node.stop_, now, !ready_addresses(node, now).empty())};
+}
+
 void refund(entry_node& node, forward_job& job)
 {
     if (job.charged_ <= 0) {
--- a/src/transport/entry/forward_job.hpp
+++ b/src/transport/entry/forward_job.hpp
@@ -47,6 +47,9 @@
 [[nodiscard]] std::optional<own_answer> admit(entry_node& node, forward_job& job,
                                               caller_request const& request);
 
+/// \returns The refusal of a request that may not end within the planned stop. \pre The node stops.
+[[nodiscard]] own_answer refuse_for_stop(entry_node const& node, millis now);
+
 /// \brief Gives back what was charged for a request that has not run.
 void refund(entry_node& node, forward_job& job);
 
--- a/src/transport/entry/listen.cpp
+++ b/src/transport/entry/listen.cpp
@@ -31,8 +31,8 @@
 
 } // namespace
 
-void accept_connections(net::io_context& loop, std::string const& address,
-                        std::function<void(tcp::socket)> take)
+std::shared_ptr<tcp::acceptor> accept_connections(net::io_context& loop, std::string const& address,
+                                                  std::function<void(tcp::socket)> take)
 {
     auto const endpoint = parse_endpoint(address);
     auto acceptor = std::make_shared<tcp::acceptor>(loop);
@@ -44,7 +44,8 @@
     } catch (boost::system::system_error const& failure) {
         throw error{"listen", address, failure.what()};
     }
-    net::co_spawn(loop, accept_all(std::move(acceptor), std::move(take)), report_failure);
+    net::co_spawn(loop, accept_all(acceptor, std::move(take)), report_failure);
+    return acceptor;
 }
 
 } // namespace auburnchute
--- /dev/null
+++ b/src/transport/entry/planned_stop.cpp
@@ -0,0 +1,67 @@
+#include "transport/entry/planned_stop.hpp"
+
+#include "protocol/decision_log.hpp"
+
+namespace auburnchute {
+
+namespace {
+
+/// Pause between two looks at what is still open.
+constexpr millis look_pause{10};
+
+/// Gives up what is open, and takes nothing more.
+void close_sessions(entry_node& node)
+{
+    node.stop_accepting_();
+    for (auto* const session : *node.sessions_) {
+        session->end_request();
+    }
+}
+
+/// Names what the end of the process takes from callers all the same.
+void log_unanswered(entry_node& node, millis now)
+{
+    for (auto const* const session : *node.sessions_) {
+        if (owes_answer(*session)) {
+            node.counters_.count("auburnchute_requests_total", "unanswered");
+            log_failure("request-unanswered", {{"id", session->request_id()},
+                                               {"state", to_text(session->state())},
+                                               {"upstream", session->upstream_id()},
+                                               {"ms", (now - session->state_since()).count_}});
+        }
+    }
+}
+
+} // namespace
+
+net::awaitable<void> stop_gracefully(entry_node& node)
+{
+    auto& plan = *node.stop_;
+    log_decision("stop", {{"open", open_requests(*node.sessions_)},
+                          {"connections", node.sessions_->size()},
+                          {"answers_ms", (plan.answers_until_ - plan.began_at_).count_},
+                          {"ends_ms", (plan.ends_at_ - plan.began_at_).count_}});
+    node.stop_placing_();
+    node.send_state_(message_targets::all);
+    wake_waiting(node);
+    while (boot_now() < plan.answers_until_ &&
+           (boot_now() < plan.quiet_from_ || open_requests(*node.sessions_) > 0)) {
+        co_await pause_for(look_pause);
+    }
+    begin_closing(plan, boot_now());
+    log_decision("stop-closing", {{"open", open_requests(*node.sessions_)},
+                                  {"connections", node.sessions_->size()},
+                                  {"ms", (plan.answers_until_ - plan.began_at_).count_}});
+    close_sessions(node);
+    while (boot_now() < plan.ends_at_ && !node.sessions_->empty()) {
+        co_await pause_for(look_pause);
+    }
+    auto const now = boot_now();
+    log_unanswered(node, now);
+    log_decision("stopped", {{"open", open_requests(*node.sessions_)},
+                             {"connections", node.sessions_->size()},
+                             {"ms", (now - plan.began_at_).count_}});
+    node.loop_.stop();
+}
+
+} // namespace auburnchute
--- a/src/transport/entry/upstream_pool.cpp
+++ b/src/transport/entry/upstream_pool.cpp
@@ -44,19 +44,21 @@
     return nullptr;
 }
 
-net::awaitable<std::shared_ptr<upstream_connection>> upstream_pool::open(std::string const& upstream_id,
-                                                                         std::string const& address,
-                                                                         millis limit, error_code& fault)
+std::shared_ptr<upstream_connection> upstream_pool::make(std::string const& upstream_id) const
 {
     auto connection = std::make_shared<upstream_connection>(*loop_);
     connection->upstream_id_ = upstream_id;
+    return connection;
+}
+
+net::awaitable<void> upstream_pool::open(std::shared_ptr<upstream_connection> connection, std::string address,
+                                         millis limit, error_code& fault)
+{
     connection->stream_.expires_after(to_chrono(limit));
     co_await connection->stream_.async_connect(parse_endpoint(address), outcome_in(fault));
-    if (fault) {
-        co_return nullptr;
+    if (!fault) {
+        set_liveness(connection->stream_.socket(), upstream_silence);
     }
-    set_liveness(connection->stream_.socket(), upstream_silence);
-    co_return connection;
 }
 
 void upstream_pool::keep(std::shared_ptr<upstream_connection> connection, millis keep_alive)
--- a/src/transport/entry/upstream_pool.hpp
+++ b/src/transport/entry/upstream_pool.hpp
@@ -39,9 +39,13 @@
     [[nodiscard]] std::shared_ptr<upstream_connection> take_idle(std::string const& upstream_id,
                                                                  millis longest_idle);
 
-    /// \brief Opens a connection. \returns Null, with `fault` set, if that fails within the limit.
-    net::awaitable<std::shared_ptr<upstream_connection>>
-    open(std::string const& upstream_id, std::string const& address, millis limit, error_code& fault);
+    /// \returns A connection that is not open yet.
+    [[nodiscard]] std::shared_ptr<upstream_connection> make(std::string const& upstream_id) const;
+
+    /// \brief Opens a connection; closing its socket ends the attempt. \param fault Set if it fails within
+    /// the limit.
+    static net::awaitable<void> open(std::shared_ptr<upstream_connection> connection, std::string address,
+                                     millis limit, error_code& fault);
 
     /// \brief Keeps a connection for later requests. \pre Its last answer was read whole.
     void keep(std::shared_ptr<upstream_connection> connection, millis keep_alive);
--- /dev/null
+++ b/tests/coordination/shutdown_plan_test.cpp
@@ -0,0 +1,48 @@
+#include <auburnchute/shutdown_plan.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace auburnchute;
+
+// Guards against a process that is killed while it still answers, and one that gives up too early.
+TEST_CASE("a planned stop ends before the kill and leaves most of the grace time to answers",
+          "[shutdown][promise-12]")
+{
+    auto const now = millis{1'000'000};
+    for (auto const grace : {0, 1, 11, 100, 500, 1'000, 3'000, 8'000, 30'000, 600'000}) {
+        CAPTURE(grace);
+        auto const plan = plan_shutdown(now, millis{grace}, millis{2'000});
+        CHECK(plan.began_at_ == now);
+        CHECK(plan.quiet_from_ >= now);
+        CHECK(plan.quiet_from_ <= plan.answers_until_);
+        CHECK(plan.answers_until_ <= plan.ends_at_);
+        CHECK(plan.ends_at_ <= now + millis{grace});
+        CHECK((plan.answers_until_ - now) * 6 >= millis{grace} * 5);
+        if (grace >= 100) {
+            CHECK(plan.answers_until_ < plan.ends_at_);
+            CHECK(plan.ends_at_ < now + millis{grace});
+        }
+    }
+}
+
+// Guards against a process that was paused, or ends early, and leaves its last answers no time.
+TEST_CASE("the last answers get their time whenever they begin", "[shutdown]")
+{
+    auto const plan = plan_shutdown(millis{0}, millis{8'000}, millis{2'000});
+    for (auto const at : {5'000, 7'200, 9'000}) {
+        CAPTURE(at);
+        auto closing = plan;
+        begin_closing(closing, millis{at});
+        CHECK(closing.ends_at_ - millis{at} == plan.ends_at_ - plan.answers_until_);
+    }
+}
+
+// Guards against callers that are sent away for longer than they need to be, or back to a process that ends.
+TEST_CASE("a refused caller may come back at once if there is another VM, else after the restart",
+          "[shutdown]")
+{
+    auto const plan = plan_shutdown(millis{0}, millis{8'000}, millis{2'000});
+    CHECK(stop_retry_after(plan, millis{100}, true) == millis{0});
+    CHECK(millis{100} + stop_retry_after(plan, millis{100}, false) > plan.ends_at_);
+    CHECK(stop_retry_after(plan, plan.ends_at_ + millis{500}, false) > millis{0});
+}
