Take in a planned stop only what is sure to end in it

A stopping VM took every request that came, on kept and on new connections, whatever its time limit, and tried a request again whose upstream failed at the last moment. Those that lasted longer than the process were cut (LOST), among them purchases that had run.

A request is sent on during a stop only if its deadline lies within the time for answers, on the first try and on each further one; else it is refused at once, 503 and not charged, or 502 if it may have run. A request that waits for an upstream goes on waiting if its deadline allows.

--- a/include/auburnchute/shutdown_plan.hpp
+++ b/include/auburnchute/shutdown_plan.hpp
@@ -23,6 +23,10 @@
 /// if the process was paused.
 void begin_closing(shutdown_plan& plan, millis now) noexcept;
 
+/// \returns Whether a request with this deadline is sure to end within the stop, so that it may be sent on.
+/// Thread safety: pure.
+[[nodiscard]] bool can_end_in_time(shutdown_plan const& plan, millis deadline) noexcept;
+
 /// \returns When a caller that is refused may come back: at once if another VM is ready, else when the
 /// successor of this process may serve.
 /// Thread safety: pure.
--- a/src/coordination/shutdown_plan.cpp
+++ b/src/coordination/shutdown_plan.cpp
@@ -47,6 +47,11 @@
     plan.ends_at_ = now + closing;
 }
 
+bool can_end_in_time(shutdown_plan const& plan, millis deadline) noexcept
+{
+    return !plan.closing_ && deadline <= plan.answers_until_;
+}
+
 millis stop_retry_after(shutdown_plan const& plan, millis now, bool other_vm_is_ready) noexcept
 {
     return other_vm_is_ready ? millis{0} : std::max(millis{0}, plan.ends_at_ - now) + restart_time;
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -458,7 +458,7 @@
         if (now >= job.deadline_) {
             co_return give_up(job, "deadline", timed_out, "deadline");
         }
-        if (is_closing(node_)) {
+        if (!may_begin(node_, job.deadline_)) {
             co_return job.execution_ == execution::not_run ? refuse_for_stop(node_, now)
                                                            : own_answer{bad_gateway, "stopping", millis{-1}};
         }
@@ -545,9 +545,6 @@
     if (job.execution_ != execution::not_run || !job.used_.empty()) {
         co_return give_up(job, "no-other-upstream", bad_gateway, "no-other-upstream");
     }
-    if (node_.stop_) {
-        co_return own_answer{unavailable, "stopping", millis{0}};
-    }
     if (fault == choice_fault::no_upstream) {
         co_return own_answer{unavailable, "no-upstream", millis{500}};
     }
@@ -615,8 +612,9 @@
         outcome.fault_ = "the caller left";
         co_return outcome;
     }
-    if (!accepts_requests(node_, upstream.id_, upstream.started_at_, boot_now())) {
-        outcome.fault_ = "the upstream leaves";
+    if (!may_begin(node_, job.deadline_) ||
+        !accepts_requests(node_, upstream.id_, upstream.started_at_, boot_now())) {
+        outcome.fault_ = "this VM stops, or the upstream leaves";
         outcome.withdrawn_ = true;
         co_return outcome;
     }
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -120,6 +120,12 @@
     std::function<void(trait_hash, std::optional<trait_record>)> keep_evidence_;
 };
 
+/// \returns Whether a request with this deadline may be sent on: this VM does not stop, or not before it.
+[[nodiscard]] inline bool may_begin(entry_node const& node, millis deadline) noexcept
+{
+    return !node.stop_ || can_end_in_time(*node.stop_, deadline);
+}
+
 /// \returns Whether the planned stop has reached its last phase.
 [[nodiscard]] inline bool is_closing(entry_node const& node) noexcept
 {
--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -138,7 +138,7 @@
     job.urgency_ = job.workspace_ != nullptr && job.workspace_->priority_ ? *job.workspace_->priority_
                                                                           : job.route_->priority_;
     job.last_event_ = job.call_.resume_after_;
-    if (is_closing(node)) {
+    if (!may_begin(node, job.deadline_)) {
         return refuse_for_stop(node, now);
     }
     std::vector<trait_hash> trials; // begun when the request is sent
--- a/tests/coordination/shutdown_plan_test.cpp
+++ b/tests/coordination/shutdown_plan_test.cpp
@@ -25,6 +25,37 @@
     }
 }
 
+// Guards against a request that is taken although its time limit lies beyond the process, and against
+// refusing one that must end before.
+TEST_CASE("only a request whose deadline lies within the stop is taken", "[shutdown][promise-12]")
+{
+    struct row {
+        millis grace_;
+        millis at_; ///< Since the stop signal.
+        millis allowed_;
+        bool taken_;
+    };
+    for (auto const& row :
+         {row{millis{8'000}, millis{0}, millis{1'500}, true},
+          row{millis{8'000}, millis{0}, millis{6'600}, true},
+          row{millis{8'000}, millis{0}, millis{8'000}, false},
+          row{millis{8'000}, millis{0}, millis{15'000}, false},
+          row{millis{8'000}, millis{5'000}, millis{1'500}, true},
+          row{millis{8'000}, millis{6'500}, millis{1'500}, false},
+          row{millis{8'000}, millis{8'100}, millis{1}, false},
+          row{millis{30'000}, millis{0}, millis{15'000}, true},
+          row{millis{30'000}, millis{20'000}, millis{15'000}, false},
+          row{millis{1'000}, millis{0}, millis{800}, true},
+          row{millis{1'000}, millis{300}, millis{800}, false}, row{millis{0}, millis{0}, millis{1}, false}}) {
+        CAPTURE(row.grace_.count_, row.at_.count_, row.allowed_.count_);
+        auto const began = millis{5'000};
+        auto plan = plan_shutdown(began, row.grace_, millis{2'000});
+        CHECK(can_end_in_time(plan, began + row.at_ + row.allowed_) == row.taken_);
+        begin_closing(plan, began + row.at_);
+        CHECK_FALSE(can_end_in_time(plan, began + row.at_ + row.allowed_));
+    }
+}
+
 // Guards against a process that was paused, or ends early, and leaves its last answers no time.
 TEST_CASE("the last answers get their time whenever they begin", "[shutdown]")
 {
