Let the last answer on a connection reach its caller

A caller that had sent its next request when its VM closed the connection could lose the answer before it: closing a socket with unread bytes resets the connection, in a planned stop and after any answer with Connection: close.

So far only requests that were refused unread had this, for 0.5 s.

--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -73,8 +73,8 @@
 /// Least time for the rest of a request that a planned stop finds half read.
 constexpr millis least_read_limit{20};
 
-/// Longest time for which a connection whose request was refused unread waits for its caller to close it.
-constexpr millis linger_limit{500};
+/// Longest time for which a connection that was answered for the last time waits for its caller to close it.
+constexpr millis linger_limit{2'000};
 
 /// Longest time for a refused connection to show whether its upstream still listens.
 constexpr millis probe_limit{300};
@@ -216,7 +216,6 @@
     bool watching_{};
     bool gone_{};
     bool given_up_{};           ///< A planned stop has ended the present request.
-    bool refused_unread_{};     ///< Bytes of a request may still be coming.
     bool keep_{};               ///< The connection stays open after the present request.
     std::string request_id_;    ///< Of the present request.
     std::string last_upstream_; ///< Of the present request, for its log line.
@@ -246,7 +245,7 @@
     enter(session_state::closing);
     error_code ignored; // the caller may have closed first
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    if (refused_unread_) {
+    if (!gone_) {
         // Closing with unread bytes would reset the connection, and what was written might not arrive.
         std::array<char, 4'096> sink{};
         stream_.expires_after(to_chrono(linger_limit));
@@ -364,7 +363,6 @@
 net::awaitable<void> caller_session::refuse_unread(own_answer answer, std::string request_id)
 {
     keep_ = false;
-    refused_unread_ = true;
     log_failure("request", {{"id", request_id},
                             {"outcome", "own-answer"},
                             {"status", answer.status_},
