Keep the handler of signals when a settings file cannot be read

A settings file with a key that is no scalar, followed by SIGHUP, ended the task that waits for signals: only our own error was caught, and YAML's conversion throws another one. SIGTERM then met its default action, and all requests in flight were lost without an answer or a log line (exit by signal 15).

Such a key is reported with its place as any other fault of the file, and the handler of signals catches whatever a reload throws.

--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -118,7 +118,7 @@
                 // Addresses and bounds hold for a process's life; a new file only has to be readable.
                 (void)load_settings(settings_file);
                 log_decision("settings-reloaded", {});
-            } catch (error const& failure) {
+            } catch (std::exception const& failure) { // the next signal must find its handler
                 log_failure("settings-rejected", {{"fault", failure.what()}});
             }
         } else if (!node.stop_) {
--- a/src/protocol/entry_settings.cpp
+++ b/src/protocol/entry_settings.cpp
@@ -79,7 +79,7 @@
     YAML::Node root;
     try {
         root = YAML::Load(std::string{text});
-    } catch (YAML::ParserException const& fault) {
+    } catch (YAML::Exception const& fault) {
         throw error{"settings", place(file_name, fault.mark), fault.msg};
     }
     if (!root.IsMap()) {
@@ -88,7 +88,10 @@
     entry_settings_file read;
     auto keys = known_keys(file_name, read.values_);
     for (auto const& entry : root) {
-        auto const key = entry.first.as<std::string>();
+        if (!entry.first.IsScalar()) {
+            throw error{"settings", place(file_name, entry.first.Mark()), "expected a key"};
+        }
+        auto const key = entry.first.Scalar();
         auto const known = keys.find(key);
         if (known == keys.end()) {
             read.unknown_.push_back(key);
--- a/tests/transport/child_process.hpp
+++ b/tests/transport/child_process.hpp
@@ -110,6 +110,20 @@
         }
     }
 
+    /// \brief Waits for a line of output that holds the text. \returns The line.
+    /// \throws std::runtime_error if the child ends or the time is over first.
+    std::string wait_text(std::string_view text, std::chrono::milliseconds limit = std::chrono::seconds{30})
+    {
+        auto const deadline = std::chrono::steady_clock::now() + limit;
+        for (;;) {
+            auto line = wait_line("", std::chrono::duration_cast<std::chrono::milliseconds>(
+                                          deadline - std::chrono::steady_clock::now()));
+            if (line.find(text) != std::string::npos) {
+                return line;
+            }
+        }
+    }
+
     /// \brief Reads the child's output until it ends. \returns What no other call has returned.
     /// \throws std::runtime_error if it does not end in time.
     std::string read_to_end(std::chrono::milliseconds limit = std::chrono::seconds{30})
--- a/tests/transport/entry/planned_stop_test.cpp
+++ b/tests/transport/entry/planned_stop_test.cpp
@@ -313,3 +313,22 @@
     CHECK(world.daemon().wait_end() == 0);
     CHECK(world.arrivals() == 0);
 }
+
+// Guards against a reload that takes the handling of signals with it, so that the next stop is not graceful.
+TEST_CASE("a planned stop is graceful after a settings file that cannot be read", "[entry][promise-12]")
+{
+    auto const r = GENERATE(as<std::string>{}, "[a, b]: c\n", "{a: 1}: 2\n", "vm: [1\n", "vm: {x: y}\n",
+                            std::string(100'000, '['), std::string("vm: \0\xff\xfe\n", 8), "");
+    CAPTURE(r.substr(0, 20));
+    entry_world world{{after_probe(stream_without_end)}, grace_setting};
+    auto const caller = connect_to(world.ip_, callers_port);
+    caller.send(request_text("POST", "/watch/1", "id-long", "a question", 8s));
+    REQUIRE(eventually(limit, [&] { return world.arrivals() == 1; }));
+    std::ofstream{world.settings_.back(), std::ios::trunc} << r;
+    ::kill(world.daemon().pid(), SIGHUP);
+    CHECK_NOTHROW(world.daemon().wait_text("\"event\":\"settings-rejected\"", 5s));
+    begin_stop(world);
+    auto const log = world.daemon().read_to_end();
+    CHECK(log.find("\"event\":\"request\",\"id\":\"id-long\"") != std::string::npos);
+    CHECK(world.daemon().wait_end() == 0);
+}
