Don't hold a caller's leave against the upstream

A caller that left during a try ended the connection to the upstream, and that counted as the upstream's failure: it was avoided for 2 s, lost its idle connections and a try-failed line named it (the issue's record has such lines, 'answer: Operation canceled'). A try that this VM ended itself says nothing of the upstream, as at the end of a planned stop. The test failed before.

--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -485,9 +485,9 @@
         if (outcome.withdrawn_) {
             continue;
         }
-        if (given_up_ && outcome.result_ != try_result::answered) {
+        if ((gone_ || given_up_) && outcome.result_ != try_result::answered) {
             job.execution_ = execution_after(job.execution_, outcome.result_);
-            continue; // the failure is this VM's own
+            continue; // the try was ended here, and says nothing of the upstream
         }
         note_result(job, *chosen.upstream_, outcome);
         if (gone_) {
--- a/tests/transport/entry/entry_daemon_test.cpp
+++ b/tests/transport/entry/entry_daemon_test.cpp
@@ -135,6 +135,26 @@
     CHECK(seen.get());
 }
 
+// Guards against sound upstreams that are avoided, and lose their connections, as their callers leave.
+TEST_CASE("a caller that leaves is no failure of the upstream", "[entry]")
+{
+    entry_world world{{after_probe([](received_request const& request, owned_socket& connection) {
+        connection.send(stream_head(request) + chunk(event(1)));
+        (void)connection.receive();
+        return false;
+    })}};
+    {
+        auto const caller = world.call("POST", "/watch/1", "a question", "Api-Key: key\r\n", "", "id-left");
+        CHECK(caller.receive_until("piece").find("piece") != std::string::npos);
+    }
+    std::string line;
+    while (line.find("\"event\":\"request\",\"id\":\"id-left\"") == std::string::npos) {
+        line = world.daemon().wait_text("\"id\":\"id-left\"");
+        CHECK(line.find("try-failed") == std::string::npos);
+    }
+    CHECK(line.find("\"outcome\":\"caller-left\"") != std::string::npos);
+}
+
 // Guards against a stream that looks complete though its upstream broke off.
 TEST_CASE("a stream that breaks off is left visibly unfinished", "[entry][promise-8]")
 {
