Answer a request whose session meets an unexpected exception

A request with TRACE and a body, for which the library refuses to make a head, got no answer: the exception ended the session's task, its line did not name the request, the watch kept the connection open, and the charge was not returned.

The request ends with 500 if it was not sent, else with 502, and a line request-failed beside its request line.

--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -86,6 +86,7 @@
 constexpr millis wait_round{250};
 
 constexpr int misdirected = 421;
+constexpr int internal_error = 500;
 constexpr int bad_gateway = 502;
 constexpr int timed_out = 504;
 constexpr int unavailable = 503;
@@ -168,6 +169,9 @@
     net::awaitable<void> close_connection();
     net::awaitable<bool> serve(caller_request& request);
     net::awaitable<std::optional<own_answer>> dispatch(forward_job& job, caller_request const& request);
+    /// As `dispatch`; an unexpected exception ends the request with an answer, too.
+    net::awaitable<std::optional<own_answer>> dispatch_safely(forward_job& job,
+                                                              caller_request const& request);
     net::awaitable<std::optional<own_answer>> wait_for_upstream(forward_job& job, choice const& chosen);
     net::awaitable<try_outcome> try_upstream(forward_job& job, caller_request const& request,
                                              chosen_upstream const& upstream);
@@ -421,7 +425,7 @@
     if (!own) {
         note_need(node_, job, job.arrived_);
         start_watch();
-        own = co_await dispatch(job, request);
+        own = co_await dispatch_safely(job, request);
         end_watch();
     }
     end_try_ = nullptr;
@@ -445,6 +449,21 @@
     co_return keep_;
 }
 
+net::awaitable<std::optional<own_answer>> caller_session::dispatch_safely(forward_job& job,
+                                                                          caller_request const& request)
+{
+    std::string fault;
+    try {
+        co_return co_await dispatch(job, request);
+    } catch (std::exception const& failure) {
+        fault = failure.what();
+    }
+    on_first_event_ = nullptr;
+    on_survival_ = nullptr;
+    log_failure("request-failed", {{"id", job.call_.request_id_}, {"fault", fault}});
+    co_return own_answer{job.used_.empty() ? internal_error : bad_gateway, "internal-error", millis{-1}};
+}
+
 net::awaitable<std::optional<own_answer>> caller_session::dispatch(forward_job& job,
                                                                    caller_request const& request)
 {
--- a/tests/transport/entry/planned_stop_test.cpp
+++ b/tests/transport/entry/planned_stop_test.cpp
@@ -332,3 +332,16 @@
     CHECK(log.find("\"event\":\"request\",\"id\":\"id-long\"") != std::string::npos);
     CHECK(world.daemon().wait_end() == 0);
 }
+
+// Guards against an exception in a session that ends its request without an answer or a line that names it.
+TEST_CASE("an unexpected exception ends a request with an answer", "[entry][promise-8]")
+{
+    entry_world world{{after_probe(answering("x"))}};
+    auto const caller = connect_to(world.ip_, callers_port);
+    caller.send(request_text("TRACE", "/look/1", "id-thrown", "a body that this method may not have", 2s));
+    auto const answer = receive_whole(caller);
+    CHECK(entry_world::status_of(answer) == 500);
+    CHECK(is_whole(answer));
+    CHECK_NOTHROW(world.daemon().wait_text("\"event\":\"request\",\"id\":\"id-thrown\"", 5s));
+    CHECK(entry_world::status_of(world.call("GET", "/look/1").receive_until("x")) == 200);
+}
