Pass a whole failure on if a planned stop leaves no time for a further try

A safe request whose upstream answered 500 during a stop lost that answer: a part of the retry budget was spent, the stop then refused the further try, and the caller got our 502 in its place. The time is asked for before the budget. The test failed before (502).

--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -517,7 +517,7 @@
                 co_return std::nullopt;
             }
             bool const worth_repeating = job.route_->kind_ == route_type::safe && outcome.status_ >= 500;
-            bool const again = worth_repeating &&
+            bool const again = worth_repeating && may_begin(node_, job.deadline_) &&
                                static_cast<int>(job.used_.size()) < job.route_->max_upstreams_ &&
                                acquire_retry(retries, try_result::refused, true,
                                              static_cast<int>(job.used_.size()), boot_now(), job.deadline_);
@@ -531,6 +531,9 @@
             continue;
         }
         job.execution_ = execution_after(job.execution_, outcome.result_);
+        if (!may_begin(node_, job.deadline_)) {
+            continue; // no further try, which would cost a part of the retry budget
+        }
         bool const ran_nowhere = outcome.result_ == try_result::not_sent;
         bool const may_repeat = is_repeatable(job) || job.execution_ == execution::not_run;
         bool const upstreams_left = static_cast<int>(job.used_.size()) < job.route_->max_upstreams_;
--- a/tests/transport/entry/planned_stop_test.cpp
+++ b/tests/transport/entry/planned_stop_test.cpp
@@ -345,3 +345,23 @@
     CHECK_NOTHROW(world.daemon().wait_text("\"event\":\"request\",\"id\":\"id-thrown\"", 5s));
     CHECK(entry_world::status_of(world.call("GET", "/look/1").receive_until("x")) == 200);
 }
+
+// Guards against a whole answer of an upstream that is replaced by a failure of the VM's own.
+TEST_CASE("a whole failure that comes during a planned stop is passed on", "[entry][promise-8]")
+{
+    std::promise<void> go_on;
+    auto released = go_on.get_future().share();
+    auto const script = after_probe([&](received_request const& request, owned_socket& connection) {
+        released.wait_for(limit);
+        connection.send(answer_to(request, "broken", 500));
+        return true;
+    });
+    entry_world world{{script, script}, grace_setting};
+    auto const caller = connect_to(world.ip_, callers_port);
+    caller.send(request_text("GET", "/look/1", "id-500", "", 5s));
+    REQUIRE(eventually(limit, [&] { return world.arrivals() == 1; }));
+    begin_stop(world);
+    go_on.set_value();
+    CHECK(entry_world::status_of(receive_whole(caller)) == 500);
+    CHECK(world.arrivals() == 1);
+}
