Refuse what comes in the last moments of a planned stop, and read nothing in vain

The port and idle connections stay open to the end of the last phase, and whatever comes is refused. Half read requests are ended again at each look. Idle connections are closed unread at the end. An answer says Connection: close only if no further request has come. Sessions end before the node does.

The check of purchases allows no missing answer before five sixths of the grace time any more.

--- a/include/auburnchute/shutdown_plan.hpp
+++ b/include/auburnchute/shutdown_plan.hpp
@@ -9,7 +9,7 @@
     millis began_at_{};      ///< The stop signal.
     millis quiet_from_{};    ///< From here on, the process ends as soon as no request is open.
     millis answers_until_{}; ///< Here, what is still open is given up.
-    millis ends_at_{};       ///< The process ends. Until then, the last answers reach their callers.
+    millis ends_at_{};       ///< The process ends. Until then, last answers and refusals reach their callers.
     bool closing_{};         ///< Open requests have been given up, and nothing more is taken.
 };
 
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -71,7 +71,7 @@
 constexpr millis write_limit{10'000};
 
 /// Least time for the rest of a request that a planned stop finds half read.
-constexpr millis least_read_limit{20};
+constexpr millis least_read_time{20};
 
 /// Longest time for which a connection that was answered for the last time waits for its caller to close it.
 constexpr millis linger_limit{2'000};
@@ -161,10 +161,10 @@
     [[nodiscard]] std::string_view request_id() const noexcept override { return request_id_; }
     [[nodiscard]] std::string_view upstream_id() const noexcept override { return last_upstream_; }
     void end_request() override;
+    void abort() override;
 
 private:
     net::awaitable<bool> read_request(caller_request& request);
-    net::awaitable<bool> await_input(millis limit);
     net::awaitable<void> refuse_unread(own_answer answer, std::string request_id);
     net::awaitable<void> close_connection();
     net::awaitable<bool> serve(caller_request& request);
@@ -186,24 +186,17 @@
     net::awaitable<bool> send_answer(upstream_answer answer);
     net::awaitable<bool> send_own(own_answer answer, std::string request_id);
     net::awaitable<void> watch_caller(std::uint64_t watch);
-    /// Decides when the answer is written: the VM may have begun to stop since the request came.
+    /// Decides when the answer is written: the VM may have begun to stop since the request came. A further
+    /// request that has come already is answered, too.
     bool keeps_open()
     {
-        keep_ = keep_ && !node_.stop_;
+        keep_ = keep_ && (!node_.stop_ || buffer_.size() > 0 || has_input(stream_.socket()));
         return keep_;
     }
-    /// Bounds a wait for the caller's bytes by the end of a planned stop.
-    [[nodiscard]] millis read_limit(millis usual) const
-    {
-        return is_closing(node_)
-                   ? std::clamp((node_.stop_->ends_at_ - boot_now()) / 2, least_read_limit, usual)
-                   : usual;
-    }
     /// \returns Whether a read has failed as a planned stop ended the wait for the rest of a request.
     [[nodiscard]] bool ended_by_stop(error_code const& fault) const
     {
-        return is_closing(node_) &&
-               (fault == net::error::operation_aborted || fault == boost::beast::error::timeout);
+        return is_closing(node_) && fault == net::error::operation_aborted;
     }
     void start_watch();
     void end_watch();
@@ -264,9 +257,10 @@
 void caller_session::end_request()
 {
     switch (state()) {
-    case session_state::idle:
     case session_state::reading:
-        stream_.cancel();
+        if (boot_now() - state_since() >= least_read_time) {
+            stream_.cancel();
+        }
         break;
     case session_state::serving:
         given_up_ = true;
@@ -277,28 +271,16 @@
             waiting_->notify();
         }
         break;
+    case session_state::idle:
     case session_state::closing:
         break;
     }
 }
 
-/// Waits for the first byte of a request. Returns false if none comes.
-net::awaitable<bool> caller_session::await_input(millis limit)
+void caller_session::abort()
 {
-    error_code fault;
-    while (buffer_.size() == 0) {
-        if (is_closing(node_) && !has_input(stream_.socket())) {
-            co_return false;
-        }
-        stream_.expires_after(to_chrono(limit));
-        auto const size = co_await stream_.async_read_some(buffer_.prepare(4'096), outcome_in(fault));
-        buffer_.commit(size);
-        bool const woken = fault == net::error::operation_aborted && is_closing(node_);
-        if (fault && !woken) {
-            co_return false;
-        }
-    }
-    co_return true;
+    end_request();
+    stream_.close();
 }
 
 net::awaitable<bool> caller_session::read_request(caller_request& request)
@@ -307,15 +289,20 @@
     auto const limits = config ? config->limits_ : caller_limits{};
     request_id_.clear();
     last_upstream_.clear();
-    if (!co_await await_input(limits.idle_timeout_)) {
-        co_return false;
-    }
     error_code fault;
+    if (buffer_.size() == 0) {
+        stream_.expires_after(to_chrono(limits.idle_timeout_));
+        auto const size = co_await stream_.async_read_some(buffer_.prepare(4'096), outcome_in(fault));
+        buffer_.commit(size);
+        if (fault) {
+            co_return false;
+        }
+    }
     enter(session_state::reading);
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits.header_bytes_);
     parser.body_limit(limits.body_bytes_);
-    stream_.expires_after(to_chrono(read_limit(limits.header_timeout_)));
+    stream_.expires_after(to_chrono(limits.header_timeout_));
     co_await http::async_read_header(stream_, buffer_, parser, outcome_in(fault));
     if (fault == http::error::header_limit) {
         co_await refuse_unread({431, "header-too-large", millis{-1}}, "");
@@ -346,7 +333,7 @@
             co_return false;
         }
     }
-    stream_.expires_after(to_chrono(read_limit(limits.idle_timeout_)));
+    stream_.expires_after(to_chrono(limits.idle_timeout_));
     co_await http::async_read(stream_, buffer_, parser, outcome_in(fault));
     if (fault == http::error::body_limit) {
         co_await refuse_unread({413, "body-too-large", millis{-1}}, request_id_);
@@ -367,6 +354,7 @@
 net::awaitable<void> caller_session::refuse_unread(own_answer answer, std::string request_id)
 {
     keep_ = false;
+    enter(session_state::serving);
     log_failure("request", {{"id", request_id},
                             {"outcome", "own-answer"},
                             {"status", answer.status_},
@@ -942,6 +930,10 @@
     error_code fault;
     stream_.expires_after(to_chrono(write_limit));
     co_await http::async_write(stream_, message, outcome_in(fault));
+    if (fault) {
+        log_failure("answer-unsent",
+                    {{"id", request_id}, {"status", answer.status_}, {"fault", fault.message()}});
+    }
     node_.counters_.count("auburnchute_refusals_total", answer.reason_);
     co_return !fault;
 }
@@ -1050,15 +1042,11 @@
 
 void serve_callers(entry_node& node, std::string const& address)
 {
-    auto acceptor = accept_connections(node.loop_, address, [&node](tcp::socket socket) {
+    accept_connections(node.loop_, address, [&node](tcp::socket socket) {
         auto session = std::make_shared<caller_session>(node, std::move(socket));
         net::co_spawn(
             node.loop_, [session] { return session->run(); }, report_failure);
     });
-    node.stop_accepting_ = [acceptor] {
-        error_code ignored; // a port that cannot be closed ends with the process
-        acceptor->close(ignored);
-    };
 }
 
 } // namespace auburnchute
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -115,7 +115,6 @@
     std::function<void(leave_notice)> leave_noticed_; ///< Called when an upstream says that it leaves.
     std::function<void()> reread_upstreams_;          ///< Called when a record of the upstreams was missed.
     std::function<void()> stop_placing_;              ///< Gives up the order lease for good.
-    std::function<void()> stop_accepting_;            ///< Closes the port for callers.
     /// Keeps the record of a blocked trait in the store, or deletes it there if there is none.
     std::function<void(trait_hash, std::optional<trait_record>)> keep_evidence_;
 };
--- a/src/transport/entry/listen.cpp
+++ b/src/transport/entry/listen.cpp
@@ -31,8 +31,8 @@
 
 } // namespace
 
-std::shared_ptr<tcp::acceptor> accept_connections(net::io_context& loop, std::string const& address,
-                                                  std::function<void(tcp::socket)> take)
+void accept_connections(net::io_context& loop, std::string const& address,
+                        std::function<void(tcp::socket)> take)
 {
     auto const endpoint = parse_endpoint(address);
     auto acceptor = std::make_shared<tcp::acceptor>(loop);
@@ -44,8 +44,7 @@
     } catch (boost::system::system_error const& failure) {
         throw error{"listen", address, failure.what()};
     }
-    net::co_spawn(loop, accept_all(acceptor, std::move(take)), report_failure);
-    return acceptor;
+    net::co_spawn(loop, accept_all(std::move(acceptor), std::move(take)), report_failure);
 }
 
 } // namespace auburnchute
--- a/src/transport/entry/listen.hpp
+++ b/src/transport/entry/listen.hpp
@@ -3,14 +3,13 @@
 #include "transport/entry/async.hpp"
 
 #include <functional>
-#include <memory>
 #include <string>
 
 namespace auburnchute {
 
-/// \brief Accepts connections and hands each to `take` until the acceptor is closed or the loop stops.
+/// \brief Accepts connections and hands each to `take` until the loop stops.
 /// \throws error with step `listen` if the address cannot be had.
-std::shared_ptr<tcp::acceptor> accept_connections(net::io_context& loop, std::string const& address,
-                                                  std::function<void(tcp::socket)> take);
+void accept_connections(net::io_context& loop, std::string const& address,
+                        std::function<void(tcp::socket)> take);
 
 } // namespace auburnchute
--- a/src/transport/entry/open_session.hpp
+++ b/src/transport/entry/open_session.hpp
@@ -49,10 +49,14 @@
     /// \returns The upstream to which the present request was sent last; empty if it was not sent.
     [[nodiscard]] virtual std::string_view upstream_id() const noexcept = 0;
 
-    /// \brief Ends what the caller waits for: a request that runs is given up, one that is being read is
-    /// refused, an idle connection is closed. \pre The node's stop is closing.
+    /// \brief Ends what the caller waits for: a request that runs is given up, one that is half read is
+    /// refused. May miss a request whose read has just ended, so it is called again until the stop ends.
+    /// \pre The node's stop is closing.
     virtual void end_request() = 0;
 
+    /// \brief Closes the connection, whatever its state; the session ends in the loop's next turns.
+    virtual void abort() = 0;
+
 protected:
     open_session() = default;
     open_session(open_session const&) = default;
--- a/src/transport/entry/planned_stop.cpp
+++ b/src/transport/entry/planned_stop.cpp
@@ -9,14 +9,8 @@
 /// Pause between two looks at what is still open.
 constexpr millis look_pause{10};
 
-/// Gives up what is open, and takes nothing more.
-void close_sessions(entry_node& node)
-{
-    node.stop_accepting_();
-    for (auto* const session : *node.sessions_) {
-        session->end_request();
-    }
-}
+/// Longest time for the sessions to end once their connections are closed.
+constexpr millis unwinding_time{100};
 
 /// Names what the end of the process takes from callers all the same.
 void log_unanswered(entry_node& node, millis now)
@@ -52,8 +46,11 @@
     log_decision("stop-closing", {{"open", open_requests(*node.sessions_)},
                                   {"connections", node.sessions_->size()},
                                   {"ms", (plan.answers_until_ - plan.began_at_).count_}});
-    close_sessions(node);
-    while (boot_now() < plan.ends_at_ && !node.sessions_->empty()) {
+    // The port and idle connections stay open, so that whoever comes yet is refused and not cut off.
+    while (boot_now() < plan.ends_at_) {
+        for (auto* const session : *node.sessions_) {
+            session->end_request();
+        }
         co_await pause_for(look_pause);
     }
     auto const now = boot_now();
@@ -61,6 +58,13 @@
     log_decision("stopped", {{"open", open_requests(*node.sessions_)},
                              {"connections", node.sessions_->size()},
                              {"ms", (now - plan.began_at_).count_}});
+    for (auto* const session : *node.sessions_) {
+        session->abort();
+    }
+    // What a session has booked at the node ends with it, so the node has to outlive it.
+    while (!node.sessions_->empty() && boot_now() < now + unwinding_time) {
+        co_await pause_for(millis{1});
+    }
     node.loop_.stop();
 }
 
--- a/tests/transport/entry/planned_stop_test.cpp
+++ b/tests/transport/entry/planned_stop_test.cpp
@@ -157,7 +157,8 @@
             CHECK(status == 200);
             CHECK(is_whole(end.answer_));
         } else {
-            CHECK((status == 503 || end.answer_.empty()));
+            // Only a request that crosses the end of the process may have no answer.
+            CHECK((status == 503 || (end.answer_.empty() && end.sent_ > grace * 5 / 6)));
         }
         // A sixth of the grace time is more than enough for the last answers.
         if (end.sent_ + allowed + scheduling_slack < grace * 5 / 6) {
@@ -245,34 +246,56 @@
     CHECK(tries == 1);
 }
 
-// Guards against a reset that takes the last answer away from a caller that has sent its next request.
+// Guards against a reset that takes the last answer away from a caller that has sent its next request, and
+// against a request that was read behind another one and is dropped.
 TEST_CASE("the last answer on a connection arrives whole although a further request has come",
           "[entry][promise-8][promise-12]")
 {
     bool const stopping = GENERATE(true, false);
-    CAPTURE(stopping);
+    bool const at_once = GENERATE(true, false);
+    CAPTURE(stopping, at_once);
     std::string const goods(400'000, 'g');
-    entry_world world{{after_probe(answering(goods))}, grace_setting};
+    std::promise<void> go_on;
+    auto released = go_on.get_future().share();
+    entry_world world{{after_probe([&](received_request const& request, owned_socket& connection) {
+                          released.wait_for(limit);
+                          connection.send(answer_to(request, goods));
+                          return true;
+                      })},
+                      grace_setting};
     owned_socket const caller{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)};
     int const window = 4'096; // most of the answer waits at the daemon's side
     ::setsockopt(caller.handle(), SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
     auto const address = to_sockaddr(world.ip_, callers_port);
     REQUIRE(::connect(caller.handle(), reinterpret_cast<sockaddr const*>(&address), sizeof address) == 0);
-    if (stopping) {
-        begin_stop(world);
-    }
-    auto first = request_text("GET", "/look/1", "id-first", "", 1s);
+    auto first = request_text("GET", "/look/1", "id-first", "", 1'500ms);
     if (!stopping) {
         first.insert(first.find("\r\n") + 2, "Connection: close\r\n");
     }
-    caller.send(first);
+    auto const second = request_text("GET", "/look/2", "id-second", "", 1'500ms);
+    caller.send(first + (at_once ? second : ""));
     REQUIRE(eventually(limit, [&] { return world.arrivals() == 1; }));
-    caller.send(request_text("GET", "/look/2", "id-second", "", 1s));
+    if (!at_once) {
+        caller.send(second);
+    }
+    if (stopping) {
+        begin_stop(world);
+    }
+    go_on.set_value();
     ::poll(nullptr, 0, 300); // a caller that reads late; the daemon closes meanwhile
-    auto const answer = receive_whole(caller);
-    CHECK(is_whole(answer));
-    CHECK(entry_world::status_of(answer) == 200);
-    CHECK(world.arrivals() == 1);
+    std::string all;
+    for (auto more = caller.receive(); !more.empty(); more = caller.receive()) {
+        all += more;
+    }
+    auto const behind = all.find("HTTP/1.1", 1);
+    CHECK(is_whole(all.substr(0, behind)));
+    CHECK(entry_world::status_of(all) == 200);
+    CHECK((behind != std::string::npos) == stopping);
+    if (stopping) {
+        CHECK(is_whole(all.substr(behind)));
+        CHECK(all.find("X-Request-Id: id-second", behind) != std::string::npos);
+        CHECK(all.find("Connection: close", behind) != std::string::npos);
+    }
 }
 
 // Guards against a caller that has sent a part of its request when the process ends and hears nothing.
@@ -294,42 +317,111 @@
     CHECK(world.arrivals() == 0);
 }
 
-// Guards against a process that was paused during its grace time and takes requests that it has no time for.
-TEST_CASE("a daemon that was paused across the end of its grace time cuts nothing that it takes",
-          "[entry][promise-12]")
+// Guards against a half read request that a stop misses as its read has just ended.
+TEST_CASE("uploads that go on at the end of a planned stop are refused", "[entry][promise-12]")
 {
-    entry_world world{{after_probe(stream_without_end)}, grace_setting};
-    auto const idle = kept_connection(world);
-    auto const late = kept_connection(world);
+    constexpr int uploads = 60;
+    constexpr std::size_t piece = 1'000;
+    constexpr std::size_t pieces = 900;
+    entry_world world{{after_probe(answering("x"))}, grace_setting};
+    auto const began = begin_stop(world);
+    std::vector<std::future<std::string>> answers;
+    for (int i = 0; i < uploads; ++i) {
+        answers.push_back(std::async(std::launch::async, [&, i] {
+            auto const caller = connect_to(world.ip_, callers_port);
+            std::this_thread::sleep_until(began + grace * 3 / 4); // the head comes within its time limit
+            auto text = request_text("POST", "/buy/1", "id-" + std::to_string(i),
+                                     std::string(piece * pieces, 'b'), 700ms);
+            auto const head = text.size() - piece * (pieces - 1);
+            caller.send(text.substr(0, head));
+            pollfd answered{caller.handle(), POLLIN, 0};
+            for (auto at = head; at < text.size() && ::poll(&answered, 1, 1) == 0; at += piece) {
+                caller.send(text.substr(at, piece));
+            }
+            return receive_whole(caller);
+        }));
+    }
+    for (auto& answer : answers) {
+        auto const text = answer.get();
+        CHECK(entry_world::status_of(text) == 503);
+        CHECK(is_whole(text));
+    }
+    CHECK(world.daemon().read_to_end().find("request-unanswered") == std::string::npos);
+    CHECK(world.arrivals() == 0);
+}
+
+// Guards against requests on which a stop gives up in silence after a pause across its end.
+TEST_CASE("what came during a pause across the end of the grace time is refused", "[entry][promise-12]")
+{
+    struct row {
+        char const* what_;
+        bool kept_;
+        std::size_t missing_; ///< Bytes of the request that do not come.
+    };
+    auto const r = GENERATE(row{"whole, kept connection", true, 0}, row{"whole, new connection", false, 0},
+                            row{"part of the body, kept", true, 4}, row{"part of the body, new", false, 4},
+                            row{"part of the head, kept", true, 30}, row{"part of the head, new", false, 30});
+    CAPTURE(r.what_);
+    entry_world world{{after_probe(answering("x"))}, grace_setting};
+    auto const before = kept_connection(world);
     auto const began = begin_stop(world);
     world.daemon().freeze();
-    late.send(request_text("POST", "/buy/1", "id-paused", "an order", 800ms));
-    std::this_thread::sleep_until(began + grace + scheduling_slack); // the pause that the test is about
+    auto const fresh = connect_to(world.ip_, callers_port);
+    auto const& caller = r.kept_ ? before : fresh;
+    auto const text = request_text("POST", "/buy/1", "id-paused", "an order", 800ms);
+    caller.send(text.substr(0, text.size() - r.missing_));
+    std::this_thread::sleep_until(began + grace); // the pause that the test is about
     world.daemon().resume();
-    auto const answer = receive_whole(late);
+    auto const answer = receive_whole(caller);
     CHECK(entry_world::status_of(answer) == 503);
     CHECK(is_whole(answer));
-    CHECK(idle.receive().empty());
+    auto const log = world.daemon().read_to_end();
+    CHECK(log.find("request-unanswered") == std::string::npos);
+    CHECK(log.find("accept-failed") == std::string::npos);
     CHECK(world.daemon().wait_end() == 0);
     CHECK(world.arrivals() == 0);
 }
 
-// Guards against a reload that takes the handling of signals with it, so that the next stop is not graceful.
-TEST_CASE("a planned stop is graceful after a settings file that cannot be read", "[entry][promise-12]")
+// Guards against a purchase that was read and dropped, so that its caller may not send it again.
+TEST_CASE("a request that crosses the end of an idle connection is not read", "[entry][promise-12]")
 {
-    auto const r = GENERATE(as<std::string>{}, "[a, b]: c\n", "{a: 1}: 2\n", "vm: [1\n", "vm: {x: y}\n",
-                            std::string(100'000, '['), std::string("vm: \0\xff\xfe\n", 8), "");
-    CAPTURE(r.substr(0, 20));
-    entry_world world{{after_probe(stream_without_end)}, grace_setting};
+    entry_world world{{after_probe(answering("x"))}, grace_setting};
+    auto const caller = kept_connection(world);
+    begin_stop(world);
+    pollfd ended{caller.handle(), POLLIN, 0};
+    REQUIRE(::poll(&ended, 1, 5'000) == 1);
+    caller.send(request_text("POST", "/buy/1", "id-cross", "an order", 800ms)); // a caller further away
+    int fault = 0;
+    socklen_t size = sizeof fault;
+    CHECK(eventually(2s, [&] {
+        ::getsockopt(caller.handle(), SOL_SOCKET, SO_ERROR, &fault, &size);
+        return fault != 0;
+    }));
+}
+
+// Guards against a blocked write to a caller that outlives what it refers to, and ends unnamed.
+TEST_CASE("a stream whose caller does not read ends with a planned stop and is named", "[entry][promise-12]")
+{
+    entry_world world{{after_probe([](received_request const& request, owned_socket& connection) {
+                          connection.send(stream_head(request));
+                          timeval const brief{0, 200'000};
+                          ::setsockopt(connection.handle(), SOL_SOCKET, SO_SNDTIMEO, &brief, sizeof brief);
+                          pollfd ended{connection.handle(), POLLIN, 0};
+                          for (int number = 1; ::poll(&ended, 1, 0) == 0; ++number) {
+                              connection.send(chunk("id: " + std::to_string(number) +
+                                                    "\ndata: " + std::string(20'000, 'x') + "\n\n"));
+                          }
+                          return false;
+                      })},
+                      grace_setting};
     auto const caller = connect_to(world.ip_, callers_port);
-    caller.send(request_text("POST", "/watch/1", "id-long", "a question", 8s));
+    caller.send(request_text("POST", "/watch/1", "id-stuck", "a question", 8s));
     REQUIRE(eventually(limit, [&] { return world.arrivals() == 1; }));
-    std::ofstream{world.settings_.back(), std::ios::trunc} << r;
-    ::kill(world.daemon().pid(), SIGHUP);
-    CHECK_NOTHROW(world.daemon().wait_text("\"event\":\"settings-rejected\"", 5s));
-    begin_stop(world);
+    auto const began = begin_stop(world);
     auto const log = world.daemon().read_to_end();
-    CHECK(log.find("\"event\":\"request\",\"id\":\"id-long\"") != std::string::npos);
+    CHECK(std::chrono::steady_clock::now() - began < grace);
+    CHECK(log.find("\"event\":\"request-unanswered\",\"id\":\"id-stuck\"") != std::string::npos);
+    CHECK(log.find("\"event\":\"request\",\"id\":\"id-stuck\"") != std::string::npos);
     CHECK(world.daemon().wait_end() == 0);
 }
 
@@ -365,3 +457,42 @@
     CHECK(entry_world::status_of(receive_whole(caller)) == 500);
     CHECK(world.arrivals() == 1);
 }
+
+// Guards against a process that was paused during its grace time and takes requests that it has no time for.
+TEST_CASE("a daemon that was paused across the end of its grace time cuts nothing that it takes",
+          "[entry][promise-12]")
+{
+    entry_world world{{after_probe(stream_without_end)}, grace_setting};
+    auto const idle = kept_connection(world);
+    auto const late = kept_connection(world);
+    auto const began = begin_stop(world);
+    world.daemon().freeze();
+    late.send(request_text("POST", "/buy/1", "id-paused", "an order", 800ms));
+    std::this_thread::sleep_until(began + grace + scheduling_slack); // the pause that the test is about
+    world.daemon().resume();
+    auto const answer = receive_whole(late);
+    CHECK(entry_world::status_of(answer) == 503);
+    CHECK(is_whole(answer));
+    CHECK(idle.receive().empty());
+    CHECK(world.daemon().wait_end() == 0);
+    CHECK(world.arrivals() == 0);
+}
+
+// Guards against a reload that takes the handling of signals with it, so that the next stop is not graceful.
+TEST_CASE("a planned stop is graceful after a settings file that cannot be read", "[entry][promise-12]")
+{
+    auto const r = GENERATE(as<std::string>{}, "[a, b]: c\n", "{a: 1}: 2\n", "vm: [1\n", "vm: {x: y}\n",
+                            std::string(100'000, '['), std::string("vm: \0\xff\xfe\n", 8), "");
+    CAPTURE(r.substr(0, 20));
+    entry_world world{{after_probe(stream_without_end)}, grace_setting};
+    auto const caller = connect_to(world.ip_, callers_port);
+    caller.send(request_text("POST", "/watch/1", "id-long", "a question", 8s));
+    REQUIRE(eventually(limit, [&] { return world.arrivals() == 1; }));
+    std::ofstream{world.settings_.back(), std::ios::trunc} << r;
+    ::kill(world.daemon().pid(), SIGHUP);
+    CHECK_NOTHROW(world.daemon().wait_text("\"event\":\"settings-rejected\"", 5s));
+    begin_stop(world);
+    auto const log = world.daemon().read_to_end();
+    CHECK(log.find("\"event\":\"request\",\"id\":\"id-long\"") != std::string::npos);
+    CHECK(world.daemon().wait_end() == 0);
+}
