End a planned stop as soon as only idle connections are left

Idle connections are closed unread, so that they need no wait; the phase has 50 ms for what came while the process was paused or busy.

--- a/src/transport/entry/planned_stop.cpp
+++ b/src/transport/entry/planned_stop.cpp
@@ -2,6 +2,8 @@
 
 #include "protocol/decision_log.hpp"
 
+#include <algorithm>
+
 namespace auburnchute {
 
 namespace {
@@ -9,9 +11,18 @@
 /// Pause between two looks at what is still open.
 constexpr millis look_pause{10};
 
+/// Least time of the last phase: what came while the process was paused or busy is read and refused.
+constexpr millis least_closing_time{50};
+
 /// Longest time for the sessions to end once their connections are closed.
 constexpr millis unwinding_time{100};
 
+bool all_idle(session_set const& sessions)
+{
+    return std::all_of(sessions.begin(), sessions.end(),
+                       [](open_session const* session) { return session->state() == session_state::idle; });
+}
+
 /// Names what the end of the process takes from callers all the same.
 void log_unanswered(entry_node& node, millis now)
 {
@@ -47,7 +58,8 @@
                                   {"connections", node.sessions_->size()},
                                   {"ms", (plan.answers_until_ - plan.began_at_).count_}});
     // The port and idle connections stay open, so that whoever comes yet is refused and not cut off.
-    while (boot_now() < plan.ends_at_) {
+    auto const least_end = std::min(plan.ends_at_, boot_now() + least_closing_time);
+    while (boot_now() < least_end || (boot_now() < plan.ends_at_ && !all_idle(*node.sessions_))) {
         for (auto* const session : *node.sessions_) {
             session->end_request();
         }
