Let one request go first after the time that an upstream asked for

Callers' requests could break that after a value above a minute, which was cut to a minute; and at the end of the time all that were there went to the upstream at once, which turned them all away if it still wanted none.

Cause: a bound on the time that was meant against values without sense, and no state between "held" and "open".

The first request after it tries; others choose another upstream or wait until it is answered. What callers are told stays at most a minute.

leaving_upstream_test lets ten callers come every 50 ms to an upstream that turns requests away.

--- a/src/coordination/upstream_signals.cpp
+++ b/src/coordination/upstream_signals.cpp
@@ -16,10 +16,30 @@
     }
     if (signals.retry_after_) {
         known.hold_until_ = std::max(known.hold_until_, now + std::min(*signals.retry_after_, max_hold));
+        known.untried_ = known.untried_ || *signals.retry_after_ > millis{0};
+        known.hold_cut_ = known.hold_cut_ || *signals.retry_after_ >= max_hold;
     }
     return signals.leaving_ && !std::exchange(known.leaving_, true);
 }
 
+bool begin_try(upstream_signals& known, std::int64_t started_at, millis now) noexcept
+{
+    if (started_at != known.started_at_ || !known.untried_ || known.trying_from_ > millis{0}) {
+        return false;
+    }
+    known.trying_from_ = now;
+    return true;
+}
+
+void end_try(upstream_signals& known, std::int64_t started_at, bool answered) noexcept
+{
+    if (started_at == known.started_at_) {
+        known.trying_from_ = {};
+        known.untried_ = known.untried_ && !answered;
+        known.hold_cut_ = known.hold_cut_ && !answered;
+    }
+}
+
 upstream_access access_of(upstream_signals const& known, std::int64_t started_at, millis now) noexcept
 {
     if (started_at > known.started_at_) {
@@ -28,7 +48,12 @@
     if (known.leaving_) {
         return upstream_access::leaving;
     }
-    return now < known.hold_until_ ? upstream_access::held : upstream_access::open;
+    if (now < known.hold_until_) {
+        return upstream_access::held;
+    }
+    bool const trying =
+        known.trying_from_ > millis{0} && (known.hold_cut_ || now - known.trying_from_ < try_limit);
+    return trying ? upstream_access::trying : upstream_access::open;
 }
 
 } // namespace auburnchute
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -67,6 +67,9 @@
 /// Shortest wait told to a caller whose request found no room.
 constexpr millis least_retry_after{200};
 
+/// Longest wait told to a caller whose request found no upstream that takes any.
+constexpr millis longest_retry_after{60'000};
+
 /// Longest time in which a caller takes nothing of an answer.
 constexpr millis write_limit{10'000};
 
@@ -103,8 +106,9 @@
 /// upstream that asked for time may be used again.
 millis time_until_open(choice const& chosen, millis now)
 {
-    return chosen.fault_ == choice_fault::all_held ? std::max(least_retry_after, chosen.held_until_ - now)
-                                                   : least_retry_after;
+    return chosen.fault_ == choice_fault::all_held
+               ? std::clamp(chosen.held_until_ - now, least_retry_after, longest_retry_after)
+               : least_retry_after;
 }
 
 /// The answer to a request that is given up: a refusal that says when to come back if it is known not to have
@@ -151,6 +155,35 @@
     std::string fault_;
 };
 
+/// The first request after the time for which an upstream wanted none, while it is not answered.
+class upstream_try {
+public:
+    upstream_try(entry_node& node, chosen_upstream const& upstream)
+        : node_{node}, id_{upstream.id_}, started_at_{upstream.started_at_}, running_{begin_try(
+                                                                                 use_of(node, id_).signals_,
+                                                                                 started_at_, boot_now())}
+    {
+    }
+    upstream_try(upstream_try const&) = delete;
+    upstream_try& operator=(upstream_try const&) = delete;
+    ~upstream_try() { end(false); }
+
+    /// \param answered The upstream has answered, and asked for no time.
+    void end(bool answered)
+    {
+        if (std::exchange(running_, false)) {
+            end_try(use_of(node_, id_).signals_, started_at_, answered);
+            wake_waiting(node_);
+        }
+    }
+
+private:
+    entry_node& node_;
+    std::string id_;
+    std::int64_t started_at_;
+    bool running_;
+};
+
 class caller_session final : public open_session, public std::enable_shared_from_this<caller_session> {
 public:
     caller_session(entry_node& node, tcp::socket socket) : node_{node}, stream_{std::move(socket)} {}
@@ -221,6 +254,7 @@
     std::string last_upstream_; ///< Of the present request, for its log line.
     int last_status_{};
     std::function<void()> end_try_;        ///< Ends the present try; null: none runs.
+    upstream_try* first_try_{};            ///< Of the present try, while it waits for an answer.
     std::function<void()> on_first_event_; ///< Called once when the upstream begins to answer.
     std::function<void()> on_survival_;    ///< Called once when it has answered for `crash_onset`.
     wake_event* waiting_{};
@@ -649,6 +683,8 @@
                   {"entries_age_ms", entries_age_ms(node_)},
                   {"reused", connection->reused_}});
     job.used_.push_back(upstream.id_);
+    upstream_try first_try{node_, upstream};
+    first_try_ = &first_try;
     job.sent_at_ = boot_now();
     job.answer_began_at_ = {};
     // The answer may come before a long body is written, so both run at the same time.
@@ -670,6 +706,8 @@
     };
     on_survival_ = [this, &job, &request] { note_survival(job, request); };
     co_await read_answer(job, upstream, *connection, outcome, reusable, keep_alive);
+    first_try.end(false);
+    first_try_ = nullptr;
     on_first_event_ = nullptr;
     on_survival_ = nullptr;
     end_try_ = nullptr;
@@ -742,6 +780,7 @@
             outcome.fault_ = "an answer that names no request";
             co_return;
         }
+        first_try_->end(!reply.signals_.retry_after_);
         if (reply.closes_connection_) {
             keep_alive = millis{0};
         } else if (reply.keep_alive_) {
--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -176,6 +176,7 @@
     std::vector<upstream const*> entries;
     choice chosen;
     bool service_there = false;
+    bool tried_by_other = false;
     std::optional<millis> held_until;
     for (auto const& [id, entry] : *view.upstreams_) {
         if (entry.service_ != job.service_ || entry.leaving_) {
@@ -204,6 +205,10 @@
             held_until = held_until ? std::min(*held_until, until) : until;
             continue;
         }
+        if (access == upstream_access::trying) {
+            tried_by_other = true;
+            continue;
+        }
         auto const use = fleet_use(node, id, known ? &own->second : nullptr);
         options.push_back(
             {.id_ = id,
@@ -218,6 +223,10 @@
              .already_tried_ = std::find(job.used_.begin(), job.used_.end(), id) != job.used_.end()});
         entries.push_back(&entry);
     }
+    if (options.empty() && tried_by_other) {
+        chosen.fault_ = choice_fault::all_full; // until the try ends
+        return chosen;
+    }
     if (options.empty() && held_until) {
         chosen.fault_ = choice_fault::all_held;
         chosen.held_until_ = *held_until;
--- a/tests/coordination/upstream_signals_test.cpp
+++ b/tests/coordination/upstream_signals_test.cpp
@@ -36,7 +36,8 @@
         millis held_;
     };
     for (auto const& row : {row{millis{0}, millis{0}}, row{millis{1'500}, millis{1'500}},
-                            row{max_hold, max_hold}, row{millis{1LL << 60U}, max_hold}}) {
+                            row{millis{3'600'000}, millis{3'600'000}}, row{max_hold, max_hold},
+                            row{millis{1LL << 60U}, max_hold}}) {
         CAPTURE(row.asked_.count_);
         upstream_signals known;
         auto const now = millis{100};
@@ -50,3 +51,47 @@
         CHECK(known.hold_until_ == now + std::max(row.held_, millis{10})); // the longest counts
     }
 }
+
+// Guards against many requests at once at an upstream whose time is over but which still wants none.
+TEST_CASE("after the time that a process asked for, one request goes first", "[signals]")
+{
+    struct row {
+        millis asked_;
+        bool answered_;
+        upstream_access in_long_try_; ///< While the try has no answer for `try_limit`.
+    };
+    for (auto const& row :
+         {row{millis{1'000}, true, upstream_access::open}, row{millis{1'000}, false, upstream_access::open},
+          row{max_hold * 2, true, upstream_access::trying},
+          row{max_hold * 2, false, upstream_access::trying}}) {
+        CAPTURE(row.asked_.count_, row.answered_);
+        upstream_signals known;
+        (void)note_signals(known, 5, {.leaving_ = false, .retry_after_ = row.asked_}, millis{100});
+        (void)note_signals(known, 5, {.leaving_ = false, .retry_after_ = millis{10}}, millis{101});
+        auto const over = known.hold_until_;
+        CHECK(access_of(known, 5, over) == upstream_access::open);
+        CHECK(begin_try(known, 5, over));
+        CHECK(access_of(known, 5, over) == upstream_access::trying);
+        CHECK(access_of(known, 6, over) == upstream_access::open); // the next process
+        CHECK_FALSE(begin_try(known, 5, over));
+        CHECK(access_of(known, 5, over + try_limit) == row.in_long_try_);
+        end_try(known, 5, row.answered_);
+        CHECK(access_of(known, 5, over) == upstream_access::open);
+        CHECK(begin_try(known, 5, over) != row.answered_);
+    }
+    upstream_signals quiet;
+    CHECK_FALSE(begin_try(quiet, 5, millis{100}));
+}
+
+// Guards against a refused try that lets others through.
+TEST_CASE("a try that is turned away holds the process for the time that it asks for", "[signals]")
+{
+    upstream_signals known;
+    (void)note_signals(known, 5, {.leaving_ = false, .retry_after_ = millis{1'000}}, millis{100});
+    REQUIRE(begin_try(known, 5, millis{1'100}));
+    (void)note_signals(known, 5, {.leaving_ = false, .retry_after_ = millis{2'000}}, millis{1'110});
+    end_try(known, 5, false);
+    CHECK(access_of(known, 5, millis{3'109}) == upstream_access::held);
+    CHECK(access_of(known, 5, millis{3'110}) == upstream_access::open);
+    CHECK(begin_try(known, 5, millis{3'110}));
+}
--- a/tests/transport/entry/leaving_upstream_test.cpp
+++ b/tests/transport/entry/leaving_upstream_test.cpp
@@ -316,6 +316,35 @@
     CHECK(eventually(limit, [&] { return ask() == 200 && held > 1; }));
 }
 
+// Guards against a crowd of callers at an upstream that wants more time when its time is over.
+TEST_CASE("after the time that an upstream asked for, one request goes first", "[entry]")
+{
+    constexpr int crowd = 10;
+    constexpr int pause_ms = 50;
+    std::atomic<int> tries{0};
+    entry_world world{{after_probe([&](received_request const& request, owned_socket& connection) {
+        bool const first = ++tries == 1;
+        std::this_thread::sleep_for(first ? 0ms : 100ms); // it decides while others come
+        return send_answer(answer_kind::refusal, request, connection,
+                           first ? "Retry-After: 1\r\n" : "Retry-After: 30\r\n");
+    })}};
+    REQUIRE(entry_world::status_of(world.call("POST", "/buy/1", "x").receive_until("\r\n\r\n")) == 503);
+    REQUIRE(tries == 1);
+    std::vector<owned_socket> callers;
+    REQUIRE(eventually(limit, [&] {
+        for (int i = 0; i < crowd; ++i) {
+            callers.push_back(world.call("POST", "/buy/1", "x", "Api-Key: key\r\n", "",
+                                         "id-" + std::to_string(callers.size() + 2)));
+        }
+        ::poll(nullptr, 0, pause_ms);
+        return tries > 1;
+    }));
+    for (auto const& caller : callers) {
+        CHECK(entry_world::status_of(caller.receive_until("\r\n\r\n")) == 503);
+    }
+    CHECK(tries == 2);
+}
+
 // Guards against callers that wait for an upstream which nobody may ask, until their time is over.
 TEST_CASE("a caller hears at once when to come back if all upstreams ask for time", "[entry][promise-9]")
 {
