Remember which upstream is not at its address

Callers' requests went to an address that another upstream had taken over every 3 s until the entry was gone, and an upstream that had answered 421 got nothing for 3 s even if its entry had changed meanwhile.

Cause: a 421 closed the upstream's id for a fixed time, whatever its process and address.

Change: a 421 is kept with the start and the address of the process. The first pause is 3 s as before, as one 421 may be false; the next ones double up to a minute while no answer of the process comes between, and requests sent in the same pause count once. A later start or another address ends it at once. For engines, where an unloaded model may be the cause, the pauses begin at 0.3 s and the upstream is avoided, not closed, as before.

--- a/src/coordination/upstream_signals.cpp
+++ b/src/coordination/upstream_signals.cpp
@@ -22,6 +22,37 @@
     return signals.leaving_ && !std::exchange(known.leaving_, true);
 }
 
+void note_astray(upstream_signals& known, std::int64_t started_at, std::string_view address,
+                 millis first_pause, millis now)
+{
+    if (started_at < known.started_at_) {
+        return;
+    }
+    if (started_at > known.started_at_) {
+        known = {.started_at_ = started_at};
+    }
+    bool const again = known.astray_address_ == address;
+    if (again && now < known.astray_until_) {
+        return;
+    }
+    known.astray_pause_ = again ? std::min(known.astray_pause_ * 2, longest_astray_pause) : first_pause;
+    known.astray_until_ = now + known.astray_pause_;
+    known.astray_address_ = address;
+}
+
+void note_answered(upstream_signals& known, std::int64_t started_at) noexcept
+{
+    if (started_at == known.started_at_) {
+        known.astray_address_.clear();
+    }
+}
+
+bool is_astray(upstream_signals const& known, std::int64_t started_at, std::string_view address,
+               millis now) noexcept
+{
+    return started_at <= known.started_at_ && known.astray_address_ == address && now < known.astray_until_;
+}
+
 bool begin_try(upstream_signals& known, std::int64_t started_at, millis now) noexcept
 {
     if (started_at != known.started_at_ || !known.untried_ || known.trying_from_ > millis{0}) {
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -39,8 +39,15 @@
 /// return.
 constexpr millis refused_time{1'000};
 
-/// How long an upstream that said it is leaving, or is another one, gets nothing. Its entry follows by then.
-constexpr millis closed_time{3'000};
+/// First pause after an answer by which another upstream is at the address. The entry usually follows by
+/// then.
+constexpr millis astray_time{3'000};
+
+/// The same for engines, where a model that was unloaded may be the reason.
+constexpr millis engine_astray_time{300};
+
+/// How long an upstream that turned a request away is used only if the others are very busy.
+constexpr millis refusal_time{300};
 
 /// Idle time up to which a kept connection is used for a request that may not be repeated: an upstream that
 /// closes it meanwhile would leave open whether the request ran.
@@ -971,13 +978,16 @@
     switch (outcome.result_) {
     case try_result::answered:
         own.suspect_until_ = {};
+        note_answered(own.signals_, upstream.started_at_);
         break;
     case try_result::refused:
         if (outcome.status_ == misdirected && job.engine_ == nullptr) {
-            own.closed_until_ = now + closed_time;
+            note_astray(own.signals_, upstream.started_at_, upstream.address_, astray_time, now);
             node_.pool_.forget(upstream.id_);
+        } else if (outcome.status_ == misdirected) {
+            note_astray(own.signals_, upstream.started_at_, upstream.address_, engine_astray_time, now);
         } else {
-            own.suspect_until_ = now + millis{300};
+            own.suspect_until_ = now + refusal_time;
         }
         break;
     default:
--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -192,6 +192,10 @@
         if (access == upstream_access::leaving) {
             continue;
         }
+        bool const astray = known && is_astray(own->second.signals_, entry.started_at_, entry.address_, now);
+        if (astray && job.engine_ == nullptr) {
+            continue;
+        }
         service_there = true;
         if (job.engine_ != nullptr && !job.call_.model_.empty()) {
             auto const* const placement = find_placement(node.placements_, id, now);
@@ -219,7 +223,7 @@
              .kv_tokens_ = job.engine_ != nullptr ? job.engine_->kv_tokens_ : 0,
              .excess_latency_ms_ = known ? current_excess_latency(own->second.excess_latency_, now) : 0.0,
              .same_zone_ = entry.availability_zone_ == node.settings_.availability_zone_,
-             .recently_failed_ = known && own->second.suspect_until_ > now,
+             .recently_failed_ = astray || (known && own->second.suspect_until_ > now),
              .already_tried_ = std::find(job.used_.begin(), job.used_.end(), id) != job.used_.end()});
         entries.push_back(&entry);
     }
--- a/tests/coordination/upstream_signals_test.cpp
+++ b/tests/coordination/upstream_signals_test.cpp
@@ -95,3 +95,29 @@
     CHECK(access_of(known, 5, millis{3'110}) == upstream_access::open);
     CHECK(begin_try(known, 5, millis{3'110}));
 }
+
+// Guards against an address that another process took over and that is tried again every few seconds, and
+// against one false answer that takes a process away for good.
+TEST_CASE("a process that is not at its address is tried after growing pauses", "[signals]")
+{
+    millis const first{3'000};
+    upstream_signals known;
+    auto now = millis{100};
+    for (auto const pause : {millis{3'000}, millis{6'000}, millis{12'000}, millis{24'000}, millis{48'000},
+                             millis{60'000}, millis{60'000}}) {
+        CAPTURE(pause.count_);
+        note_astray(known, 5, "a:1", first, now);
+        note_astray(known, 5, "a:1", first, now + millis{1}); // requests sent at the same time
+        CHECK(is_astray(known, 5, "a:1", now + pause - millis{1}));
+        CHECK_FALSE(is_astray(known, 5, "a:1", now + pause));
+        CHECK_FALSE(is_astray(known, 5, "a:2", now));
+        CHECK_FALSE(is_astray(known, 6, "a:1", now));
+        now = now + pause;
+    }
+    note_answered(known, 5);
+    note_astray(known, 5, "a:1", first, now);
+    CHECK_FALSE(is_astray(known, 5, "a:1", now + first));
+    note_astray(known, 6, "a:1", first, now);
+    CHECK(is_astray(known, 6, "a:1", now));
+    CHECK_FALSE(is_astray(known, 6, "a:1", now + first));
+}
--- a/tests/transport/entry/leaving_upstream_test.cpp
+++ b/tests/transport/entry/leaving_upstream_test.cpp
@@ -366,3 +366,33 @@
     }
     CHECK(world.arrivals() == 1);
 }
+
+// Guards against pauses that don't grow while another upstream is at the address, and against an upstream
+// that gets nothing although its entry has changed.
+TEST_CASE("an upstream that is not at its address gets little until its entry changes", "[entry]")
+{
+    std::atomic<bool> astray{true};
+    std::atomic<int> tries{0};
+    entry_world world{{after_probe([&](received_request const& request, owned_socket& connection) {
+                           ++tries;
+                           connection.send(answer_to(request, "x", astray ? 421 : 200));
+                           return true;
+                       }),
+                       after_probe(answering("x"))}};
+    auto const ask = [&] {
+        return entry_world::status_of(world.call("GET", "/look/1").receive_until("\r\n\r\n"));
+    };
+    REQUIRE(eventually(limit, [&] { return ask() == 200 && tries == 1; }));
+    auto const began = steady::now();
+    while (steady::now() - began < 8s) {
+        CHECK(ask() == 200);
+        ::poll(nullptr, 0, leaving_world::pace_ms);
+    }
+    CHECK(tries == 2); // after 3 s; the next is due after 9 s
+    astray = false;
+    auto const before = tries.load();
+    world.put_entry(0, "ready", 2);
+    auto const changed = steady::now();
+    REQUIRE(eventually(limit, [&] { return ask() == 200 && tries > before; }));
+    CHECK(steady::now() - changed < 900ms);
+}
