--- a/tests/transport/entry/leaving_upstream_test.cpp
+++ b/tests/transport/entry/leaving_upstream_test.cpp
@@ -14,6 +14,9 @@
 /// Time in which a leave that the store has confirmed is in force; the default of the daemons' settings.
 constexpr std::chrono::milliseconds leave_bound{2'000};
 
+/// Time that the store takes for a call on a slow day; the bound leaves 600 ms.
+constexpr std::chrono::milliseconds slow_store{400};
+
 /// How long requests go on after a leave.
 constexpr std::chrono::milliseconds observed{4'500};
 
@@ -168,6 +171,28 @@
     CHECK(world.last_arrival(sound) <= leave_bound);
 }
 
+// Guards against VMs that wait at a kept connection which fell silent until a leave is overdue.
+TEST_CASE("a leave is in force in time at VMs whose kept connections to the store fell silent",
+          "[entry][promise-11]")
+{
+    leaving_world world;
+    ::poll(nullptr, 0, leaving_world::settle_ms);
+    std::vector<std::size_t> const sound{world.order_.begin() + readers, world.order_.end()};
+    for (auto const vm : sound) {
+        world.links_[vm]->set_fault(link_fault::silent);
+    }
+    ::poll(nullptr, 0, leaving_world::fault_ms);
+    for (auto const vm : sound) {
+        world.links_[vm]->set_fault(link_fault::none);
+    }
+    for (std::size_t place = 0; place < readers; ++place) {
+        world.break_reader(world.order_[place], reader_fault::store_silent);
+    }
+    world.world_.store_.set_slow(slow_store);
+    world.world_.put_entry(0, "draining", 1);
+    CHECK(world.last_arrival(sound) <= leave_bound);
+}
+
 namespace {
 
 /// How an upstream's answer tells that it leaves.
@@ -291,6 +316,35 @@
     CHECK(eventually(limit, [&] { return ask() == 200 && held > 1; }));
 }
 
+// Guards against a crowd of callers at an upstream that wants more time when its time is over.
+TEST_CASE("after the time that an upstream asked for, one request goes first", "[entry]")
+{
+    constexpr int crowd = 10;
+    constexpr int pause_ms = 50;
+    std::atomic<int> tries{0};
+    entry_world world{{after_probe([&](received_request const& request, owned_socket& connection) {
+        bool const first = ++tries == 1;
+        std::this_thread::sleep_for(first ? 0ms : 100ms); // it decides while others come
+        return send_answer(answer_kind::refusal, request, connection,
+                           first ? "Retry-After: 1\r\n" : "Retry-After: 30\r\n");
+    })}};
+    REQUIRE(entry_world::status_of(world.call("POST", "/buy/1", "x").receive_until("\r\n\r\n")) == 503);
+    REQUIRE(tries == 1);
+    std::vector<owned_socket> callers;
+    REQUIRE(eventually(limit, [&] {
+        for (int i = 0; i < crowd; ++i) {
+            callers.push_back(world.call("POST", "/buy/1", "x", "Api-Key: key\r\n", "",
+                                         "id-" + std::to_string(callers.size() + 2)));
+        }
+        ::poll(nullptr, 0, pause_ms);
+        return tries > 1;
+    }));
+    for (auto const& caller : callers) {
+        CHECK(entry_world::status_of(caller.receive_until("\r\n\r\n")) == 503);
+    }
+    CHECK(tries == 2);
+}
+
 // Guards against callers that wait for an upstream which nobody may ask, until their time is over.
 TEST_CASE("a caller hears at once when to come back if all upstreams ask for time", "[entry][promise-9]")
 {
@@ -312,3 +366,33 @@
     }
     CHECK(world.arrivals() == 1);
 }
+
+// Guards against pauses that don't grow while another upstream is at the address, and against an upstream
+// that gets nothing although its entry has changed.
+TEST_CASE("an upstream that is not at its address gets little until its entry changes", "[entry]")
+{
+    std::atomic<bool> astray{true};
+    std::atomic<int> tries{0};
+    entry_world world{{after_probe([&](received_request const& request, owned_socket& connection) {
+                           ++tries;
+                           connection.send(answer_to(request, "x", astray ? 421 : 200));
+                           return true;
+                       }),
+                       after_probe(answering("x"))}};
+    auto const ask = [&] {
+        return entry_world::status_of(world.call("GET", "/look/1").receive_until("\r\n\r\n"));
+    };
+    REQUIRE(eventually(limit, [&] { return ask() == 200 && tries == 1; }));
+    auto const began = steady::now();
+    while (steady::now() - began < 8s) {
+        CHECK(ask() == 200);
+        ::poll(nullptr, 0, leaving_world::pace_ms);
+    }
+    CHECK(tries == 2); // after 3 s; the next is due after 9 s
+    astray = false;
+    auto const before = tries.load();
+    world.put_entry(0, "ready", 2);
+    auto const changed = steady::now();
+    REQUIRE(eventually(limit, [&] { return ask() == 200 && tries > before; }));
+    CHECK(steady::now() - changed < 900ms);
+}
