--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -257,7 +257,7 @@
     std::string request_id_;    ///< Of the present request.
     std::string last_upstream_; ///< Of the present request, for its log line.
     int last_status_{};
-    std::function<void()> end_try_;        ///< Ends the present try; null: none runs.
+    std::function<void()> cancel_try_;        ///< Ends the present try; null: none runs.
     upstream_try* first_try_{};            ///< Of the present try, while it waits for an answer.
     std::function<void()> on_first_event_; ///< Called once when the upstream begins to answer.
     std::function<void()> on_survival_;    ///< Called once when it has answered for `crash_onset`.
@@ -305,8 +305,8 @@
         break;
     case session_state::serving:
         given_up_ = true;
-        if (end_try_) {
-            end_try_();
+        if (cancel_try_) {
+            cancel_try_();
         }
         if (waiting_ != nullptr) {
             waiting_->notify();
@@ -433,8 +433,8 @@
         co_return; // the caller's next request
     }
     gone_ = true;
-    if (end_try_) {
-        end_try_();
+    if (cancel_try_) {
+        cancel_try_();
     }
     if (waiting_ != nullptr) {
         waiting_->notify();
@@ -457,7 +457,7 @@
         own = co_await dispatch_safely(job, request);
         end_watch();
     }
-    end_try_ = nullptr;
+    cancel_try_ = nullptr;
     if (own && job.execution_ == execution::not_run) {
         refund(node_, job);
     }
@@ -640,7 +640,7 @@
     if (!open) {
         connection = node_.pool_.make(upstream.id_);
     }
-    end_try_ = [connection] {
+    cancel_try_ = [connection] {
         error_code ignored; // its reader notices
         connection->stream_.socket().close(ignored);
     };
@@ -649,7 +649,7 @@
         co_await upstream_pool::open(connection, upstream.address_,
                                      std::min(connect_limit, job.deadline_ - now), fault);
         if (fault) {
-            end_try_ = nullptr;
+            cancel_try_ = nullptr;
             outcome.fault_ = "connect: " + fault.message();
             outcome.upstream_gone_ = fault == net::error::connection_refused;
             co_return outcome;
@@ -727,7 +727,7 @@
     first_try_ = nullptr;
     on_first_event_ = nullptr;
     on_survival_ = nullptr;
-    end_try_ = nullptr;
+    cancel_try_ = nullptr;
     if (outcome.result_ == try_result::answered) {
         note_survival(job, request);
     }
@@ -741,13 +741,13 @@
         outcome.result_ == try_result::cut_before_answer || outcome.result_ == try_result::cut_in_answer;
     if (broke && !gone_ && !given_up_ && boot_now() < job.deadline_) {
         auto const probe = node_.pool_.make(upstream.id_);
-        end_try_ = [probe] {
+        cancel_try_ = [probe] {
             error_code ignored; // the probe's end is what matters
             probe->stream_.socket().close(ignored);
         };
         error_code fault;
         co_await upstream_pool::open(probe, upstream.address_, probe_limit, fault);
-        end_try_ = nullptr;
+        cancel_try_ = nullptr;
         outcome.upstream_gone_ = fault == net::error::connection_refused;
         if (outcome.upstream_gone_) {
             note_crash(job, request, upstream, outcome);
