Take in a planned stop of auburnchuted only what can end in it

Callers saw, from SIGTERM on for entry_ttl_ms, that the daemon took and sent on every request whatever its time limit, and tried again those whose upstream failed; requests that waited for a place waited on. What ran longer held up the end: 120 s for the requests that were open, then without a limit for their connections. No log line named them.

The cause is that the stop had no time of its own. Now the setting stop_grace_ms (140 s by default, as 10 s, 120 s and 10 s before) is divided by plan_shutdown. A request whose deadline lies beyond the time for answers is refused as not run when it arrives, when it waits and before a further try. At the end of that time what is open is given up: a whole 503 or an error event, and a log line with its id. A watch ends the process at the end of the grace time. A connection that a stop breaks is no evidence against the upstream.

A stream has no limit on its whole time: it is taken if its start lies within the stop, and may be given up.

--- a/apps/auburnchuted.cpp
+++ b/apps/auburnchuted.cpp
@@ -5,11 +5,19 @@
 
 #include <auburnchute/error.hpp>
 
+#include <algorithm>
+#include <chrono>
+#include <condition_variable>
 #include <csignal>
+#include <cstdlib>
 #include <docopt/docopt.h>
 
 #include <iostream>
+#include <mutex>
 #include <pthread.h>
+#include <string>
+#include <thread>
+#include <utility>
 
 namespace {
 
@@ -30,7 +38,8 @@
   --version         Show the version.
 
 SIGTERM or SIGINT begins a planned stop: the VM leaves the entry list, running
-requests are finished, and the daemon exits. A second signal ends it at once.
+requests are finished, and the daemon exits, within `stop_grace_ms` of the
+settings. A second signal gives up the running requests.
 
 Exit codes: 0 ended as planned, 1 failed, 2 the settings have a fault.
 )";
@@ -38,11 +47,15 @@
 /// Connection threads hold little on their stacks; 8 MiB each would count against the VM's address space.
 constexpr std::size_t thread_stack_bytes = 512 * 1024;
 
-/// Longest wait for running requests in a planned stop.
-constexpr millis drain_limit{120'000};
-
+/// Longest time for the fleet to take over this VM's share, after the last answer.
 constexpr millis leave_limit{10'000};
 
+/// Largest part of the grace time for this.
+constexpr std::int64_t leave_parts = 6;
+
+/// Pause between two looks at what is still open.
+constexpr millis look_pause{10};
+
 /// Waits for a signal to stop; all threads inherit the blocked mask.
 void block_signals(sigset_t& signals)
 {
@@ -60,6 +73,49 @@
     return sigtimedwait(&signals, nullptr, &limit) > 0;
 }
 
+/// Ends the process at the end of the grace time, whatever it waits for.
+class exit_watch {
+public:
+    exit_watch(auburnchute::clock const& clk, millis ends_at, std::string vm)
+        : thread_{[this, &clk, ends_at, vm = std::move(vm)](std::stop_token const& stop) {
+              std::unique_lock lock{mutex_};
+              while (!stop.stop_requested() && now(clk) < ends_at) {
+                  wake_.wait_for(lock, stop, std::chrono::milliseconds{(ends_at - now(clk)).count_},
+                                 [] { return false; });
+              }
+              if (!stop.stop_requested()) {
+                  log_fault("stop", vm, "did not end within the grace time");
+                  std::_Exit(1);
+              }
+          }}
+    {
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable_any wake_;
+    std::jthread thread_;
+};
+
+/// Gives callers their last answers. Returns true if a second signal has come.
+bool end_requests(http_front& callers, request_queue& queue, stop_gate& stop, auburnchute::clock const& clk,
+                  shutdown_plan const& plan, sigset_t const& signals)
+{
+    bool hurried = false;
+    while (!hurried && now(clk) < plan.answers_until_ &&
+           (now(clk) < plan.quiet_from_ || callers.open_requests() > 0)) {
+        hurried = wait_for_signal(signals, look_pause);
+    }
+    auto const closing = stop.close();
+    queue.refuse_waiting();
+    while (now(clk) < closing.ends_at_ && callers.open_requests() > 0) {
+        hurried = wait_for_signal(signals, look_pause) || hurried;
+    }
+    stop.log_unanswered();
+    callers.stop();
+    return hurried;
+}
+
 void serve(settings const& config, sigset_t const& signals)
 {
     auburnchute::clock const clk;
@@ -67,8 +123,9 @@
     trail_store trails;
     span_sink spans{config.trace_file_};
     fleet_control control{config, clk, counters, trails};
-    request_queue queue{control, counters};
-    request_services const services{config, control, queue, counters, trails, spans};
+    stop_gate stop{clk};
+    request_queue queue{control, counters, stop};
+    request_services const services{config, control, queue, counters, trails, spans, stop};
     http_front callers{services};
     admin_front operators{services};
     auto const callers_port = callers.start();
@@ -81,16 +138,18 @@
 
     while (!wait_for_signal(signals, {500}) && !control.is_stopping()) {
     }
-    control.begin_stop();
+    auto const began = now(clk);
+    auto const whole = plan_shutdown(began, config.stop_grace_, config.entry_ttl_);
+    exit_watch const watch{clk, whole.ends_at_, config.vm_};
+    auto const leave_time = std::min(leave_limit, config.stop_grace_ / leave_parts);
+    auto const plan = plan_shutdown(began, config.stop_grace_ - leave_time, config.entry_ttl_);
     // Callers may keep the entry list that still names this VM for its lifetime.
-    bool hurried = wait_for_signal(signals, config.entry_ttl_);
-    callers.begin_drain();
-    auto const deadline = now(clk) + drain_limit;
-    while (!hurried && callers.open_requests() > 0 && now(clk) < deadline) {
-        hurried = wait_for_signal(signals, {50});
-    }
-    callers.stop();
-    control.finish_stop(hurried ? millis{1} : leave_limit);
+    stop.begin(plan, began + config.entry_ttl_);
+    queue.refuse_waiting();
+    control.begin_stop();
+    bool const hurried = end_requests(callers, queue, stop, clk, plan, signals);
+    auto const left = std::max(millis{1}, whole.answers_until_ - now(clk));
+    control.finish_stop(hurried ? millis{1} : std::min(leave_limit, left));
     operators.stop();
     log_change("stop", config.vm_, "ended");
 }
--- a/src/transport/http_front.cpp
+++ b/src/transport/http_front.cpp
@@ -164,11 +164,6 @@
     return listener_->start(services_.config_.callers_, "callers");
 }
 
-void http_front::begin_drain() noexcept
-{
-    draining_.store(true);
-}
-
 int http_front::open_requests() const noexcept
 {
     return open_.load();
@@ -181,13 +176,18 @@
 
 bool http_front::refuse_if_full(request_context const& context, httplib::Response& response) const
 {
-    if (!draining_.load() && open_.load() <= services_.config_.max_open_streams_) {
+    bool const stops = !services_.stop_.takes_requests();
+    if (!stops && open_.load() <= services_.config_.max_open_streams_) {
         return false;
     }
-    auto refused = make_problem(context, 503, "not-ready", "accept",
-                                draining_.load() ? "not run: this VM is stopping; ask /v1/entries for another"
-                                                 : "not run: this VM serves as many requests as it can");
-    refused.retry_after_s_ = 1;
+    problem refused;
+    if (stops) {
+        refused = make_stop_problem(services_, context);
+    } else {
+        refused = make_problem(context, 503, "not-ready", "accept",
+                               "not run: this VM serves as many requests as it can");
+        refused.retry_after_s_ = 1;
+    }
     answer_problem(refused, response);
     response.set_header("Connection", "close");
     services_.metrics_.count("auburnchute_requests_total", "refused");
--- a/src/transport/http_front.hpp
+++ b/src/transport/http_front.hpp
@@ -17,7 +17,7 @@
 
 /// \brief The HTTP interface for callers.
 ///
-/// Thread safety: `begin_drain`, `open_requests` and `stop` may be called from any thread.
+/// Thread safety: `open_requests` and `stop` may be called from any thread.
 class http_front {
 public:
     explicit http_front(request_services services);
@@ -29,9 +29,6 @@
     /// the address cannot be bound.
     int start();
 
-    /// \brief From now on new requests are refused as not run; running ones go on.
-    void begin_drain() noexcept;
-
     /// \returns Requests that are being answered.
     [[nodiscard]] int open_requests() const noexcept;
 
@@ -52,7 +49,6 @@
     std::unique_ptr<httplib::Server> server_;
 
     std::atomic<int> open_{};
-    std::atomic<bool> draining_{};
     std::unique_ptr<http_listener> listener_;
 };
 
--- a/src/transport/model_call.cpp
+++ b/src/transport/model_call.cpp
@@ -80,6 +80,7 @@
     std::condition_variable ready_;
     std::condition_variable room_;
     std::deque<item> items_;
+    bool given_up_{};
     std::atomic<bool> closed_{};
     httplib::Client* client_{};
 };
@@ -102,11 +103,14 @@
 std::optional<problem> model_call::start_try()
 {
     if (auto refused = wait_for_place(services_, context_, wanted_, grant_)) {
+        if (grant_.verdict_ == slot_verdict::stopping) {
+            return make_stop_problem(services_, context_, ran_);
+        }
         refused->execution_ = ran_;
         return refused;
     }
     // The key may have been withdrawn while the request waited.
-    if (auto ended = must_not_start(services_, context_)) {
+    if (auto ended = must_not_start(services_, context_, ran_)) {
         services_.queue_.release(wanted_, grant_, {1});
         ended->execution_ = ran_;
         return ended;
@@ -125,6 +129,11 @@
         body["resume_from"] = tokens_;
     }
     channel_ = std::make_shared<channel>();
+    (void)context_.open_->on_give_up([woken = channel_] {
+        std::lock_guard const lock{woken->mutex_};
+        woken->given_up_ = true;
+        woken->ready_.notify_all();
+    });
     reader_ = std::jthread{[this, out = channel_, grant = grant_, text = body.dump()](
                                std::stop_token const& stop) { read_upstream(stop, out, grant, text); }};
     return std::nullopt;
@@ -310,7 +319,7 @@
         wanted_.isolated_ = context_.suspect_;
         if (verdict != crash_verdict::confirmed) {
             while (context_.suspect_ && !services_.control_.may_start_isolated(context_.fingerprint_) &&
-                   now(services_.control_.time_source()) < limit) {
+                   services_.stop_.may_start(limit) && now(services_.control_.time_source()) < limit) {
                 std::this_thread::sleep_for(std::chrono::milliseconds{20});
             }
             return std::nullopt;
@@ -334,7 +343,8 @@
         channel::item item;
         {
             std::unique_lock lock{channel_->mutex_};
-            channel_->ready_.wait_for(lock, check_interval, [this] { return !channel_->items_.empty(); });
+            channel_->ready_.wait_for(lock, check_interval,
+                                      [this] { return channel_->given_up_ || !channel_->items_.empty(); });
             if (channel_->items_.empty()) {
                 lock.unlock();
                 auto ended = must_end(services_, context_);
@@ -342,6 +352,9 @@
                 if (!ended && !late) {
                     continue;
                 }
+                if (ended && !first_seen_) {
+                    ended->execution_ = execution::unknown;
+                }
                 answer_event failed;
                 failed.problem_ =
                     ended ? std::move(*ended)
@@ -366,7 +379,9 @@
                 use_tokens(services_, context_, request_.prompt_tokens_);
             }
             if (auto ended = must_end(services_, context_)) {
-                note(services_, context_, "relay", "key_withdrawn");
+                if (!services_.stop_.is_closing()) {
+                    note(services_, context_, "relay", "key_withdrawn");
+                }
                 answer_event failed;
                 failed.problem_ = std::move(*ended);
                 return finish(std::move(failed), "failed");
--- a/src/transport/request_context.cpp
+++ b/src/transport/request_context.cpp
@@ -72,6 +72,7 @@
     context.arrived_ = now(services.control_.time_source());
     context.arrived_wall_ = wall_now();
     services.control_.read([&](fleet_view const& view) { context.id_ = next_request_id(view.self_); });
+    context.open_ = services.stop_.open(context.id_, context.arrived_);
     context.trail_.id_ = context.id_;
     context.trail_.kind_ = "request";
     note(services, context, "accept", "received");
@@ -184,10 +185,10 @@
         note(services, context, "route", "matched");
         return std::nullopt;
     });
-    if (refused) {
-        return refused;
+    if (!refused && !services.stop_.may_start(context.deadline_)) {
+        return make_stop_problem(services, context);
     }
-    return std::nullopt;
+    return refused;
 }
 
 std::optional<problem> check_quarantine(request_services& services, request_context& context,
@@ -201,6 +202,9 @@
             return make_problem(context, 503, "too-late", "wait",
                                 "not run: suspected of crashing an upstream and could not run alone in time");
         }
+        if (!services.stop_.may_start(context.deadline_)) {
+            return make_stop_problem(services, context);
+        }
         std::this_thread::sleep_for(suspect_poll);
         verdict = services.control_.judge_request(context.fingerprint_);
     }
@@ -301,6 +305,8 @@
         refused.retry_after_s_ = 1;
         return refused;
     }
+    case slot_verdict::stopping:
+        return make_stop_problem(services, context);
     case slot_verdict::expired:
         break;
     }
@@ -312,8 +318,28 @@
     return refused;
 }
 
+problem make_stop_problem(request_services const& services, request_context const& context, execution ran)
+{
+    if (ran != execution::not_run) {
+        return make_problem(context, 503, "not-ready", "relay", "this VM stops before the answer is whole",
+                            ran);
+    }
+    bool const other_vm_is_ready = services.control_.read([](fleet_view const& view) {
+        return std::any_of(view.state_->members_.begin(), view.state_->members_.end(), [&](auto const& item) {
+            return item.first != view.self_ && item.second.status_ == member_status::live;
+        });
+    });
+    auto refused = make_problem(context, 503, "not-ready", "accept",
+                                "not run: this VM is stopping; ask /v1/entries for another");
+    refused.retry_after_s_ = (services.stop_.retry_after(other_vm_is_ready).count_ + 999) / 1'000;
+    return refused;
+}
+
 std::optional<problem> must_end(request_services& services, request_context const& context)
 {
+    if (services.stop_.is_closing()) {
+        return make_stop_problem(services, context, execution::ran);
+    }
     return services.control_.read([&](fleet_view const& view) -> std::optional<problem> {
         if (!context.route_.open_ && !view.state_->keys_.contains(context.key_digest_)) {
             return make_problem(context, 401, "unauthorized", "relay", "the key was withdrawn",
@@ -330,8 +356,12 @@
     });
 }
 
-std::optional<problem> must_not_start(request_services& services, request_context const& context)
+std::optional<problem> must_not_start(request_services& services, request_context const& context,
+                                      execution ran)
 {
+    if (!services.stop_.may_start(context.deadline_)) {
+        return make_stop_problem(services, context, ran);
+    }
     if (auto ended = must_end(services, context)) {
         return ended;
     }
--- a/src/transport/request_context.hpp
+++ b/src/transport/request_context.hpp
@@ -6,6 +6,7 @@
 #include "protocol/trace.hpp"
 #include "transport/fleet_control.hpp"
 #include "transport/request_queue.hpp"
+#include "transport/stop_gate.hpp"
 
 #include <auburnchute/clock.hpp>
 
@@ -23,6 +24,7 @@
     metrics& metrics_;
     trail_store& trails_;
     span_sink& spans_;
+    stop_gate& stop_;
 };
 
 /// \brief One caller's request on its way through the steps.
@@ -44,6 +46,7 @@
     bool suspect_{};
     std::int64_t reserved_{}; ///< Tokens reserved and not yet used or returned.
     decision_trail trail_;
+    std::shared_ptr<open_request> open_;
 };
 
 /// \brief Begins a request: id, trace and deadline-independent facts.
@@ -87,14 +90,18 @@
 [[nodiscard]] std::optional<problem> wait_for_place(request_services& services, request_context& context,
                                                     slot_request const& wanted, slot_grant& grant);
 
-/// \returns Why an open stream must end, or none: the key was withdrawn, or the daemon's share may be used by
-/// others.
+/// \brief Makes the answer to a request for which a planned stop leaves no time: a refusal if it has not run.
+[[nodiscard]] problem make_stop_problem(request_services const& services, request_context const& context,
+                                        execution ran = execution::not_run);
+
+/// \returns Why an open stream must end, or none: the key was withdrawn, the daemon's share may be used by
+/// others, or a planned stop ends.
 [[nodiscard]] std::optional<problem> must_end(request_services& services, request_context const& context);
 
 /// \returns Why a request that has waited may not start, or none. Stricter than `must_end`, since it has not
-/// run yet.
+/// run yet. \param ran Whether an earlier try ran.
 [[nodiscard]] std::optional<problem> must_not_start(request_services& services,
-                                                    request_context const& context);
+                                                    request_context const& context, execution ran);
 
 /// \brief Makes a problem with the context's row and id.
 [[nodiscard]] problem make_problem(request_context const& context, int status, std::string_view type,
--- a/src/transport/request_queue.cpp
+++ b/src/transport/request_queue.cpp
@@ -46,8 +46,8 @@
 
 } // namespace
 
-request_queue::request_queue(fleet_control& control, metrics& counters)
-    : control_{control}, metrics_{counters}
+request_queue::request_queue(fleet_control& control, metrics& counters, stop_gate const& stop)
+    : control_{control}, metrics_{counters}, stop_{stop}
 {
 }
 
@@ -191,6 +191,11 @@
     bool queued = false;
     control_.read([&](fleet_view const& view) {
         std::lock_guard const lock{pool.mutex_};
+        // Under the lock, so that `refuse_waiting` misses no request.
+        if (!stop_.may_start(request.deadline_)) {
+            grant.verdict_ = slot_verdict::stopping;
+            return;
+        }
         book_arrival(view, pool, request);
         if (pool.waiters_.empty() && take_place(view, request, grant)) {
             ++pool.usage_[request.key_].running_;
@@ -305,6 +310,25 @@
     });
 }
 
+void request_queue::refuse_waiting()
+{
+    std::lock_guard const lock{mutex_};
+    for (auto const& [name, queue] : pools_) {
+        auto& pool = *queue;
+        std::lock_guard const pool_lock{pool.mutex_};
+        std::erase_if(pool.waiters_, [&](auto const& item) {
+            if (stop_.may_start(item.second->request_.deadline_)) {
+                return false;
+            }
+            cancel(pool.queue_, item.first);
+            item.second->grant_.verdict_ = slot_verdict::stopping;
+            item.second->done_ = true;
+            item.second->wake_.notify_all();
+            return true;
+        });
+    }
+}
+
 std::map<model_key, model_demand> request_queue::demand() const
 {
     std::map<model_key, model_demand> all;
--- a/src/transport/request_queue.hpp
+++ b/src/transport/request_queue.hpp
@@ -2,6 +2,7 @@
 
 #include "protocol/metrics.hpp"
 #include "transport/fleet_control.hpp"
+#include "transport/stop_gate.hpp"
 
 #include <auburnchute/admission.hpp>
 #include <auburnchute/clock.hpp>
@@ -32,7 +33,7 @@
     std::string avoid_; ///< The upstream on which the request last failed.
 };
 
-enum class slot_verdict : std::uint8_t { granted, too_late, queue_full, expired };
+enum class slot_verdict : std::uint8_t { granted, too_late, queue_full, expired, stopping };
 
 /// \brief A place on an upstream.
 struct slot_grant {
@@ -52,7 +53,7 @@
 /// pool's lock for one pass over the candidates.
 class request_queue {
 public:
-    request_queue(fleet_control& control, metrics& counters);
+    request_queue(fleet_control& control, metrics& counters, stop_gate const& stop);
 
     /// \brief Waits for a place until the deadline. \returns The grant; `release` must follow if it was
     /// granted.
@@ -64,6 +65,9 @@
     /// \brief Tries all queues again, after a new view was published.
     void dispatch_all();
 
+    /// \brief Ends the wait of requests that a planned stop lets no longer start.
+    void refuse_waiting();
+
     /// \returns This daemon's demand for models.
     [[nodiscard]] std::map<model_key, model_demand> demand() const;
 
@@ -113,6 +117,7 @@
 
     fleet_control& control_;
     metrics& metrics_;
+    stop_gate const& stop_;
     mutable std::mutex mutex_; ///< Guards the map of pools.
     std::map<std::string, std::unique_ptr<pool_queue>> pools_;
     std::atomic<std::uint64_t> next_ticket_{1};
--- a/src/transport/service_call.cpp
+++ b/src/transport/service_call.cpp
@@ -44,6 +44,7 @@
 
 struct service_result {
     try_result result_{try_result::not_sent};
+    bool given_up_{}; ///< The end of a planned stop broke the connection, not the upstream.
     int status_{};
     std::string content_type_;
     std::string body_;
@@ -69,7 +70,13 @@
     httplib::Response response;
     httplib::Error fault = httplib::Error::Success;
     service_result result;
-    if (client->send(forwarded, response, fault)) {
+    if (!context.open_->on_give_up([&client] { client->stop(); })) {
+        result.given_up_ = true;
+        return result;
+    }
+    bool const answered = client->send(forwarded, response, fault);
+    (void)context.open_->on_give_up({});
+    if (answered) {
         auto const echoed = response.get_header_value("X-Request-Id");
         bool const crossed = !echoed.empty() && echoed != context.id_;
         result.result_ = crossed ? try_result::wrong_answer : try_result::answered;
@@ -80,6 +87,7 @@
     } else {
         bool const never = fault == httplib::Error::Connection || fault == httplib::Error::ConnectionTimeout;
         result.result_ = never ? try_result::not_sent : try_result::cut_before_answer;
+        result.given_up_ = services.stop_.is_closing();
     }
     write_step_span(services, context, "relay", started, grant.upstream_);
     return result;
@@ -122,11 +130,11 @@
     auto const started = now(services.control_.time_source());
     services.control_.request_started(grant.upstream_, context.id_, context.fingerprint_, context.suspect_);
     auto result = call_service(services, context, grant, request);
-    if (result.result_ == try_result::cut_before_answer) {
+    if (result.result_ == try_result::cut_before_answer && !result.given_up_) {
         services.control_.connection_broke(grant.upstream_, grant.replica_, context.id_);
-    } else if (result.result_ == try_result::not_sent) {
+    } else if (result.result_ == try_result::not_sent && !result.given_up_) {
         grant.counters_->refused_connections_.fetch_add(1, std::memory_order_relaxed);
-    } else if (context.suspect_) {
+    } else if (context.suspect_ && !result.given_up_) {
         services.control_.suspect_finished(context.fingerprint_);
     }
     services.control_.request_ended(grant.upstream_, context.id_);
@@ -146,11 +154,14 @@
         slot_grant grant;
         if (auto refused = wait_for_place(services, context, wanted, grant)) {
             refused->execution_ = ran;
+            if (grant.verdict_ == slot_verdict::stopping) {
+                refused = make_stop_problem(services, context, ran);
+            }
             answer_problem(*refused, response);
             end_request(services, context, ran == execution::not_run ? "refused" : "failed");
             return;
         }
-        if (auto ended = must_not_start(services, context)) {
+        if (auto ended = must_not_start(services, context, ran)) {
             services.queue_.release(wanted, grant, {1});
             ended->execution_ = ran;
             answer_problem(*ended, response);
@@ -171,9 +182,11 @@
         note(services, context, result.result_ == try_result::not_sent ? "connect" : "relay",
              result.result_ == try_result::not_sent ? "failed " + grant.upstream_
                                                     : "cut " + grant.upstream_ + " 0");
-        if (!budgets.again(pool, result.result_, true, tries, now(services.control_.time_source()),
-                           context.deadline_)) {
-            auto failed = make_problem(context, 502, "upstream-failed", "relay", "the upstream failed", ran);
+        if (result.given_up_ || !budgets.again(pool, result.result_, true, tries,
+                                               now(services.control_.time_source()), context.deadline_)) {
+            auto failed = result.given_up_ ? make_stop_problem(services, context, ran)
+                                           : make_problem(context, 502, "upstream-failed", "relay",
+                                                          "the upstream failed", ran);
             failed.peer_ = grant.upstream_;
             answer_problem(failed, response);
             end_request(services, context, ran == execution::not_run ? "refused" : "failed");
@@ -279,6 +292,7 @@
         std::condition_variable done_;
         std::optional<submit_result> result_;
         bool abandoned_{};
+        bool given_up_{};
     };
     auto const wait = std::make_shared<shared_wait>();
     auto& control = services.control_;
@@ -296,9 +310,14 @@
         }
     });
     auto const left = std::min(context.deadline_ - now(control.time_source()), claim_wait);
+    (void)context.open_->on_give_up([wait] {
+        std::lock_guard const woken{wait->mutex_};
+        wait->given_up_ = true;
+        wait->done_.notify_all();
+    });
     std::unique_lock lock{wait->mutex_};
     wait->done_.wait_for(lock, std::chrono::milliseconds{std::max<std::int64_t>(0, left.count_)},
-                         [&wait] { return wait->result_.has_value(); });
+                         [&wait] { return wait->given_up_ || wait->result_.has_value(); });
     if (!wait->result_ || !wait->result_->known_) {
         wait->abandoned_ = true;
         note(services, context, "claim", "log_down");
@@ -363,6 +382,13 @@
                (context.route_.open_ || view.state_->keys_.contains(context.key_digest_));
     });
     service_result result;
+    if (!services.stop_.may_start(context.deadline_)) {
+        services.queue_.release(wanted, grant, {1});
+        record_outcome(services, context, key, self, result);
+        answer_problem(make_stop_problem(services, context), response);
+        end_request(services, context, "refused");
+        return;
+    }
     if (may_call) {
         result = try_once(services, context, wanted, grant, request);
     } else {
--- a/tests/protocol/settings_test.cpp
+++ b/tests/protocol/settings_test.cpp
@@ -54,6 +54,7 @@
     CHECK(own.max_open_streams_ == 2000);
     CHECK(own.max_body_bytes_ == 4'194'304);
     CHECK(own.entry_ttl_ == millis{10'000});
+    CHECK(own.stop_grace_ == millis{140'000});
 }
 
 // Guards against keys that are accepted but not used.
@@ -78,8 +79,10 @@
 order_key: order-key-0123456
 traces: {file: spans.jsonl}
 log_level: warning
+stop_grace_ms: 8000
 )");
 
+    CHECK(own.stop_grace_ == millis{8'000});
     CHECK(own.callers_ == listen_address{"0.0.0.0", 0});
     CHECK(own.advertised_callers_ == "127.0.0.2:80");
     CHECK(own.callers_certificate_ == "c.pem");
@@ -143,6 +146,12 @@
          "at least 16 characters"},
         {"vm: entry-a1", "log_level: loud\nvm: entry-a1", "entry.yaml:1:12",
          "trace, debug, info, warning or error"},
+        {"vm: entry-a1", "stop_grace_ms: 0\nvm: entry-a1", "entry.yaml:1:16",
+         "`stop_grace_ms`: expected a whole number of milliseconds from 1"},
+        {"vm: entry-a1", "stop_grace_ms: 8s\nvm: entry-a1", "entry.yaml:1:16",
+         "`stop_grace_ms`: expected a whole number of milliseconds from 1"},
+        {"vm: entry-a1", "stop_grace_ms: 3600001\nvm: entry-a1", "entry.yaml:1:16",
+         "`stop_grace_ms`: expected a whole number of milliseconds from 1 to 3600000"},
         {"vm: entry-a1", "vm: \"unfinished", "entry.yaml:", "not found"},
         {"vm: entry-a1", "? [a]\n: 1\nvm: entry-a1", "entry.yaml:1:3", "expected a key"},
     }));
--- a/tests/transport/child_process.hpp
+++ b/tests/transport/child_process.hpp
@@ -29,8 +29,9 @@
 /// Thread safety: none.
 class child_process {
 public:
+    /// \param with_errors Whether standard error is read through the same pipe.
     /// \throws std::runtime_error if the binary cannot be started.
-    child_process(std::string const& binary, std::vector<std::string> arguments)
+    child_process(std::string const& binary, std::vector<std::string> arguments, bool with_errors = false)
     {
         int ends[2];
         if (::pipe2(ends, O_CLOEXEC) != 0) {
@@ -46,6 +47,9 @@
         posix_spawn_file_actions_t actions;
         posix_spawn_file_actions_init(&actions);
         posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+        if (with_errors) {
+            posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
+        }
         int const failed = ::posix_spawn(&pid_, path.c_str(), &actions, nullptr, argv.data(), environ);
         posix_spawn_file_actions_destroy(&actions);
         ::close(ends[1]);
--- /dev/null
+++ b/tests/transport/daemon_stop_test.cpp
@@ -0,0 +1,279 @@
+// Planned stops of the real auburnchuted.
+#include "transport/entry/standin_platform.hpp"
+#include "transport/fleet.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cerrno>
+#include <future>
+#include <optional>
+
+using namespace auburnchute;
+using namespace auburnchute::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto const* short_grace = "stop_grace_ms: 4000\n";
+constexpr auto grace = 4'000ms;
+
+/// How much later than a moment of the daemon's plan this machine may see it.
+constexpr auto scheduling_slack = 500ms;
+
+/// Begins a planned stop. \returns After the daemon has taken note of it.
+std::chrono::steady_clock::time_point begin_stop(fleet& f)
+{
+    auto const began = std::chrono::steady_clock::now();
+    ::kill(f.daemon(0).pid(), SIGTERM);
+    REQUIRE(eventually(10s, [&] { return f.get(0, "/readyz").status_ == 503; }));
+    return began;
+}
+
+std::string call_text(std::string const& path, std::string const& body)
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer " + fleet_key +
+           "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+owned_socket connect_to_daemon(fleet const& f)
+{
+    auto const& address = f.daemon_address(0);
+    auto const colon = address.rfind(':');
+    return connect_to(address.substr(0, colon), std::stoi(address.substr(colon + 1)));
+}
+
+/// What came on a connection until it ended.
+struct received_bytes {
+    std::string text_;
+    bool reset_{};
+    bool timed_out_{};
+};
+
+received_bytes receive_all(owned_socket const& connection, std::chrono::milliseconds limit)
+{
+    received_bytes all;
+    auto const end = std::chrono::steady_clock::now() + limit;
+    for (;;) {
+        auto const left =
+            std::chrono::duration_cast<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
+        pollfd readable{connection.handle(), POLLIN, 0};
+        if (left.count() <= 0 || ::poll(&readable, 1, static_cast<int>(left.count())) <= 0) {
+            all.timed_out_ = true;
+            return all;
+        }
+        char buffer[4096];
+        auto const got = ::recv(connection.handle(), buffer, sizeof buffer, 0);
+        if (got <= 0) {
+            // A reset behind the end of the stream is an error of the socket.
+            constexpr int reset_ms = 200;
+            pollfd failed{connection.handle(), 0, 0};
+            all.reset_ = got < 0 || (::poll(&failed, 1, reset_ms) > 0 && (failed.revents & POLLERR) != 0);
+            return all;
+        }
+        all.text_.append(buffer, static_cast<std::size_t>(got));
+    }
+}
+
+/// A connection on which one request was answered, as callers keep them.
+owned_socket kept_connection(fleet const& f)
+{
+    auto connection = connect_to_daemon(f);
+    connection.send(call_text("/stock/kept", R"({"order": "kept"})"));
+    REQUIRE(connection.receive_until("\r\n\r\n").starts_with("HTTP/1.1 200"));
+    return connection;
+}
+
+bool is_refusal(std::string const& answer)
+{
+    return answer.starts_with("HTTP/1.1 503") && answer.find("Retry-After: ") != std::string::npos &&
+           answer.find("\"not_run\"") != std::string::npos;
+}
+
+std::string order_body(std::string const& order)
+{
+    return nlohmann::json{{"order", order}}.dump();
+}
+
+fleet_answer read_stock(fleet const& f, std::string const& order)
+{
+    auto client = client_of(f.daemon_address(0));
+    client.set_bearer_token_auth(fleet_key);
+    auto const result = client.Post("/stock/" + order, order_body(order), "application/json");
+    return result ? fleet_answer{result->status, result->body, result->headers} : fleet_answer{};
+}
+
+std::size_t service_calls(fleet const& f, std::string const& path)
+{
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < 2; ++i) {
+        auto const answer = client_of(f.service_address(i)).Get("/received");
+        for (auto const& request :
+             answer ? nlohmann::json::parse(answer->body)["requests"] : nlohmann::json::array()) {
+            count += request["path"] == path ? 1 : 0;
+        }
+    }
+    return count;
+}
+
+std::chrono::milliseconds since(std::chrono::steady_clock::time_point moment)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - moment);
+}
+
+} // namespace
+
+// Guards against a stopping daemon that takes a request whose time limit lies beyond its stop.
+TEST_CASE("a stopping daemon refuses at once what may outlast its stop", "[promise-12][process]")
+{
+    fleet f{{.daemons_ = 1, .engines_ = 1, .daemon_settings_ = short_grace}};
+    std::optional<owned_socket> connection;
+    auto const kept = GENERATE(true, false);
+    connection.emplace(kept ? kept_connection(f) : connect_to_daemon(f));
+    begin_stop(f);
+    connection->send(call_text("/stock/late", order_body("late")));
+    auto const answer = receive_all(*connection, 2s);
+    CAPTURE(kept, answer.text_);
+    auto const head = answer.text_.find("HTTP/1.1 503");
+    REQUIRE(head != std::string::npos);
+    CHECK(is_refusal(answer.text_.substr(head)));
+    connection->reset();
+    CHECK(f.daemon(0).wait_end() == 0);
+}
+
+// Guards against a request that waits for a place on during the stop although it may outlast it.
+TEST_CASE("a request that waits for a place is refused when the stop begins", "[promise-12][process]")
+{
+    fleet f{{.daemons_ = 1, .engines_ = 1, .slots_ = 1, .token_ms_ = 20, .daemon_settings_ = short_grace}};
+    auto running = std::async(std::launch::async, [&f] { return f.ask(0, "m", "long", 100, true); });
+    REQUIRE(eventually(10s, [&f] { return f.received_by(0, "/v1/chat/completions") == 1; }));
+    auto waiting = std::async(std::launch::async, [&f] { return f.ask(0, "m", "waits", 1); });
+    REQUIRE(eventually(10s, [&f] {
+        return f.get(0, "/metrics").body_.find("auburnchute_waiting{pool=\"p\"} 1") != std::string::npos;
+    }));
+    auto const began = begin_stop(f);
+    auto const refused = waiting.get();
+    CHECK(since(began) < 1s);
+    CHECK(refused.status_ == 503);
+    CHECK(refused.json().value("execution", "") == "not_run");
+    CHECK(refused.headers_.contains("Retry-After"));
+    CHECK(running.get().body_.find("[DONE]") != std::string::npos);
+    CHECK(f.daemon(0).wait_end() == 0);
+}
+
+// Guards against a request that goes to another upstream when the stop leaves it no time.
+TEST_CASE("a stopping daemon does not try again what may outlast its stop", "[promise-12][process]")
+{
+    fleet f{{.daemons_ = 1, .engines_ = 1, .services_ = 2, .daemon_settings_ = short_grace}};
+    for (std::size_t i = 0; i < 2; ++i) {
+        fleet::fault(f.service_address(i), {{"delay_ms", 1'000}, {"cut_before_answer", true}});
+    }
+    auto call = std::async(std::launch::async, [&f] { return read_stock(f, "again"); });
+    REQUIRE(eventually(10s, [&f] { return service_calls(f, "/stock/again") == 1; }));
+    begin_stop(f);
+    auto const answer = call.get();
+    CAPTURE(answer.body_);
+    CHECK(answer.status_ >= 500);
+    CHECK(answer.json().value("execution", "") == "unknown");
+    CHECK(service_calls(f, "/stock/again") == 1);
+    CHECK(f.daemon(0).wait_end() == 0);
+}
+
+// Guards against a stop that waits for a request without a limit, or ends without an answer to it.
+TEST_CASE("a call that outlasts the stop is answered and named before the end", "[promise-12][process]")
+{
+    fleet f{{.daemons_ = 1, .engines_ = 1, .daemon_settings_ = short_grace, .show_errors_ = true}};
+    fleet::fault(f.service_address(0), {{"delay_ms", 12'000}});
+    auto call = std::async(std::launch::async, [&f] { return read_stock(f, "slow"); });
+    REQUIRE(eventually(10s, [&f] {
+        auto const answer = client_of(f.service_address(0)).Get("/received");
+        return answer && answer->body.find("/stock/slow") != std::string::npos;
+    }));
+    auto const began = begin_stop(f);
+    auto const answer = call.get();
+    CHECK(since(began) <= grace);
+    CAPTURE(answer.body_);
+    CHECK(answer.status_ == 503);
+    CHECK(answer.json().value("execution", "") == "unknown");
+    auto const output = f.daemon(0).read_to_end();
+    CHECK(f.daemon(0).wait_end() == 0);
+    CHECK(since(began) <= grace + scheduling_slack);
+    auto const id = answer.json().value("request_id", "none");
+    CAPTURE(output, id);
+    CHECK(output.find("request " + id + " outlasts the stop") != std::string::npos);
+}
+
+// Guards against an early end while a request is being read.
+TEST_CASE("a request that is being read when the stop grows quiet is answered", "[promise-12][process]")
+{
+    fleet f{{.daemons_ = 1, .engines_ = 1, .daemon_settings_ = short_grace}};
+    auto const text = call_text("/stock/read", order_body("read"));
+    auto const connection = kept_connection(f);
+    auto const began = begin_stop(f);
+    connection.send(text.substr(0, text.size() - 5));
+    auto const after_quiet = 2'600ms; // twice the lifetime of the entry list and a second, with slack
+    std::this_thread::sleep_for(after_quiet - since(began));
+    connection.send(text.substr(text.size() - 5));
+    auto const answer = receive_all(connection, 4s);
+    CAPTURE(answer.text_);
+    auto const head = answer.text_.find("HTTP/1.1 503");
+    REQUIRE(head != std::string::npos);
+    CHECK(is_refusal(answer.text_.substr(head)));
+    CHECK_FALSE(answer.reset_);
+    CHECK(f.daemon(0).wait_end() == 0);
+    CHECK(since(began) <= grace + scheduling_slack);
+}
+
+// Guards against a stop without a limit: a slow upstream, half a request and the log's outage together.
+TEST_CASE("a stop ends within its grace time whatever it waits for", "[promise-12][process]")
+{
+    auto const grace_ms = GENERATE(200, 1'000, 3'000);
+    bool const log_is_down = GENERATE(false, true);
+    fleet f{{.daemons_ = 1,
+             .engines_ = 1,
+             .daemon_settings_ = "stop_grace_ms: " + std::to_string(grace_ms) + "\n",
+             .show_errors_ = true}};
+    fleet::fault(f.service_address(0), {{"delay_ms", 8'000}});
+    auto const half = connect_to_daemon(f);
+    half.send("POST /stock/half HTTP/1.1\r\nHost: h.exa");
+    auto call = std::async(std::launch::async, [&f] { return read_stock(f, "slow"); });
+    REQUIRE(eventually(10s, [&f] {
+        auto const answer = client_of(f.service_address(0)).Get("/received");
+        return answer && answer->body.find("/stock/slow") != std::string::npos;
+    }));
+    if (log_is_down) {
+        fleet::fault(f.log_address(), {{"outage", true}});
+    }
+    auto const began = std::chrono::steady_clock::now();
+    (void)f.daemon(0).stop();
+    CAPTURE(grace_ms, log_is_down);
+    CHECK(since(began) <= std::chrono::milliseconds{grace_ms} + scheduling_slack);
+    auto const output = f.daemon(0).read_to_end();
+    CAPTURE(output);
+    CHECK(output.find(" outlasts the stop") != std::string::npos);
+    auto const answer = call.get();
+    if (grace_ms >= 1'000) { // below, the last answers have less time than this machine's delays
+        CHECK(answer.status_ == 503);
+        CHECK(answer.json().value("execution", "") == "unknown");
+    }
+}
+
+// Guards against a purchase that a stop has given up and that runs again when its caller repeats it.
+TEST_CASE("a purchase that outlasts the stop is not run again", "[promise-10][promise-12][process]")
+{
+    fleet f{{.daemons_ = 2, .engines_ = 1, .daemon_settings_ = short_grace}};
+    fleet::fault(f.service_address(0), {{"delay_ms", 6'000}});
+    auto call = std::async(std::launch::async, [&f] { return f.buy(0, "order-1"); });
+    REQUIRE(eventually(10s, [&f] {
+        auto const answer = client_of(f.service_address(0)).Get("/received");
+        return answer && answer->body.find("/orders/purchase") != std::string::npos;
+    }));
+    (void)f.daemon(0).stop();
+    CHECK(call.get().json().value("execution", "") == "unknown");
+    fleet::fault(f.service_address(0), {{"delay_ms", 0}});
+    auto const again = f.buy(1, "order-1");
+    CAPTURE(again.body_);
+    CHECK(again.status_ == 409);
+    CHECK(again.json().value("execution", "") == "unknown");
+    CHECK(eventually(10s, [&f] { return f.runs("order-1") == 1; }));
+}
--- a/tests/transport/fleet.hpp
+++ b/tests/transport/fleet.hpp
@@ -84,6 +84,8 @@
     std::int64_t rate_{100'000'000};
     std::int64_t burst_{1'000'000'000};
     std::vector<std::string> log_arguments_{};
+    std::string daemon_settings_{}; ///< Further lines of the daemons' settings.
+    bool show_errors_{};            ///< The daemons' log lines come with their output.
 };
 
 /// \brief An answer of the fleet.
@@ -303,12 +305,13 @@
                                 << log_address_ << "\"}\nvm_list: {address: \"" << list_address_
                                 << "\"}\nkey_salt: " << fleet_salt << "\noperator_token: " << fleet_token
                                 << "\norder_key: fleet-order-key-of-the-tests\n"
-                                << "log_level: error\n";
+                                << "log_level: error\n"
+                                << options_.daemon_settings_;
             callers_.push_back(callers);
             daemons_.push_back(nullptr);
         }
         daemons_[number] = std::make_unique<child_process>(
-            "auburnchuted", std::vector<std::string>{"--settings", path.string()});
+            "auburnchuted", std::vector<std::string>{"--settings", path.string()}, options_.show_errors_);
         (void)daemons_[number]->wait_listening();
     }
 
