Close connections of auburnchuted without losing their last answer

Callers saw in a planned stop that an answer did not close its connection, also where it said so; that closing a connection with unread bytes reset it; that streams which were open when the server stopped were cut off without an error event; and that idle connections held up the end by 5 s. A request that was being read did not count as open, so the stop could end before it.

With TLS the library's loop remains; not run.

--- a/apps/auburnchuted.cpp
+++ b/apps/auburnchuted.cpp
@@ -108,10 +108,19 @@
     }
     auto const closing = stop.close();
     queue.refuse_waiting();
-    while (now(clk) < closing.ends_at_ && callers.open_requests() > 0) {
+    // Kept connections may bring a request until half of the time is over, and have its other half for the
+    // answer.
+    auto const idle_until = closing.answers_until_ + (closing.ends_at_ - closing.answers_until_) / 2;
+    for (bool ended = false; now(clk) < closing.ends_at_ && callers.has_connections();) {
+        if (!ended && now(clk) >= idle_until) {
+            callers.end_idle();
+            ended = true;
+        }
         hurried = wait_for_signal(signals, look_pause) || hurried;
     }
     stop.log_unanswered();
+    callers.end_idle();
+    callers.cut();
     callers.stop();
     return hurried;
 }
--- a/src/transport/http_front.cpp
+++ b/src/transport/http_front.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/logging.hpp"
 #include "protocol/sse.hpp"
+#include "transport/caller_server.hpp"
 #include "transport/connection_threads.hpp"
 #include "transport/service_call.hpp"
 
@@ -136,7 +137,9 @@
 {
     auto const& config = services_.config_;
     if (config.callers_certificate_.empty()) {
-        server_ = std::make_unique<httplib::Server>();
+        auto plain = std::make_unique<caller_server>();
+        plain_ = plain.get();
+        server_ = std::move(plain);
     } else {
         server_ = std::make_unique<httplib::SSLServer>(config.callers_certificate_.c_str(),
                                                        config.callers_private_key_.c_str());
@@ -164,9 +167,28 @@
     return listener_->start(services_.config_.callers_, "callers");
 }
 
+bool http_front::has_connections() const
+{
+    return plain_ == nullptr || plain_->connections() > 0;
+}
+
+void http_front::end_idle()
+{
+    if (plain_ != nullptr) {
+        plain_->end_idle();
+    }
+}
+
+void http_front::cut()
+{
+    if (plain_ != nullptr) {
+        plain_->cut();
+    }
+}
+
 int http_front::open_requests() const noexcept
 {
-    return open_.load();
+    return std::max(open_.load(), plain_ == nullptr ? 0 : plain_->busy());
 }
 
 void http_front::stop()
@@ -228,6 +250,14 @@
     server_->Put("/.*", service);
     server_->Patch("/.*", service);
     server_->Delete("/.*", service);
+    server_->set_post_routing_handler([this](httplib::Request const&, httplib::Response& response) {
+        if (services_.stop_.is_stopping() || response.get_header_value("Connection") == "close") {
+            response.headers.erase("Connection");
+            response.headers.erase("Keep-Alive");
+            response.set_header("Connection", "close");
+            caller_server::close_after_answer();
+        }
+    });
     server_->set_error_handler([](httplib::Request const&, httplib::Response& response) {
         if (response.body.empty()) {
             problem shown;
--- a/src/transport/http_front.hpp
+++ b/src/transport/http_front.hpp
@@ -15,9 +15,12 @@
 
 namespace auburnchute {
 
+class caller_server;
+
 /// \brief The HTTP interface for callers.
 ///
-/// Thread safety: `open_requests` and `stop` may be called from any thread.
+/// Thread safety: `has_connections`, `end_idle`, `cut`, `open_requests` and `stop` may be
+/// called from any thread.
 class http_front {
 public:
     explicit http_front(request_services services);
@@ -29,7 +32,16 @@
     /// the address cannot be bound.
     int start();
 
-    /// \returns Requests that are being answered.
+    /// \returns Whether connections are open. With TLS this is not known, and true.
+    [[nodiscard]] bool has_connections() const;
+
+    /// \brief Ends connections without a request.
+    void end_idle();
+
+    /// \brief Ends all connections; with TLS those without a request end by themselves.
+    void cut();
+
+    /// \returns Requests that are being read or answered.
     [[nodiscard]] int open_requests() const noexcept;
 
     /// \brief Closes the port and ends all threads.
@@ -47,6 +59,7 @@
     request_services services_;
     retry_budgets budgets_;
     std::unique_ptr<httplib::Server> server_;
+    caller_server* plain_{}; ///< The server, unless it has TLS.
 
     std::atomic<int> open_{};
     std::unique_ptr<http_listener> listener_;
--- a/tests/transport/daemon_stop_test.cpp
+++ b/tests/transport/daemon_stop_test.cpp
@@ -87,7 +87,8 @@
 bool is_refusal(std::string const& answer)
 {
     return answer.starts_with("HTTP/1.1 503") && answer.find("Retry-After: ") != std::string::npos &&
-           answer.find("\"not_run\"") != std::string::npos;
+           answer.find("\"not_run\"") != std::string::npos &&
+           answer.find("Connection: close") != std::string::npos;
 }
 
 std::string order_body(std::string const& order)
@@ -103,6 +104,29 @@
     return result ? fleet_answer{result->status, result->body, result->headers} : fleet_answer{};
 }
 
+/// A connection on which a stream of 20 s has begun.
+owned_socket streaming_connection(fleet const& f)
+{
+    nlohmann::json const body{{"model", "m"},
+                              {"max_tokens", 1'000},
+                              {"stream", true},
+                              {"messages", {{{"role", "user"}, {"content", "long"}}}}};
+    auto connection = connect_to_daemon(f);
+    connection.send(call_text("/v1/chat/completions", body.dump()));
+    auto const begun = connection.receive_until("data: ");
+    REQUIRE(begun.starts_with("HTTP/1.1 200"));
+    REQUIRE(begun.find("data: ") != std::string::npos);
+    return connection;
+}
+
+/// True if a stream's last event is an error and its last chunk has come.
+bool ends_with_error(received_bytes const& stream)
+{
+    return stream.text_.find("\"error\"") != std::string::npos &&
+           stream.text_.find("[DONE]") == std::string::npos && stream.text_.ends_with("0\r\n\r\n") &&
+           !stream.reset_ && !stream.timed_out_;
+}
+
 std::size_t service_calls(fleet const& f, std::string const& path)
 {
     std::size_t count = 0;
@@ -137,7 +161,8 @@
     auto const head = answer.text_.find("HTTP/1.1 503");
     REQUIRE(head != std::string::npos);
     CHECK(is_refusal(answer.text_.substr(head)));
-    connection->reset();
+    CHECK_FALSE(answer.timed_out_);
+    CHECK_FALSE(answer.reset_);
     CHECK(f.daemon(0).wait_end() == 0);
 }
 
@@ -203,6 +228,41 @@
     CHECK(output.find("request " + id + " outlasts the stop") != std::string::npos);
 }
 
+// Guards against a stop that waits for a stream without a limit, or cuts it off without a word.
+TEST_CASE("a stream that outlasts the stop ends with an error event", "[promise-12][process]")
+{
+    fleet f{{.daemons_ = 1,
+             .engines_ = 1,
+             .token_ms_ = 20,
+             .daemon_settings_ = short_grace,
+             .show_errors_ = true}};
+    auto const stream = streaming_connection(f);
+    auto const began = begin_stop(f);
+    auto const rest = receive_all(stream, grace);
+    CAPTURE(rest.text_.substr(rest.text_.size() - std::min<std::size_t>(rest.text_.size(), 300)));
+    CHECK(ends_with_error(rest));
+    CHECK(since(began) <= grace);
+    auto const output = f.daemon(0).read_to_end();
+    CHECK(f.daemon(0).wait_end() == 0);
+    CHECK(since(began) <= grace + scheduling_slack);
+    CAPTURE(output);
+    CHECK(output.find(" outlasts the stop") != std::string::npos);
+}
+
+// Guards against a second signal that waits for open streams and kept connections.
+TEST_CASE("a second signal ends a stop at once", "[promise-12][process]")
+{
+    fleet f{{.daemons_ = 1, .engines_ = 1, .token_ms_ = 20}};
+    auto const idle = kept_connection(f);
+    auto const stream = streaming_connection(f);
+    begin_stop(f);
+    auto const again = std::chrono::steady_clock::now();
+    ::kill(f.daemon(0).pid(), SIGINT);
+    CHECK(f.daemon(0).wait_end() == 0);
+    CHECK(since(again) < 2s); // closing, margin and slack
+    CHECK(ends_with_error(receive_all(stream, 1s)));
+}
+
 // Guards against an early end while a request is being read.
 TEST_CASE("a request that is being read when the stop grows quiet is answered", "[promise-12][process]")
 {
@@ -224,6 +284,37 @@
     CHECK(since(began) <= grace + scheduling_slack);
 }
 
+// Guards against a reset of the last answer, since the connection ends before all that the caller sent is
+// read.
+TEST_CASE("the last answer on a connection is not reset by what follows it", "[promise-12][process]")
+{
+    fleet f{{.daemons_ = 1, .engines_ = 1, .daemon_settings_ = short_grace}};
+    auto const connection = connect_to_daemon(f);
+    begin_stop(f);
+    connection.send(call_text("/stock/last", order_body("last")));
+    connection.send(call_text("/stock/next", std::string(100'000, 'x')));
+    auto const answer = receive_all(connection, 3s);
+    CAPTURE(answer.text_);
+    CHECK(is_refusal(answer.text_));
+    CHECK_FALSE(answer.reset_);
+    CHECK_FALSE(answer.timed_out_);
+    CHECK(f.daemon(0).wait_end() == 0);
+}
+
+// Guards against kept connections that hold up the end of a stop.
+TEST_CASE("kept connections do not delay the end of a stop", "[promise-12][process]")
+{
+    fleet f{{.daemons_ = 1, .engines_ = 1}};
+    std::vector<owned_socket> idle;
+    auto const began = begin_stop(f);
+    std::this_thread::sleep_for(300ms - since(began)); // within the lifetime of the entry list, 500 ms
+    for (int i = 0; i < 3; ++i) {
+        idle.push_back(connect_to_daemon(f));
+    }
+    CHECK(f.daemon(0).wait_end() == 0);
+    CHECK(since(began) < 2s + 1s + scheduling_slack); // quiet, closing and exit, slack
+}
+
 // Guards against a stop without a limit: a slow upstream, half a request and the log's outage together.
 TEST_CASE("a stop ends within its grace time whatever it waits for", "[promise-12][process]")
 {
