--- a/tests/platform/headers_test.cpp
+++ b/tests/platform/headers_test.cpp
@@ -181,3 +181,65 @@
     }
     CHECK_FALSE(parse_answer_signals({}).leaving_);
 }
+
+// Guards against numbers that overflow when they are added up or turned into times.
+TEST_CASE("huge numbers in a caller's request count as the largest that are taken",
+          "[platform][headers][odd]")
+{
+    for (auto const* const huge :
+         {"1000000000000", "9223372036854775807", "9223372036854775808", "99999999999999999999999"}) {
+        CAPTURE(huge);
+        auto head = caller_head();
+        head.set("X-Token-Counts", std::string{huge} + "," + huge);
+        head.set("X-Deadline-Ms", huge);
+        head.set("X-Length-Hint", huge);
+        head.set("X-Prompt-Prefix", std::string{"5c1e07a2:"} + huge);
+        auto const read = parse_request_attributes(head);
+        CHECK(read.has_token_counts_);
+        CHECK(read.prompt_tokens_ == max_token_count);
+        CHECK(read.output_tokens_ == max_token_count);
+        CHECK(read.output_tokens_hint_ == max_token_count);
+        CHECK(read.time_left_ == max_time_left);
+        REQUIRE(read.prompt_parts_.size() == 1);
+        CHECK(read.prompt_parts_[0].tokens_ == max_token_count);
+    }
+}
+
+TEST_CASE("a prompt part with an invalid number of tokens is skipped", "[platform][headers][odd]")
+{
+    auto head = caller_head();
+    head.set("X-Prompt-Prefix", "aa:,bb:x,cc:-5,dd:7, ee: 8 ,ff:1.5");
+    auto const read = parse_request_attributes(head);
+    REQUIRE(read.prompt_parts_.size() == 2);
+    CHECK(read.prompt_parts_[0].id_ == 0xdd);
+    CHECK(read.prompt_parts_[0].tokens_ == 7);
+    CHECK(read.prompt_parts_[1].id_ == 0xee);
+    CHECK(read.prompt_parts_[1].tokens_ == 8);
+}
+
+// Guards against a connection that is kept for a time that overflowed.
+TEST_CASE("odd values of Keep-Alive and of the load give no overflow", "[platform][headers][odd]")
+{
+    struct row {
+        char const* value_;
+        std::optional<millis> kept_;
+    };
+    for (auto const& row :
+         {row{"timeout=5", millis{5'000}}, row{"max=3, timeout=7", millis{7'000}},
+          row{"timeout=86400000", max_keep_alive}, row{"timeout=9223372036854775807", max_keep_alive},
+          row{"timeout=99999999999999999999", max_keep_alive},
+          row{"timeout=-9223372036854775807", std::nullopt}, row{"timeout=-1", std::nullopt},
+          row{"timeout=x", std::nullopt}}) {
+        CAPTURE(row.value_);
+        response_head head;
+        head.result(200);
+        head.set("Keep-Alive", row.value_);
+        CHECK(parse_response_attributes(head).keep_alive_ == row.kept_);
+    }
+    response_head head;
+    head.result(200);
+    head.set("X-Server-Load", "9223372036854775807,-9223372036854775808,4");
+    auto const read = parse_response_attributes(head);
+    CHECK(read.running_ == max_token_count);
+    CHECK_FALSE(read.waiting_);
+}
