Start a task of the daemon again after an exception ended it

A reader of the store, the sender or receiver of messages, a keeper of the lease or an accept loop that an exception ended was gone until the process ended: the VM lived on without following the entries, or without accepting callers. An exception of another type than std::exception left the event loop and would have ended the process.

Cause: these tasks were spawned with report_failure only, which logs task-failed, and which handled std::exception alone.

run_forever makes such a task anew 0.1 s after an exception of any type, with the line task-restarted. A task that returns has ended for good. An accept loop whose acceptor was closed meanwhile returns. report_failure handles exceptions of any type.

run_forever is new, so its test cannot run on the code before. A trial with the function report_failure of the code before: loop.run() threw the int that a coroutine had thrown.

--- a/src/transport/entry/async.cpp
+++ b/src/transport/entry/async.cpp
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <string>
 #include <sys/socket.h>
+#include <utility>
 
 namespace auburnchute {
 
@@ -24,6 +25,32 @@
     (void)setsockopt(socket.native_handle(), level, name, &value, sizeof value);
 }
 
+std::string describe(std::exception_ptr const& failure)
+{
+    try {
+        std::rethrow_exception(failure);
+    } catch (std::exception const& problem) {
+        return problem.what();
+    } catch (...) {
+        return "an exception of an unknown type";
+    }
+}
+
+net::awaitable<void> keep_running(std::string name, std::function<net::awaitable<void>()> make_task)
+{
+    while (true) {
+        std::exception_ptr failure;
+        try {
+            co_await make_task();
+            co_return;
+        } catch (...) {
+            failure = std::current_exception();
+        }
+        log_failure("task-restarted", {{"task", name}, {"fault", describe(failure)}});
+        co_await pause_for(restart_pause);
+    }
+}
+
 } // namespace
 
 void set_liveness(tcp::socket& socket, millis silence)
@@ -47,16 +74,16 @@
 
 void report_failure(std::exception_ptr const& failure)
 {
-    if (!failure) {
-        return;
-    }
-    try {
-        std::rethrow_exception(failure);
-    } catch (std::exception const& problem) {
-        log_failure("task-failed", {{"fault", problem.what()}});
+    if (failure) {
+        log_failure("task-failed", {{"fault", describe(failure)}});
     }
 }
 
+void run_forever(net::io_context& loop, std::string name, std::function<net::awaitable<void>()> make_task)
+{
+    net::co_spawn(loop, keep_running(std::move(name), std::move(make_task)), report_failure);
+}
+
 tcp::endpoint parse_endpoint(std::string_view address)
 {
     auto const colon = address.rfind(':');
--- a/src/transport/entry/async.hpp
+++ b/src/transport/entry/async.hpp
@@ -15,6 +15,9 @@
 #include <boost/system/error_code.hpp>
 #include <chrono>
 #include <exception>
+#include <functional>
+#include <string>
+#include <string_view>
 
 namespace auburnchute {
 
@@ -81,6 +84,16 @@
 /// \brief Completion handler of a coroutine that nobody waits for: logs the exception that ended it, if any.
 void report_failure(std::exception_ptr const& failure);
 
+/// \brief Runs a task for as long as the loop runs: if an exception ends it, the task is made anew after
+/// `restart_pause`, with a line in the log. A task that returns has ended for good.
+/// \param name Names the task in the log.
+/// Thread safety: called before the loop runs or on its thread. \pre What `make_task` refers to outlives the
+/// loop's work.
+void run_forever(net::io_context& loop, std::string name, std::function<net::awaitable<void>()> make_task);
+
+/// \brief Pause before a task that an exception ended is made anew.
+inline constexpr millis restart_pause{100};
+
 /// \brief Reads `IP:PORT`. \throws error with step `connect` for another form. Thread safety: pure.
 [[nodiscard]] tcp::endpoint parse_endpoint(std::string_view address);
 
--- a/src/transport/entry/listen.cpp
+++ b/src/transport/entry/listen.cpp
@@ -12,12 +12,12 @@
 constexpr millis accept_pause{20};
 
 net::awaitable<void> accept_all(std::shared_ptr<tcp::acceptor> acceptor,
-                                std::function<void(tcp::socket)> take)
+                                std::function<void(tcp::socket)> const& take)
 {
     while (true) {
         error_code fault;
         auto socket = co_await acceptor->async_accept(outcome_in(fault));
-        if (fault == net::error::operation_aborted) {
+        if (fault == net::error::operation_aborted || !acceptor->is_open()) {
             co_return;
         }
         if (fault) {
@@ -44,7 +44,8 @@
     } catch (boost::system::system_error const& failure) {
         throw error{"listen", address, failure.what()};
     }
-    net::co_spawn(loop, accept_all(acceptor, std::move(take)), report_failure);
+    run_forever(loop, "accept " + address,
+                [acceptor, take = std::move(take)] { return accept_all(acceptor, take); });
     return acceptor;
 }
 
--- a/src/transport/entry/order_keeper.cpp
+++ b/src/transport/entry/order_keeper.cpp
@@ -613,8 +613,8 @@
     keeper.lease_.vm_ = keeper.settings_.vm_ + "@" + keeper.settings_.ip_;
     keeper.lease_.incarnation_ = incarnation;
     keeper.wake_ = std::make_unique<wake_event>(keeper.loop_);
-    net::co_spawn(keeper.loop_, keep_lease(keeper), report_failure);
-    net::co_spawn(keeper.loop_, place_models(keeper), report_failure);
+    run_forever(keeper.loop_, "keep-lease", [&keeper] { return keep_lease(keeper); });
+    run_forever(keeper.loop_, "place-models", [&keeper] { return place_models(keeper); });
 }
 
 void give_up_lease(order_keeper& keeper)
--- a/src/transport/entry/peer_exchange.cpp
+++ b/src/transport/entry/peer_exchange.cpp
@@ -529,8 +529,8 @@
             break;
         }
     };
-    net::co_spawn(node.loop_, receive(own), report_failure);
-    net::co_spawn(node.loop_, send_regularly(own), report_failure);
+    run_forever(node.loop_, "receive", [own] { return receive(own); });
+    run_forever(node.loop_, "send", [own] { return send_regularly(own); });
 }
 
 void set_members(entry_node& node, std::vector<entry_member> const& members)
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -619,9 +619,9 @@
 
 void start_reading(store_reader& reader)
 {
-    net::co_spawn(reader.loop_, follow_config(reader), report_failure);
-    net::co_spawn(reader.loop_, follow_upstreams(reader), report_failure);
-    net::co_spawn(reader.loop_, follow_members(reader), report_failure);
+    run_forever(reader.loop_, "follow-config", [&reader] { return follow_config(reader); });
+    run_forever(reader.loop_, "follow-upstreams", [&reader] { return follow_upstreams(reader); });
+    run_forever(reader.loop_, "follow-members", [&reader] { return follow_members(reader); });
 }
 
 } // namespace auburnchute
--- a/tests/transport/entry/async_test.cpp
+++ b/tests/transport/entry/async_test.cpp
@@ -1,7 +1,11 @@
 #include "transport/entry/async.hpp"
 
+#include <auburnchute/error.hpp>
+
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <stdexcept>
+#include <string>
 
 using namespace auburnchute;
 
@@ -40,3 +44,43 @@
         CHECK(is_connected(accepted) == row.connected_);
     }
 }
+
+// Guards against a VM that lives on without one of its tasks, for example without the reader of the entries.
+TEST_CASE("a task that an exception ends is started again, and one that returns is not", "[entry][odd]")
+{
+    net::io_context loop;
+    int made = 0;
+    run_forever(loop, "test", [&]() -> net::awaitable<void> {
+        ++made;
+        if (made == 1) {
+            throw std::runtime_error{"before the task runs"};
+        }
+        return [](int round) -> net::awaitable<void> {
+            co_await pause_for(millis{1});
+            if (round == 2) {
+                throw error{"test", "", "of this project"};
+            }
+            if (round == 3) {
+                throw 7; // of an unknown type
+            }
+        }(made);
+    });
+    auto const began = boot_now();
+    loop.run();
+    CHECK(made == 4);
+    CHECK(boot_now() - began >= restart_pause * 3);
+}
+
+// Guards against a process that ends because an exception of an unknown type leaves a coroutine.
+TEST_CASE("an exception of any type that ends a coroutine is reported", "[entry][odd]")
+{
+    net::io_context loop;
+    net::co_spawn(
+        loop,
+        []() -> net::awaitable<void> {
+            co_await pause_for(millis{1});
+            throw 7;
+        },
+        report_failure);
+    CHECK_NOTHROW(loop.run());
+}
