Refuse documents that are nested too deeply or hold numbers out of range

One entry among those of the upstreams could end all VMs: an otherwise sound one with 100,000 arrays in `models` ended the process by a segmentation fault, at the read and again after each start, since the entry stays. A number out of range (slots 1e300, born 2^63, a model's version 2^64-1) was converted to another one, and port 0 was taken. An id with a line break was sent to the upstream as further header fields (by reading). A sound entry of 48 kB to 64 kB went into datagrams that are too large for the peers (by reading). A configuration with version 2^64-1 was taken, and no later one was followed.

Cause: values of JSON are copied recursively, and their depth had no bound; numbers were cast without a range; the id of an entry was not looked at.

The new tests failed on the code before: the test of nesting by a segmentation fault; 11 of 27 checks of numbers and addresses, 8 of 10 of ids, 2 of 3 of lengths, 20 of 22 of configurations. Against the daemon (odd_entries_test), the process had ended in the sections "while the VM follows the entries" and "one at a time", and was not ready within 15 s in "before the first read"; "thousands at once" passed before, too. Of the odd configurations three were taken, and the next sound one was not followed. With the change all of them pass; a sound entry is followed within 2 s after the odd ones.

--- a/src/transport/entry/async.cpp
+++ b/src/transport/entry/async.cpp
@@ -90,10 +90,12 @@
     error_code fault;
     auto const ip = net::ip::make_address(std::string{address.substr(0, colon)}, fault);
     unsigned short port = 0;
-    if (colon != std::string_view::npos && !fault) {
+    bool const whole =
+        address.find('\0') == std::string_view::npos; // text after a NUL would not be looked at
+    if (colon != std::string_view::npos && !fault && whole) {
         auto const text = address.substr(colon + 1);
         auto const [end, problem] = std::from_chars(text.data(), text.data() + text.size(), port);
-        if (problem == std::errc{} && end == text.data() + text.size()) {
+        if (problem == std::errc{} && end == text.data() + text.size() && port != 0) {
             return {ip, port};
         }
     }
--- a/src/transport/entry/async.hpp
+++ b/src/transport/entry/async.hpp
@@ -94,7 +94,7 @@
 /// \brief Pause before a task that an exception ended is made anew.
 inline constexpr millis restart_pause{100};
 
-/// \brief Reads `IP:PORT`. \throws error with step `connect` for another form. Thread safety: pure.
+/// \brief Reads `IP:PORT`. \throws error with step `connect` for another form or port 0. Thread safety: pure.
 [[nodiscard]] tcp::endpoint parse_endpoint(std::string_view address);
 
 } // namespace auburnchute
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -1,5 +1,6 @@
 #include "transport/entry/store_reader.hpp"
 
+#include "platform/checked_json.hpp"
 #include "platform/json_codec.hpp"
 #include "protocol/decision_log.hpp"
 #include "protocol/fleet_codec.hpp"
@@ -8,6 +9,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
@@ -34,6 +36,9 @@
 /// messages.
 constexpr millis member_pause{500};
 
+/// Largest strength of a member, in hundredths of a core.
+constexpr std::int64_t max_strength = 1'000'000;
+
 /// The members are read this often even if no message from an unknown VM arrived.
 constexpr millis member_refresh{30'000};
 
@@ -427,18 +432,16 @@
     if (!document) {
         return false;
     }
-    auto const fields = nlohmann::json::parse(*document, nullptr, false);
-    if (fields.is_discarded() || !fields.is_object()) {
-        log_failure("member-unreadable", {{"vm", vm}});
-        return false;
-    }
     entry_member member{.vm_ = vm};
     try {
-        member.incarnation_ = fields.value("incarnation", std::uint64_t{0});
+        auto const fields = platform::parse_document(*document);
+        constexpr platform::integer_range incarnations{0, std::numeric_limits<std::int64_t>::max()};
+        member.incarnation_ =
+            static_cast<std::uint64_t>(platform::integer_field(fields, "incarnation", 0, incarnations));
         member.peer_address_ = fields.value("peers", std::string{});
         member.callers_address_ = fields.value("callers", std::string{});
         member.availability_zone_ = fields.value("zone", std::string{});
-        member.strength_ = fields.value("strength", std::int64_t{1});
+        member.strength_ = platform::integer_field(fields, "strength", 1, {1, max_strength});
         (void)parse_endpoint(member.peer_address_);    // a message is sent there
         (void)parse_endpoint(member.callers_address_); // callers are sent there
     } catch (std::exception const& failure) {
--- a/tests/platform/json_codec_test.cpp
+++ b/tests/platform/json_codec_test.cpp
@@ -3,7 +3,9 @@
 #include <auburnchute/error.hpp>
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 #include <string>
+#include <utility>
 
 using namespace auburnchute;
 using namespace auburnchute::platform;
@@ -130,3 +132,187 @@
         body ==
         R"({"adapter":"a1","fence_token":9,"holder":"vm@10.0.0.1","model":"m","operation":"load","precondition":3})");
 }
+
+namespace {
+
+constexpr int deep = 100'000;
+
+/// \returns A JSON value in `deep` arrays, objects, or both in turn.
+std::string nested(bool in_arrays, bool in_objects)
+{
+    std::string open;
+    std::string close;
+    for (int i = 0; i < deep; ++i) {
+        bool const array = in_arrays && (!in_objects || i % 2 == 0);
+        open += array ? "[" : R"({"name":)";
+        close += array ? ']' : '}';
+    }
+    return open + "1" + std::string{close.rbegin(), close.rend()};
+}
+
+/// \returns A registry entry with a field of the given name and value in place of its own or behind them.
+std::string entry_with(std::string const& name, std::string const& value)
+{
+    std::string document{"{"};
+    for (auto const& [own, text] :
+         {std::pair{"service", R"("s")"}, std::pair{"address", R"("10.0.0.1:80")"},
+          std::pair{"zone", R"("z")"}, std::pair{"slots", "6"}, std::pair{"state", R"("ready")"}}) {
+        if (name != own) {
+            document += "\"" + std::string{own} + "\":" + text + ",";
+        }
+    }
+    return document + "\"" + name + "\":" + value + "}";
+}
+
+std::string config_with(std::string const& version, std::string const& model_fields,
+                        std::string const& limits = "{}", std::string const& workspace_fields = "")
+{
+    return R"({"version":)" + version +
+           R"(,"routes":[],"services":[{"name":"s","engine":{"models":[{"name":"m")" + model_fields +
+           R"(}]}}],"limits":)" + limits + R"(,"tenants":[{"name":"w")" + workspace_fields + "}]}";
+}
+
+} // namespace
+
+// Guards against a VM that ends because one entry among those of the upstreams is nested too deeply.
+TEST_CASE("a document that is nested too deeply is refused", "[platform][odd]")
+{
+    struct row {
+        bool in_arrays_;
+        bool in_objects_;
+    };
+    for (auto const& row : {row{true, false}, row{false, true}, row{true, true}}) {
+        CAPTURE(row.in_arrays_, row.in_objects_);
+        auto const value = nested(row.in_arrays_, row.in_objects_);
+        for (auto const* const name : {"models", "available", "service", "unknown"}) {
+            CAPTURE(name);
+            CHECK_FALSE(parse_upstream("i-1", entry_with(name, value)));
+        }
+        CHECK_FALSE(parse_upstream("i-1", entry_with("models", "[" + value + "]")));
+        CHECK_FALSE(parse_upstream("i-1", entry_with("available", R"({"on_disk":)" + value + "}")));
+        CHECK_FALSE(parse_upstream("i-1", value));
+        CHECK_FALSE(parse_report(R"({"models":)" + value + "}"));
+        CHECK_FALSE(parse_report(R"({"pending":)" + value + "}"));
+        CHECK_THROWS_AS(parse_config(config_with("1", R"(,"other":)" + value)), error);
+        CHECK_THROWS_AS(parse_config(config_with("1", "", "{}", R"(,"api_keys":)" + value)), error);
+    }
+}
+
+// Guards against an entry whose numbers overflow when they are converted, and against ports that name none.
+TEST_CASE("a registry entry with a number out of range is ignored", "[platform][odd]")
+{
+    struct row {
+        char const* name_;
+        char const* value_;
+    };
+    for (auto const& row : {row{"slots", "1e999"},
+                            row{"slots", "1e300"},
+                            row{"slots", "-1e300"},
+                            row{"slots", "9223372036854775807"},
+                            row{"slots", "9223372036854775808"},
+                            row{"slots", "18446744073709551617"},
+                            row{"slots", "NaN"},
+                            row{"slots", "-Infinity"},
+                            row{"slots", "0"},
+                            row{"slots", "-3"},
+                            row{"born", "9223372036854775808"},
+                            row{"born", "-9223372036854775808"},
+                            row{"born", "18446744073709551615"},
+                            row{"born", "1e300"},
+                            row{"models", R"([{"name":"m","version":1e300}])"},
+                            row{"models", R"([{"name":"m","version":18446744073709551615}])"},
+                            row{"address", R"("10.0.0.1:0")"},
+                            row{"address", R"("10.0.0.1:65536")"},
+                            row{"address", R"("10.0.0.1:-1")"},
+                            row{"address", R"("10.0.0.1:99999999999")"},
+                            row{"address", R"("10.0.0.1:")"},
+                            row{"address", R"("10.0.0.1")"},
+                            row{"address", R"("[::1]:80x")"},
+                            row{"address", R"("10.0.0.1\u0000:80")"},
+                            row{"address", R"("10.0.0.1\u0000\r\nX-Tenant: w:80")"}}) {
+        CAPTURE(row.name_, row.value_);
+        CHECK_FALSE(parse_upstream("i-1", entry_with(row.name_, row.value_)));
+    }
+    CHECK(parse_upstream("i-1", entry_with("slots", "6.0")));
+    CHECK(parse_upstream("i-1", entry_with("born", "1700000000123")));
+}
+
+// Guards against header fields that another writer puts into requests to upstreams.
+TEST_CASE("a registry entry whose id cannot be a header value is ignored", "[platform][odd]")
+{
+    auto const document = entry_with("slots", "6");
+    for (auto const& id :
+         {std::string{}, std::string{"i\r\nX-Tenant: w"}, std::string{"i\0j", 3}, std::string{"i-\x01"},
+          std::string{"i-\x7f"}, std::string{"\xff\xfe"}, std::string{" i-1"}, std::string{"i-1\t"}}) {
+        CAPTURE(id);
+        CHECK_FALSE(parse_upstream(id, document));
+    }
+    CHECK(parse_upstream(std::string(255, 'i'), document));
+    CHECK(parse_upstream("i-\xc3\xa9", document));
+}
+
+// Guards against an entry that fits no message, so that none that carries it reaches the peers.
+TEST_CASE("a registry entry that is too long is ignored", "[platform][odd]")
+{
+    CHECK(parse_upstream("i-1", entry_with("note", "\"" + std::string(20'000, 'x') + "\"")));
+    CHECK_FALSE(parse_upstream("i-1", entry_with("note", "\"" + std::string(56'000, 'x') + "\"")));
+    CHECK_FALSE(parse_upstream("i-1", entry_with("note", "\"" + std::string(2'000'000, 'x') + "\"")));
+}
+
+// Guards against a configuration that ends all VMs at once, or after which no newer one is followed.
+TEST_CASE("a configuration with a number out of range is rejected with an error", "[platform][config][odd]")
+{
+    CHECK(parse_config(config_with("1", R"(,"adapters":2)")).version_ == 1);
+    for (auto const* const version : {"1e300", "-1", "18446744073709551615", "1.5", "1e999"}) {
+        CAPTURE(version);
+        CHECK_THROWS_AS(parse_config(config_with(version, "")), error);
+    }
+    for (auto const* const fields : {R"(,"adapters":2000000)", R"(,"adapters":1e6)", R"(,"weights_mb":1e300)",
+                                     R"(,"load_s":1e300)", R"(,"adapter_mb":-1e300)", R"(,"warm_s":1e30)"}) {
+        CAPTURE(fields);
+        CHECK_THROWS_AS(parse_config(config_with("1", fields)), error);
+    }
+    for (auto const* const limits :
+         {R"({"idle_timeout_ms":1e300})", R"({"idle_timeout_ms":9223372036854775807})",
+          R"({"max_header_bytes":4294967297})", R"({"max_header_bytes":-1})", R"({"max_body_bytes":-1})",
+          R"({"header_timeout_ms":18446744073709551615})"}) {
+        CAPTURE(limits);
+        CHECK_THROWS_AS(parse_config(config_with("1", "", limits)), error);
+    }
+    for (auto const* const fields : {R"(,"rate_per_s":1e300)", R"(,"burst":-1e300)",
+                                     R"(,"plain_tokens":9223372036854775807)", R"(,"priority":1e300)"}) {
+        CAPTURE(fields);
+        CHECK_THROWS_AS(parse_config(config_with("1", "", "{}", fields)), error);
+    }
+}
+
+// Guards against a process that ends because of an entry or a report of another writer.
+TEST_CASE("any change of a document is parsed or refused", "[platform][odd]")
+{
+    auto const sound = entry_with(
+        "models", R"([{"name":"m","version":3,"adapters":["a1",{"name":"a2"}]}],"born":1700000000123,
+            "available":{"in_memory":["m"],"on_disk":["m","n"]},"sequence":4,"busy":true,"pending":["m/a1@2"])");
+    REQUIRE(parse_upstream("i-1", sound));
+    CHECK(rc::check([&] {
+        auto changed = sound;
+        auto config = std::string{config_document};
+        auto const changes = *rc::gen::inRange(1, 6);
+        for (int i = 0; i < changes; ++i) {
+            auto const piece = *rc::gen::element<std::string>("[", "]", "{", "}", ",", ":", "\"", "1e300",
+                                                              "-1", "null", "{}", "[]", "9223372036854775808",
+                                                              "\"x\"", std::string(1, '\0'), "\xff");
+            for (auto* const text : {&changed, &config}) {
+                auto const at = *rc::gen::inRange<std::size_t>(0, text->size());
+                auto const cut = *rc::gen::inRange<std::size_t>(0, 4);
+                text->replace(at, cut, piece);
+            }
+        }
+        (void)parse_upstream("i-1", changed);
+        (void)parse_report(changed);
+        try {
+            (void)parse_config(config);
+        } catch (error const&) {
+            return; // what else it throws fails the test
+        }
+    }));
+}
--- a/tests/transport/entry/async_test.cpp
+++ b/tests/transport/entry/async_test.cpp
@@ -84,3 +84,17 @@
         report_failure);
     CHECK_NOTHROW(loop.run());
 }
+
+TEST_CASE("an address must be an IP with a port from 1 to 65535", "[entry][odd]")
+{
+    for (auto const& address :
+         {std::string{"10.0.0.1:0"}, std::string{"10.0.0.1:65536"}, std::string{"10.0.0.1:-1"},
+          std::string{"10.0.0.1:+1"}, std::string{"10.0.0.1:99999999999"}, std::string{"10.0.0.1:"},
+          std::string{"10.0.0.1"}, std::string{":80"}, std::string{}, std::string{"host.example:80"},
+          std::string{"10.0.0.1\0:80", 12}, std::string{"10.0.0.1:8\0", 12}, std::string{" 10.0.0.1:80"}}) {
+        CAPTURE(address);
+        CHECK_THROWS_AS(parse_endpoint(address), error);
+    }
+    CHECK(parse_endpoint("10.0.0.1:1").port() == 1);
+    CHECK(parse_endpoint("10.0.0.1:65535").port() == 65'535);
+}
--- /dev/null
+++ b/tests/transport/entry/odd_entries_test.cpp
@@ -0,0 +1,213 @@
+#include "transport/entry/entry_world.hpp"
+
+using namespace auburnchute;
+using namespace auburnchute::tests;
+
+namespace {
+
+/// Time within which the users' pages want a change in force.
+constexpr std::chrono::milliseconds in_force{2'000};
+
+constexpr int deep = 100'000;
+constexpr std::size_t many_entries = 2'000;
+
+/// \returns A JSON value in `deep` arrays, objects, or both in turn.
+std::string nested(bool in_arrays, bool in_objects)
+{
+    std::string open;
+    std::string close;
+    for (int i = 0; i < deep; ++i) {
+        bool const array = in_arrays && (!in_objects || i % 2 == 0);
+        open += array ? "[" : R"({"name":)";
+        close += array ? ']' : '}';
+    }
+    return open + "1" + std::string{close.rbegin(), close.rend()};
+}
+
+/// \returns An entry that is sound but for one field.
+std::string entry_with(std::string const& name, std::string const& value)
+{
+    std::string document{"{"};
+    for (auto const& [own, text] :
+         {std::pair{"service", R"("desk")"}, std::pair{"address", R"("127.0.0.9:9")"},
+          std::pair{"zone", R"("a")"}, std::pair{"slots", "8"}, std::pair{"state", R"("ready")"},
+          std::pair{"born", "1"}, std::pair{"sequence", "1"}}) {
+        if (name != own) {
+            document += "\"" + std::string{own} + "\":" + text + ",";
+        }
+    }
+    return document + "\"" + name + "\":" + value + "}";
+}
+
+struct odd_entry {
+    std::string key_;
+    std::string document_;
+};
+
+/// \returns Entries that name no upstream to use.
+std::vector<odd_entry> odd_entries()
+{
+    std::vector<odd_entry> entries;
+    auto const add = [&](std::string document) {
+        entries.push_back({"odd-" + std::to_string(entries.size()), std::move(document)});
+    };
+    for (auto const& value : {nested(true, false), nested(false, true), nested(true, true)}) {
+        add(value);
+        add(entry_with("models", value));
+        add(entry_with("models", R"([{"name":"m","adapters":)" + value + "}]"));
+        add(entry_with("available", R"({"on_disk":)" + value + "}"));
+        add(entry_with("note", value));
+    }
+    add("[" + std::string(deep, '{'));
+    add(entry_with("note", "\"" + std::string(2'000'000, 'x') + "\""));
+    add(entry_with("note", "\"" + std::string(61'000, 'x') + "\"")); // larger than a datagram
+    for (auto const* const number :
+         {"1e999", "1e300", "-1e300", "9223372036854775808", "18446744073709551616", "NaN", "Infinity", "-3",
+          "0", "\"8\"", "[]", "{}", "true"}) {
+        add(entry_with("slots", number));
+        add(entry_with("born", std::string{number} == "0" ? "1.5" : number));
+    }
+    for (auto const* const port : {":0", ":65536", ":-1", ":99999999999", ":", "", ":80 ", ":8x"}) {
+        add(entry_with("address", R"("127.0.0.9)" + std::string{port} + "\""));
+    }
+    for (auto const* const address : {"host.example:80", "[::1]:x", "127.0.0.9\\u0000:80",
+                                      "127.0.0.9\\u0000\\r\\nX: y:80", "\\u0001", ":80"}) {
+        add(entry_with("address", "\"" + std::string{address} + "\""));
+    }
+    for (auto const* const name : {"service", "address", "zone", "state", "models"}) {
+        for (auto const* const value : {"7", "{}", "[[]]", "[7]", "null", "\"\xff\xfe\""}) {
+            if (std::string{name} != "models" || std::string{value} != "null") {
+                add(entry_with(name, value));
+            }
+        }
+    }
+    for (auto const* const text : {"", "{", "\xff\xfe", "nul", "[1,2]", "7", "\"x\""}) {
+        if (*text != '\0') {
+            add(text);
+        }
+    }
+    return entries;
+}
+
+/// \returns Keys under which even a sound entry names no upstream, since they cannot be a header value.
+std::vector<std::string> odd_keys()
+{
+    return {"i\r\nX-Tenant: w", std::string{"i\0j", 3}, "\xff\xfe", "\x01", " i", "i\t"};
+}
+
+std::string second_address()
+{
+    auto address = own_address();
+    return address.replace(address.find("127.77."), 7, "127.78.");
+}
+
+/// \returns The body of an answer to a caller, or an empty text.
+std::string ask(entry_world const& world, std::string const& ip = "", std::string const& key = "key")
+{
+    auto const connection = world.call("GET", "/look/1", "", "Api-Key: " + key + "\r\n", ip);
+    auto const answer = connection.receive_until("\r\n\r\n");
+    auto const end = answer.find("\r\n\r\n");
+    return entry_world::status_of(answer) == 200 ? answer.substr(end + 4) : std::string{};
+}
+
+/// Has another upstream take over, and checks that the daemon follows in time.
+void check_follows(entry_world& world, std::string const& ip, std::string const& name)
+{
+    CAPTURE(ip, name);
+    auto const leaving = world.upstreams_.size() - 1;
+    world.add_upstream(answering(name));
+    world.put_entry(leaving, "draining", 1);
+    CHECK(eventually(in_force, [&] { return ask(world, ip) == name; }));
+    for (int i = 0; i < 10; ++i) {
+        CHECK(ask(world, ip) == name);
+    }
+    CHECK_FALSE(world.daemons_.at(ip)->has_ended());
+}
+
+} // namespace
+
+// Guards against machines that end, or no longer follow the list, because of one odd entry (issue 30, LOST).
+TEST_CASE(
+    "an odd entry among those of the upstreams neither ends a VM nor keeps it from following the others",
+    "[entry][odd]")
+{
+    entry_world world{{answering("first")}};
+    auto const& ip = world.ip_;
+    auto const put_all = [&](std::string const& prefix) {
+        for (auto const& entry : odd_entries()) {
+            world.store_.put("keyed.servers", prefix + entry.key_, entry.document_);
+        }
+    };
+
+    SECTION("while the VM follows the entries")
+    {
+        put_all("");
+        put_all(std::string(200, 'k'));
+        for (auto const& key : odd_keys()) {
+            world.store_.put("keyed.servers", key, entry_with("slots", "8"));
+        }
+        check_follows(world, ip, "second");
+        check_follows(world, ip, "third");
+    }
+    SECTION("before the first read")
+    {
+        world.daemons_.clear();
+        put_all("");
+        world.start_daemon(ip, "front-a-1", "a");
+        REQUIRE(eventually(limit, [&] { return world.ready() && ask(world) == "first"; }));
+        check_follows(world, ip, "second");
+    }
+    SECTION("thousands at once")
+    {
+        for (std::size_t i = 0; i < many_entries; ++i) {
+            world.store_.put("keyed.servers", "many-" + std::to_string(i),
+                             entry_with("slots", i % 2 == 0 ? "1e300" : "[[[]]]"));
+        }
+        check_follows(world, ip, "second");
+    }
+    SECTION("one at a time, and each by way of a second VM, too")
+    {
+        auto const second = second_address();
+        world.start_daemon(second, "front-b-1", "b");
+        REQUIRE(eventually(limit, [&] { return world.ready(second) && ask(world, second) == "first"; }));
+        for (auto const& entry : odd_entries()) {
+            CAPTURE(entry.key_, entry.document_.substr(0, 200));
+            world.store_.put("keyed.servers", entry.key_, entry.document_);
+            ::poll(nullptr, 0, 10);
+            REQUIRE_FALSE(world.daemon().has_ended());
+        }
+        check_follows(world, ip, "second");
+        check_follows(world, second, "third");
+        CHECK(eventually(limit, [&] { return world.metric(second, "auburnchute_members") == 2; }));
+    }
+}
+
+// Guards against all VMs ending at once, or keeping an old configuration for good.
+TEST_CASE("an odd configuration neither ends a VM nor keeps it from following the next one", "[entry][odd]")
+{
+    entry_world world{{answering("first")}};
+    auto const with = [](std::string const& engine, std::string const& rate = "1000") {
+        auto document = nlohmann::json::parse(config_document(4, "\"odd\"")).dump();
+        auto const service = document.find(R"("max_conns":100)");
+        document.insert(service, R"("engine":{"models":[{"name":"m")" + engine + "}]},");
+        for (auto at = document.find(R"("rate_per_s":1000)"); at != std::string::npos;
+             at = document.find(R"("rate_per_s":1000)", at + 1)) {
+            document.replace(at, 17, R"("rate_per_s":)" + rate);
+        }
+        return document;
+    };
+    auto const value = nested(true, true);
+    for (auto const& odd :
+         {std::string{"{"}, std::string{"\xff"}, value, with(R"(,"other":)" + value),
+          with(R"(,"adapters":3000000)"), with(R"(,"load_s":1e300)"), with("", "1e300"), with("", "\"x\""),
+          std::string{R"({"version":18446744073709551615,"routes":[],"services":[]})"},
+          std::string{R"({"version":1e300,"routes":[],"services":[]})"}}) {
+        CAPTURE(odd.substr(0, 200));
+        world.store_.put("keyed.op", "config", odd);
+        ::poll(nullptr, 0, 100);
+        REQUIRE_FALSE(world.daemon().has_ended());
+        CHECK(ask(world) == "first");
+    }
+    world.store_.put("keyed.op", "config", config_document(5, "\"next\""));
+    CHECK(eventually(in_force, [&] { return ask(world, "", "next") == "first"; }));
+}
