Keep looking after the lease if its record is odd

After one odd record in the lease's topic no VM took the lease any more, so no models were placed for callers from then on.

Cause: a field of another type ended each call about the lease by an exception, before the VM could judge whether the lease may be taken. A record that is no JSON object counted as a free lease, so that a VM could give orders while the earlier holder still did.

A record that cannot be read is now logged (lease-unreadable) and counts as that of an unknown holder: it ends after its lifetime, and orders start after the usual gap.

On the code before, the test failed at the record {"vm":7,"epoch":"x"}: no "lease-taken" within 15 s. It passes now. Odd records in the topics of the members and of the crash records did not keep a VM from starting before either.

--- a/src/transport/entry/order_keeper.cpp
+++ b/src/transport/entry/order_keeper.cpp
@@ -1,5 +1,6 @@
 #include "transport/entry/order_keeper.hpp"
 
+#include "platform/checked_json.hpp"
 #include "platform/engine_calls.hpp"
 #include "platform/store_client.hpp"
 #include "protocol/decision_log.hpp"
@@ -8,6 +9,7 @@
 #include <auburnchute/error.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace auburnchute {
@@ -83,16 +85,20 @@
         .dump();
 }
 
-std::optional<lease_record> read_lease(std::string const& document)
+/// \returns The record, or one of an unknown holder if it cannot be read: somebody may still give orders.
+lease_record read_lease(std::string const& document)
 {
-    auto const fields = nlohmann::json::parse(document, nullptr, false);
-    if (fields.is_discarded() || !fields.is_object()) {
-        log_failure("lease-unreadable", {});
-        return std::nullopt;
-    }
-    return lease_record{fields.value("vm", std::string{}), fields.value("incarnation", std::uint64_t{0}),
-                        fields.value("epoch", std::uint64_t{0}),
-                        millis{fields.value("orders_from", std::int64_t{0})}};
+    try {
+        auto const fields = platform::parse_document(document);
+        constexpr platform::integer_range counts{0, std::numeric_limits<std::int64_t>::max()};
+        return {fields.at("vm").get<std::string>(),
+                static_cast<std::uint64_t>(platform::integer_field(fields, "incarnation", 0, counts)),
+                static_cast<std::uint64_t>(platform::integer_field(fields, "epoch")),
+                millis{platform::integer_field(fields, "orders_from")}};
+    } catch (std::exception const& failure) {
+        log_failure("lease-unreadable", {{"fault", failure.what()}});
+        return {.vm_ = "unreadable", .incarnation_ = 0, .epoch_ = 0};
+    }
 }
 
 void tell_daemons(order_keeper& keeper)
--- a/tests/transport/entry/odd_entries_test.cpp
+++ b/tests/transport/entry/odd_entries_test.cpp
@@ -211,3 +211,43 @@
     world.store_.put("keyed.op", "config", config_document(5, "\"next\""));
     CHECK(eventually(in_force, [&] { return ask(world, "", "next") == "first"; }));
 }
+
+// Guards against VMs that no longer find each other, or never again place models.
+TEST_CASE("odd records in the daemons' own topics neither end a VM nor keep it from following others",
+          "[entry][odd]")
+{
+    entry_world world{{answering("first")}};
+    auto const deep_value = nested(false, true);
+    std::vector<std::string> const odd{
+        "{",
+        "[]",
+        "7",
+        "\xff",
+        deep_value,
+        R"({"peers":7})",
+        R"({"peers":"10.0.0.1:0","callers":"10.0.0.1:80"})",
+        R"({"peers":"10.0.0.1:99999","callers":"10.0.0.1:80"})",
+        R"({"vm":7,"epoch":"x"})",
+        R"({"incarnation":1e300,"peers":"127.0.0.9:9","callers":"127.0.0.9:9","strength":1e300})",
+        R"({"incarnation":-1,"peers":"127.0.0.9:9","callers":"127.0.0.9:9","strength":9223372036854775807})",
+        R"({"vm":"v","incarnation":1e300,"epoch":18446744073709551615,"orders_from":9223372036854775807})"};
+    for (std::size_t i = 0; i < odd.size(); ++i) {
+        for (auto const* const topic : {"keyed.auburnchute-members", "keyed.auburnchute-crashes"}) {
+            world.store_.put(topic, "odd-" + std::to_string(i), odd[i]);
+        }
+    }
+    world.start_daemon(world.ip_, "front-a-1", "a"); // reads them at its start
+    REQUIRE(eventually(limit, [&] { return world.ready() && ask(world) == "first"; }));
+    world.daemon().wait_text("lease-taken", limit);
+    for (auto const* const record : {"{", R"({"vm":7,"epoch":"x"})", R"({"vm":"v","incarnation":1e300})"}) {
+        CAPTURE(record);
+        world.store_.put("keyed.auburnchute-lease", "placement", record);
+        world.daemon().wait_text("lease-taken", limit);
+    }
+    auto const second = second_address();
+    world.start_daemon(second, "front-b-1", "b");
+    CHECK(eventually(limit, [&] { return world.metric(world.ip_, "auburnchute_members") == 2; }));
+    CHECK(eventually(limit, [&] { return world.metric(second, "auburnchute_members") == 2; }));
+    check_follows(world, world.ip_, "second");
+    check_follows(world, second, "third");
+}
