Read the entries anew if a peer told an offset beyond their end

Cause: the end that the store states was compared with the next offset only to see whether the read was complete.

A read whose end lies before its beginning is logged (upstreams-beyond-end), and all entries are read anew.

The new test sends 600 odd datagrams in the name of a known peer: messages with odd entries, wrong offsets, changed and cut bytes, and random ones. A VM that never reads itself, since peers claim to have read, is not covered.

--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -356,6 +356,11 @@
         reader.reads_all_upstreams_ = true;
         co_return;
     }
+    if (page.end_offset_ < from) {
+        log_failure("upstreams-beyond-end", {{"offset", from}, {"end", page.end_offset_}});
+        reader.upstreams_next_.reset(); // told by a peer; the entries between were never read
+        co_return;
+    }
     entry_updates updates{from, page.next_offset_, {}};
     for (auto const& stored : page.records_) {
         if (auto record = platform::parse_keyed_record(stored.bytes_)) {
--- a/tests/transport/entry/odd_entries_test.cpp
+++ b/tests/transport/entry/odd_entries_test.cpp
@@ -1,5 +1,9 @@
+#include "protocol/fleet_codec.hpp"
 #include "transport/entry/entry_world.hpp"
 
+#include <algorithm>
+#include <random>
+
 using namespace auburnchute;
 using namespace auburnchute::tests;
 
@@ -10,6 +14,7 @@
 
 constexpr int deep = 100'000;
 constexpr std::size_t many_entries = 2'000;
+constexpr std::uint32_t fixed_seed = 20261205;
 
 /// \returns A JSON value in `deep` arrays, objects, or both in turn.
 std::string nested(bool in_arrays, bool in_objects)
@@ -124,6 +129,32 @@
     CHECK_FALSE(world.daemons_.at(ip)->has_ended());
 }
 
+/// A UDP socket that stands for a daemon.
+class false_peer {
+public:
+    explicit false_peer(std::string const& ip) : socket_{::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0)}
+    {
+        auto address = to_sockaddr(ip, 0);
+        socklen_t size = sizeof address;
+        REQUIRE(::bind(socket_.handle(), reinterpret_cast<sockaddr const*>(&address), size) == 0);
+        REQUIRE(::getsockname(socket_.handle(), reinterpret_cast<sockaddr*>(&address), &size) == 0);
+        address_ = ip + ":" + std::to_string(ntohs(address.sin_port));
+    }
+
+    [[nodiscard]] std::string const& address() const noexcept { return address_; }
+
+    void send(std::string const& ip, std::vector<std::uint8_t> const& bytes) const
+    {
+        auto const to = to_sockaddr(ip, 7600);
+        (void)::sendto(socket_.handle(), bytes.data(), std::min<std::size_t>(bytes.size(), 65'000), 0,
+                       reinterpret_cast<sockaddr const*>(&to), sizeof to);
+    }
+
+private:
+    owned_socket socket_;
+    std::string address_;
+};
+
 } // namespace
 
 // Guards against machines that end, or no longer follow the list, because of one odd entry (issue 30, LOST).
@@ -251,3 +282,56 @@
     check_follows(world, world.ip_, "second");
     check_follows(world, second, "third");
 }
+
+// Guards against a VM that ends because of a datagram.
+TEST_CASE("odd datagrams of a peer neither end a VM nor keep it from following the entries", "[entry][odd]")
+{
+    entry_world world{{answering("first")}};
+    false_peer const peer{world.ip_};
+    world.store_.put("keyed.auburnchute-members", "front-z-1",
+                     nlohmann::json{{"incarnation", 5},
+                                    {"peers", peer.address()},
+                                    {"callers", peer.address()},
+                                    {"zone", "z"},
+                                    {"strength", 1}}
+                         .dump());
+    std::mt19937 draw{fixed_seed};
+    fleet_message message;
+    message.vm_ = "front-z-1";
+    message.incarnation_ = 5;
+    message.kind_ = message_kind::mesh;
+    message.term_ = 1;
+    message.send_interval_ = millis{200};
+    auto const odd = odd_entries();
+    auto const keys = odd_keys();
+    for (int i = 0; i < 600; ++i) {
+        message.sent_at_ = i + 1;
+        message.news_from_ = static_cast<std::uint64_t>(i % 7);
+        message.news_to_ = static_cast<std::uint64_t>(i % 13);
+        message.news_.clear();
+        auto const& entry = odd[draw() % odd.size()];
+        auto const& key = i % 3 == 0 ? keys[draw() % keys.size()] : entry.key_;
+        message.news_.push_back({message.news_to_ - 1, key, entry.document_.substr(0, 50'000)});
+        message.seen_news_ = draw() % 20;
+        message.leaves_ = {{key, static_cast<std::int64_t>(draw()), millis{0}}};
+        message.lease_epoch_ = i % 5 == 0 ? draw() : 0;
+        message.lease_end_ = draw() % 4;
+        message.levels_ = {{draw(), static_cast<std::int64_t>(1) << 49U}};
+        auto bytes = encode_message(message);
+        auto const changes = draw() % 4;
+        for (std::uint32_t j = 0; j < changes; ++j) {
+            bytes[draw() % bytes.size()] = static_cast<std::uint8_t>(draw());
+        }
+        if (i % 10 == 9) {
+            bytes.resize(draw() % bytes.size());
+        }
+        if (i % 50 == 49) {
+            std::generate(bytes.begin(), bytes.end(), [&] { return static_cast<std::uint8_t>(draw()); });
+        }
+        peer.send(world.ip_, bytes);
+        ::poll(nullptr, 0, 2);
+        REQUIRE_FALSE(world.daemon().has_ended());
+    }
+    CHECK(world.metric(world.ip_, "auburnchute_peer_messages_total{result=\"taken\"") > 0);
+    check_follows(world, world.ip_, "second");
+}
