--- a/tests/platform/json_codec_test.cpp
+++ b/tests/platform/json_codec_test.cpp
@@ -6,6 +6,7 @@
 #include <rapidcheck.h>
 #include <string>
 #include <utility>
+#include <vector>
 
 using namespace auburnchute;
 using namespace auburnchute::platform;
@@ -237,6 +238,36 @@
     CHECK(parse_upstream("i-1", entry_with("born", "1700000000123")));
 }
 
+// Guards against requests to what an entry of another writer names (they were sent to one with {} as models).
+TEST_CASE("a registry entry with a field of another type is ignored", "[platform][odd]")
+{
+    struct row {
+        std::vector<std::string> names_;
+        std::vector<std::string> values_;
+    };
+    for (auto const& row : {row{{"service", "address", "zone", "state"}, {"{}", "[]", "7", "true", "null"}},
+                            row{{"slots", "born", "sequence", "cold_remaining_ms", "remaining_ms"},
+                                {"{}", "[]", "\"7\"", "true"}},
+                            row{{"models"}, {"{}", "{\"x\":[]}", "[[]]", "[7]", "7", "\"m\"", "true"}},
+                            row{{"available"}, {"[]", "7", "\"m\"", "true"}}}) {
+        for (auto const& name : row.names_) {
+            for (auto const& value : row.values_) {
+                CAPTURE(name, value);
+                CHECK_FALSE(parse_upstream("i-1", entry_with(name, value)));
+            }
+        }
+    }
+    for (auto const* const models :
+         {R"([{"name":"m","adapters":{}}])", R"([{"name":"m","adapters":"a1"}])", R"([{"name":7}])",
+          R"([{"version":1}])", R"([{"name":"m","version":"1"}])"}) {
+        CAPTURE(models);
+        CHECK_FALSE(parse_upstream("i-1", entry_with("models", models)));
+    }
+    CHECK_FALSE(parse_upstream("i-1", entry_with("available", R"({"on_disk":{}})")));
+    CHECK_FALSE(parse_report(R"({"models":{}})"));
+    CHECK_FALSE(parse_report(R"({"pending":{}})"));
+}
+
 // Guards against header fields that another writer puts into requests to upstreams.
 TEST_CASE("a registry entry whose id cannot be a header value is ignored", "[platform][odd]")
 {
