Let the soak find requests that end without an answer

The soak had no check for rule LOST: a request that a planned stop cut, or whose answer a reset took away, broke nothing there. Its streams ended within 0.3 s, its callers connected again in silence, and unplanned faults would have excused most.

Callers now speak over sockets of their own, hold connections until the daemon ends them, and see resets. Each run begins with planned work only: stops one by one, rolling and at once, a second SIGTERM, reloads and changes within a stop, with a grace time of 2, 3 or 5 s and SIGKILL exactly after it. loss_check weighs every request without a whole answer from the records of callers, upstreams and driver; refusals in a stop and the end of the process are checked as well. What ran before runs on: the phase with faults is as long as it was.

The soak emptied the daemons' output with a wait of 0 ms, which reads nothing.

--- /dev/null
+++ b/tests/soak/fault_driver.hpp
@@ -0,0 +1,484 @@
+#pragma once
+
+#include "soak/soak_world.hpp"
+
+#include <csignal>
+#include <functional>
+#include <iostream>
+#include <random>
+
+namespace auburnchute::tests {
+
+using namespace std::chrono_literals;
+
+/// \brief Begins planned work and faults, and ends them in time.
+///
+/// Thread safety: none.
+class fault_driver {
+public:
+    /// \param trace Prints what begins and ends. \param logs Where the daemons' output goes; empty: nowhere.
+    fault_driver(soak_world& world, oracle& checks, std::uint64_t seed, bool trace, std::string logs)
+        : world_{world}, checks_{checks}, losses_{checks.losses_}, random_{seed}, trace_{trace},
+          logs_{std::move(logs)}
+    {
+    }
+
+    /// \brief Stops, reloads and changes of the configuration only, so that nothing excuses a loss.
+    void run_planned(std::chrono::seconds time)
+    {
+        run(time, 700ms, [this] { begin_planned(); });
+    }
+
+    /// \brief Planned work and faults.
+    void run_all(std::chrono::seconds time)
+    {
+        run(time, 400ms, [this] { random_() % 4 == 0 ? begin_planned() : begin_one(); });
+    }
+
+private:
+    struct ending {
+        soak_clock::time_point at_;
+        std::string name_;
+        std::function<void()> end_;
+    };
+
+    void say(std::string const& what) const
+    {
+        if (trace_) {
+            auto const at = std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::system_clock::now().time_since_epoch());
+            std::cout << "  " << at.count() << ' ' << what << std::endl;
+        }
+    }
+
+    template <typename begin_next>
+    void run(std::chrono::seconds time, std::chrono::milliseconds spread, begin_next begin)
+    {
+        auto const end = soak_clock::now() + time;
+        while (soak_clock::now() < end) {
+            begin();
+            wait(150ms + some_of(spread));
+        }
+        while (!under_way_.empty()) {
+            wait(50ms);
+        }
+    }
+
+    void wait(std::chrono::milliseconds time)
+    {
+        auto const end = soak_clock::now() + time;
+        while (true) {
+            end_what_is_due();
+            look_at(*world_.vms_[next_look_++ % world_.vms_.size()]);
+            if (soak_clock::now() >= end) {
+                return;
+            }
+            std::this_thread::sleep_for(step); // the faults' own timetable
+        }
+    }
+
+    void end_what_is_due()
+    {
+        while (true) {
+            auto const next =
+                std::min_element(under_way_.begin(), under_way_.end(),
+                                 [](auto const& one, auto const& other) { return one.at_ < other.at_; });
+            if (next == under_way_.end() || next->at_ > soak_clock::now()) {
+                return;
+            }
+            auto const due = std::move(*next);
+            under_way_.erase(next);
+            say("end " + due.name_);
+            due.end_();
+        }
+    }
+
+    void look_at(soak_vm& vm)
+    {
+        if (!vm.process_ || vm.frozen_) {
+            return;
+        }
+        drain_output(vm);
+        if (!is_busy(&vm) && vm.process_->has_ended()) {
+            checks_.fail_with("a daemon ended by itself: " + vm.name_ + ", code " +
+                              std::to_string(vm.process_->wait_end()));
+            start(vm);
+        }
+    }
+
+    /// Daemons drop log lines when the pipe is full; it is emptied so that they keep the usual cost.
+    void drain_output(soak_vm& vm) const
+    {
+        constexpr auto for_one_read = 2ms; // a limit below a millisecond reads nothing
+        std::optional<std::ofstream> log;
+        if (!logs_.empty()) {
+            log.emplace(logs_ + "/" + vm.name_ + ".log", std::ios::app);
+        }
+        try {
+            while (true) {
+                auto const line = vm.process_->wait_line("", for_one_read);
+                if (log) {
+                    *log << line << '\n';
+                }
+            }
+        } catch (std::runtime_error const&) {
+            return; // no further line; what came was read
+        }
+    }
+
+    /// Ends the VM's process, if it still runs, and starts the next one.
+    void start(soak_vm& vm)
+    {
+        if (vm.process_) {
+            if (vm.process_->running()) {
+                vm.process_->kill();
+            }
+            drain_output(vm);
+        }
+        world_.start(vm);
+    }
+
+    bool is_busy(void const* target) const { return busy_.contains(target); }
+
+    void schedule(void const* target, std::string name, std::function<void()> end,
+                  std::chrono::milliseconds longest = 4'500ms)
+    {
+        busy_.insert(target);
+        constexpr std::uint64_t least = 500;
+        auto const lasts = std::chrono::milliseconds{
+            least + random_() % (static_cast<std::uint64_t>(longest.count()) - least)};
+        say("begin " + name + " for " + std::to_string(lasts.count()) + " ms");
+        under_way_.push_back(
+            {soak_clock::now() + lasts, std::move(name), [this, target, end = std::move(end)] {
+                 end();
+                 busy_.erase(target);
+             }});
+    }
+
+    link_fault any_link_fault(bool may_hold_back)
+    {
+        constexpr std::array all{link_fault::delayed, link_fault::reset, link_fault::cut_forward,
+                                 link_fault::cut_backward, link_fault::silent};
+        return all[random_() % (may_hold_back ? all.size() : 2)];
+    }
+
+    static bool listens(soak_vm const& vm)
+    {
+        try {
+            (void)connect_to(vm.ip_, soak_ready_port);
+            return true;
+        } catch (std::runtime_error const&) {
+            return false;
+        }
+    }
+
+    void disturb_vm()
+    {
+        auto& vm = *world_.vms_[random_() % world_.vms_.size()];
+        if (is_busy(&vm) || !vm.process_) {
+            return;
+        }
+        switch (random_() % 4) {
+        case 0:
+            losses_.begin_fault(vm.ip_);
+            vm.process_->kill();
+            schedule(&vm, "kill " + vm.name_, [this, &vm] {
+                start(vm);
+                losses_.end_fault(vm.ip_);
+            });
+            break;
+        case 1:
+            freeze(vm);
+            schedule(&vm, "freeze " + vm.name_, [this, &vm] { resume(vm); });
+            break;
+        case 2:
+            reload(vm);
+            break;
+        default:
+            if (stop(vm) && random_() % 3 == 0) {
+                freeze_in_stop(vm);
+            }
+        }
+    }
+
+    void freeze(soak_vm& vm)
+    {
+        losses_.begin_fault(vm.ip_);
+        vm.process_->freeze();
+        vm.frozen_ = true;
+        vm.was_frozen_ = true;
+        checks_.note_interrupted(vm.ip_);
+    }
+
+    void resume(soak_vm& vm)
+    {
+        if (!vm.frozen_) {
+            return;
+        }
+        vm.process_->resume();
+        vm.frozen_ = false;
+        checks_.note_interrupted(vm.ip_);
+        losses_.end_fault(vm.ip_);
+    }
+
+    /// A process that is still being loaded has no handler yet, and nothing to reload either.
+    void reload(soak_vm& vm)
+    {
+        if (vm.process_ && !vm.frozen_ && listens(vm)) {
+            say("reload " + vm.name_);
+            losses_.note_planned(vm.ip_, "reload");
+            ::kill(vm.process_->pid(), SIGHUP);
+        }
+    }
+
+    /// A pause in a stop, which may last until the kill.
+    void freeze_in_stop(soak_vm& vm)
+    {
+        auto const grace = losses_.grace();
+        later(some_of(grace), "pause " + vm.name_, [this, &vm] {
+            if (vm.frozen_ || vm.process_->has_ended()) {
+                return;
+            }
+            freeze(vm);
+            later(some_of(losses_.grace()), "pause ends " + vm.name_, [this, &vm] { resume(vm); });
+        });
+    }
+
+    /// \returns Whether a planned stop began.
+    bool stop(soak_vm& vm)
+    {
+        if (is_busy(&vm) || !vm.process_ || !listens(vm)) {
+            return false;
+        }
+        busy_.insert(&vm);
+        vm.was_frozen_ = false;
+        say("begin stop " + vm.name_);
+        losses_.note_planned(vm.ip_, "stop");
+        ::kill(vm.process_->pid(), SIGTERM);
+        auto const grace = losses_.grace();
+        under_way_.push_back({soak_clock::now() + grace, "stop " + vm.name_, [this, &vm] {
+                                  // As the platform does after the grace time.
+                                  bool const paused = std::exchange(vm.frozen_, false);
+                                  bool const ended = !vm.process_->running() || vm.process_->has_ended();
+                                  losses_.note_end_of_grace(
+                                      vm.ip_, ended, ended ? vm.process_->wait_end() : 0, vm.was_frozen_);
+                                  if (!ended) {
+                                      vm.process_->kill();
+                                  }
+                                  drain_output(vm);
+                                  vm.process_.reset();
+                                  world_.start(vm);
+                                  if (paused) {
+                                      losses_.end_fault(vm.ip_);
+                                  }
+                                  busy_.erase(&vm);
+                              }});
+        // What an operator or the platform may do meanwhile.
+        if (random_() % 3 == 0) {
+            later(some_of(grace), "second SIGTERM " + vm.name_, [&vm] {
+                if (!vm.process_->has_ended()) {
+                    ::kill(vm.process_->pid(), SIGTERM);
+                }
+            });
+        }
+        if (random_() % 3 == 0) {
+            later(some_of(grace), "reload in stop " + vm.name_, [this, &vm] {
+                if (!vm.process_->has_ended()) {
+                    reload(vm);
+                }
+            });
+        }
+        if (random_() % 3 == 0) {
+            later(some_of(grace), "change in stop", [this] { change_config(); });
+        }
+        return true;
+    }
+
+    /// \returns A random moment before the time is over.
+    std::chrono::milliseconds some_of(std::chrono::milliseconds time)
+    {
+        return std::chrono::milliseconds{random_() % static_cast<std::uint64_t>(time.count())};
+    }
+
+    /// Does something later that keeps nothing busy.
+    void later(std::chrono::milliseconds in, std::string name, std::function<void()> then)
+    {
+        under_way_.push_back({soak_clock::now() + in, std::move(name), std::move(then)});
+    }
+
+    void change_config()
+    {
+        losses_.note_planned("", "change");
+        world_.put_config();
+    }
+
+    void begin_planned()
+    {
+        auto const any_vm = [this]() -> soak_vm& { return *world_.vms_[random_() % world_.vms_.size()]; };
+        switch (random_() % 8) {
+        case 0:
+        case 1:
+            (void)stop(any_vm());
+            break;
+        case 2: { // a rolling stop
+            auto in = 0ms;
+            for (auto& vm : world_.vms_) {
+                later(in, "rolling " + vm->name_, [this, &vm = *vm] { (void)stop(vm); });
+                in += some_of(losses_.grace());
+            }
+            break;
+        }
+        case 3: // several at once
+            for (auto& vm : world_.vms_) {
+                if (random_() % 2 == 0) {
+                    (void)stop(*vm);
+                }
+            }
+            break;
+        case 4:
+            reload(any_vm());
+            break;
+        case 5: {
+            auto& vm = any_vm();
+            if (vm.process_ && !vm.frozen_ && listens(vm)) { // else its process may start with that file
+                say("broken settings " + vm.name_);
+                std::ofstream{vm.settings_} << "[a, b]: c\n";
+                reload(vm);
+            }
+            break;
+        }
+        case 6:
+            change_config();
+            break;
+        default:
+            say("key withdrawn");
+            losses_.note_planned("", "change");
+            world_.revoke_key();
+        }
+    }
+
+    void disturb_link()
+    {
+        if (random_() % 2 == 0) {
+            auto& vm = *world_.vms_[random_() % world_.vms_.size()];
+            if (!is_busy(vm.to_store_.get())) {
+                losses_.begin_fault(vm.ip_);
+                vm.to_store_->set_fault(any_link_fault(true));
+                // Longer than a withdrawn key may work at a daemon that cannot read of it.
+                schedule(
+                    vm.to_store_.get(), "link to store of " + vm.name_,
+                    [this, &vm] {
+                        vm.to_store_->set_fault(link_fault::none);
+                        losses_.end_fault(vm.ip_);
+                    },
+                    oracle::key_withdrawal + 5'000ms);
+            }
+            return;
+        }
+        auto& upstream = *world_.upstreams_[random_() % world_.upstreams_.size()];
+        if (!is_busy(&upstream)) {
+            // Orders to engines are not held back: one that arrives after its link healed proves nothing.
+            losses_.begin_fault(upstream.id_);
+            upstream.proxy_->set_fault(any_link_fault(upstream.engine_ == nullptr));
+            schedule(&upstream, "link to " + upstream.id_, [this, &upstream] {
+                upstream.proxy_->set_fault(link_fault::none);
+                losses_.end_fault(upstream.id_);
+            });
+        }
+    }
+
+    void disturb_store()
+    {
+        if (is_busy(&world_.store_)) {
+            return;
+        }
+        switch (random_() % 3) {
+        case 0:
+            world_.store_.set_down(true);
+            schedule(&world_.store_, "store down", [this] { world_.store_.set_down(false); });
+            break;
+        case 1:
+            world_.store_.set_slow(150ms);
+            schedule(&world_.store_, "store slow", [this] { world_.store_.set_slow(0ms); });
+            break;
+        default:
+            world_.store_.forget_history();
+            say("store forgets its history");
+        }
+    }
+
+    void disturb_upstream()
+    {
+        auto& upstream = *world_.upstreams_[random_() % world_.upstreams_.size()];
+        if (is_busy(&upstream)) {
+            return;
+        }
+        if (random_() % 2 == 0) {
+            upstream.loses_answers_ = true;
+            schedule(&upstream, upstream.id_ + " loses answers",
+                     [&upstream] { upstream.loses_answers_ = false; });
+        } else {
+            // It says so in its entry, by the removal of its entry, or in its answers alone.
+            upstream.leaving_ = random_() % 2 == 0;
+            if (auto const how = random_() % 3; how < 2 || !upstream.leaving_) {
+                world_.put_entry(upstream, how == 0 ? "draining" : "");
+            }
+            schedule(&upstream, upstream.id_ + " leaves", [this, &upstream] {
+                upstream.leaving_ = false;
+                ++upstream.born_; // the next process under that id
+                world_.put_entry(upstream, "ready");
+            });
+        }
+    }
+
+    void begin_one()
+    {
+        switch (random_() % 10) {
+        case 0:
+        case 1:
+        case 2:
+            disturb_vm();
+            break;
+        case 3:
+        case 4:
+        case 5:
+            disturb_link();
+            break;
+        case 6:
+            disturb_store();
+            break;
+        case 7:
+            say("key withdrawn");
+            losses_.note_planned("", "change");
+            world_.revoke_key();
+            break;
+        case 8:
+            say("all daemons killed");
+            for (auto& vm : world_.vms_) {
+                if (!is_busy(vm.get()) && vm->process_) {
+                    losses_.begin_fault(vm->ip_);
+                    start(*vm);
+                    losses_.end_fault(vm->ip_);
+                }
+            }
+            break;
+        default:
+            disturb_upstream();
+        }
+    }
+
+    /// Between two looks at what is due.
+    static constexpr auto step = 5ms;
+
+    soak_world& world_;
+    oracle& checks_;
+    loss_check& losses_;
+    std::mt19937_64 random_;
+    bool trace_;
+    std::string logs_;
+    std::size_t next_look_{};
+    std::vector<ending> under_way_;
+    std::set<void const*> busy_;
+};
+
+} // namespace auburnchute::tests
--- a/tests/soak/oracle.hpp
+++ b/tests/soak/oracle.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "soak/loss_check.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
@@ -12,8 +14,6 @@
 
 namespace auburnchute::tests {
 
-using soak_clock = std::chrono::steady_clock;
-
 /// \brief What may be repeated of a request, as its caller knows it.
 enum class soak_kind : std::uint8_t { purchase, lookup, stream, resumable_stream };
 
@@ -22,6 +22,9 @@
 /// Thread safety: all members may be called from any thread.
 class oracle {
 public:
+    /// \param grace Time from SIGTERM to SIGKILL.
+    explicit oracle(std::chrono::milliseconds grace) : losses_{grace} {}
+
     /// Limits of the workspace whose callers send too much; requests a second and at once.
     static constexpr double limited_rate = 20;
     static constexpr double limited_burst = 20;
@@ -164,6 +167,9 @@
                 break;
             }
         }
+        for (auto& lost : losses_.finish()) {
+            fail(std::move(lost));
+        }
         return failures_;
     }
 
@@ -175,6 +181,7 @@
         for (auto const& [status, count] : statuses_) {
             text << ' ' << status << ':' << count;
         }
+        text << "; " << losses_.summary();
         return text.str();
     }
 
@@ -184,6 +191,8 @@
         return key.substr(key.rfind('-') + 1);
     }
 
+    loss_check losses_; ///< Requests without a whole answer.
+
 private:
     struct sent_request {
         soak_kind kind_{};
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -16,6 +16,8 @@
 inline constexpr int soak_callers_port = 8221;
 inline constexpr int soak_ready_port = 8224;
 inline constexpr int soak_directory_port = 8220;
+inline constexpr std::chrono::milliseconds route_timeout{4'000};
+inline constexpr std::chrono::milliseconds long_route_timeout{15'000};
 
 /// \returns The first three numbers of loopback addresses that no other soak uses at the same time, and a
 /// dot.
@@ -25,11 +27,36 @@
     return "127." + std::to_string(80 + (pid >> 8U) % 128U) + "." + std::to_string(pid & 0xffU) + ".";
 }
 
-/// \returns Events of a request's whole stream; upstream and caller work it out alike.
-inline int events_of(std::string const& id)
-{
-    return 4 + static_cast<int>(std::hash<std::string>{}(id) % 6);
-}
+/// \brief What an upstream does for a request. Its caller picks it, and the request's id carries it.
+struct soak_work {
+    int events_{};                   ///< Of the whole stream; 0: one answer.
+    std::chrono::milliseconds each_; ///< Until the answer, or between two events.
+    std::size_t padding_{};          ///< Bytes behind one answer's text.
+
+    /// \param name A part of the id that no other request has, without `-`.
+    [[nodiscard]] std::string id(std::string const& name) const
+    {
+        return name + "-" + std::to_string(events_) + "-" + std::to_string(each_.count()) + "-" +
+               std::to_string(padding_);
+    }
+
+    [[nodiscard]] static soak_work of(std::string const& id)
+    {
+        soak_work read;
+        char mark{};
+        std::istringstream text{id.substr(id.find('-') + 1)};
+        std::int64_t each{};
+        text >> read.events_ >> mark >> each >> mark >> read.padding_;
+        read.each_ = std::chrono::milliseconds{each};
+        return read;
+    }
+
+    /// \returns The whole answer's body, if it has no events.
+    [[nodiscard]] static std::string body(std::string const& id)
+    {
+        return id + " is whole" + std::string(of(id).padding_, '.');
+    }
+};
 
 /// \brief A model engine's placement: it carries out one order at a time.
 class soak_engine {
@@ -126,6 +153,7 @@
     std::unique_ptr<loopback_proxy> to_store_;
     std::optional<child_process> process_;
     bool frozen_{};
+    bool was_frozen_{}; ///< Since its planned stop began.
 };
 
 /// \brief All processes and stand-ins of one soak run.
@@ -158,24 +186,41 @@
     soak_world(soak_world const&) = delete;
     soak_world& operator=(soak_world const&) = delete;
 
+    /// \brief Starts the VM's process, with its settings as they should be.
     void start(soak_vm& vm)
     {
+        write_settings(vm);
         vm.process_.emplace("auburnchute-entry",
                             std::vector<std::string>{"--settings", vm.settings_.string()});
         vm.frozen_ = false;
         checks_.note_interrupted(vm.ip_);
     }
 
+    /// \brief Writes the VM's settings file.
+    void write_settings(soak_vm const& vm) const
+    {
+        auto const listen = [&](int port) { return vm.ip_ + ":" + std::to_string(port) + "\n"; };
+        std::ofstream{vm.settings_}
+            << "vm: " << vm.name_ << "\nip: " << vm.ip_
+            << "\navailability_zone: a\nfirst_start: false\ncallers_listen: " << listen(soak_callers_port)
+            << "ready_listen: " << listen(soak_ready_port)
+            << "directory_listen: " << listen(soak_directory_port)
+            << "peer_port: 7600\nmetrics_port: 7601\nstore_address: " << vm.to_store_->address()
+            << "\nretry_extra: 50\nretry_ratio: 0.2\norder_lease_ms: 3000\nshutdown_grace_s: "
+            << std::chrono::duration_cast<std::chrono::seconds>(checks_.losses_.grace()).count() << "\n";
+    }
+
     /// \brief Publishes the configuration as it should be now.
     void put_config()
     {
         ++version_;
         auto const route = [](std::string const& name, std::string const& type, std::string const& service,
-                              int attempts, bool resumable) {
+                              int attempts, bool resumable,
+                              std::chrono::milliseconds timeout = route_timeout) {
             return nlohmann::json{
-                {"name", name},       {"host", "h.example"},      {"path_prefix", "/" + name + "/"},
-                {"route_type", type}, {"timeout_ms", 4'000},      {"target_latency_ms", 300},
-                {"service", service}, {"max_attempts", attempts}, {"resumable", resumable},
+                {"name", name},       {"host", "h.example"},           {"path_prefix", "/" + name + "/"},
+                {"route_type", type}, {"timeout_ms", timeout.count()}, {"target_latency_ms", 300},
+                {"service", service}, {"max_attempts", attempts},      {"resumable", resumable},
                 {"priority", 1}};
         };
         nlohmann::json const models{{{"name", "m1"}, {"weights_mb", 40}, {"load_s", 0.3}},
@@ -186,7 +231,9 @@
             {"routes",
              {route("buy", "unsafe", "desk", 2, false), route("look", "safe", "desk", 2, false),
               route("watch", "streaming", "desk", 2, false), route("resume", "streaming", "desk", 2, true),
-              route("ask", "streaming", "llm", 2, false)}},
+              route("ask", "streaming", "llm", 2, false),
+              // Its streams may outlast the grace time of a stop.
+              route("long", "streaming", "desk", 2, false, long_route_timeout)}},
             {"services",
              {{{"name", "desk"}, {"max_conns", 200}},
               {{"name", "llm"},
@@ -208,7 +255,9 @@
               {{"name", "limited"},
                {"api_keys", {"k0-limited"}},
                {"rate_per_s", oracle::limited_rate},
-               {"burst", oracle::limited_burst}}}}};
+               {"burst", oracle::limited_burst}},
+              // Another one in each version, so that no two are alike.
+              {{"name", "other"}, {"api_keys", {"k" + std::to_string(version_) + "-other"}}}}}};
         store_.put("keyed.op", "config", config.dump());
     }
 
@@ -294,15 +343,6 @@
         vm->settings_ =
             std::filesystem::temp_directory_path() /
             ("soak-" + std::to_string(::getpid()) + "-" + std::to_string(seed) + "-" + vm->name_ + ".yaml");
-        auto const listen = [&](int port) { return vm->ip_ + ":" + std::to_string(port) + "\n"; };
-        std::ofstream{vm->settings_} << "vm: " << vm->name_ << "\nip: " << vm->ip_
-                                     << "\navailability_zone: a\nfirst_start: false\ncallers_listen: "
-                                     << listen(soak_callers_port)
-                                     << "ready_listen: " << listen(soak_ready_port)
-                                     << "directory_listen: " << listen(soak_directory_port)
-                                     << "peer_port: 7600\nmetrics_port: 7601\nstore_address: "
-                                     << vm->to_store_->address()
-                                     << "\nretry_extra: 50\nretry_ratio: 0.2\norder_lease_ms: 3000\n";
         start(*vm);
         vms_.push_back(std::move(vm));
     }
@@ -328,47 +368,61 @@
                         "\r\nContent-Length: 0\r\n\r\n");
             return true;
         }
+        if (!request.field("Api-Key").empty()) {
+            checks_.fail_with("UNASKED: an upstream saw the caller's key of " + id);
+        }
         auto const resumed = request.field("Last-Event-Id");
         int const first = resumed.empty() ? 1 : std::stoi(resumed) + 1;
         checks_.note_run(id, request.field("X-Tenant"), first, upstream.process());
+        checks_.losses_.note_run(id, upstream.id_);
+        auto const end = answer(upstream, request, socket, id, first);
+        checks_.losses_.note_run_ended(id, upstream.id_, end);
+        return end == run_end::answered;
+    }
+
+    /// Does a request's work and sends its answer. \param first The first event of a stream.
+    static run_end answer(soak_upstream const& upstream, received_request const& request,
+                          owned_socket const& socket, std::string const& id, int first)
+    {
+        auto const goes_on = [&](std::chrono::milliseconds time) {
+            pollfd gone{socket.handle(), POLLIN, 0};
+            return ::poll(&gone, 1, static_cast<int>(time.count())) <= 0; // the work that the caller picked
+        };
         auto const leaving = upstream.leaving_
                                  ? "Server-Leaving: 1\r\nX-Process: " + upstream.process() + "\r\n"
                                  : std::string{};
-        if (!request.field("Api-Key").empty()) {
-            checks_.fail_with("UNASKED: an upstream saw the caller's key of " + id);
-        }
         bool const lost = upstream.loses_answers_ && std::hash<std::string>{}(id) % 2 == 0;
-        bool const stream =
-            !request.head_.starts_with("GET /look") && !request.head_.starts_with("POST /buy");
-        if (!stream) {
-            if (!lost) {
-                auto answer = answer_to(request, id + " is whole");
-                socket.send(answer.insert(answer.find("\r\n") + 2, leaving));
+        auto const work = soak_work::of(id);
+        if (work.events_ == 0) {
+            if (!goes_on(work.each_)) {
+                return run_end::was_left;
             }
-            return !lost;
+            if (lost) {
+                return run_end::broke_off;
+            }
+            auto answer = answer_to(request, soak_work::body(id));
+            socket.send(answer.insert(answer.find("\r\n") + 2, leaving));
+            return run_end::answered;
         }
         socket.send("HTTP/1.1 200 X\r\n" + leaving + "X-Request-Id: " + id +
                     "\r\nX-Response-Stamp: proof\r\nContent-Type: text/event-stream\r\n"
                     "Transfer-Encoding: chunked\r\n\r\n");
-        for (int event = first; event <= events_of(id); ++event) {
+        for (int event = first; event <= work.events_; ++event) {
             auto const text = "id: " + std::to_string(event) + "\ndata: " + id + "\n\n";
             std::ostringstream chunk;
             chunk << std::hex << text.size() << "\r\n" << text << "\r\n";
             socket.send(chunk.str());
             if (lost && event == 2) {
-                return false;
+                return run_end::broke_off;
             }
-            pollfd gone{socket.handle(), POLLIN, 0};
-            if (::poll(&gone, 1, event_pause_ms) > 0) {
-                return false; // the daemon closed the connection
+            if (!goes_on(work.each_)) {
+                return run_end::was_left;
             }
         }
         socket.send("0\r\n\r\n");
-        return true;
+        return run_end::answered;
     }
 
-    static constexpr int event_pause_ms = 20;
-
     std::mutex mutex_;
     int writes_{};
     int version_{};
