Handle signals before anything listens

A SIGTERM just after the start met its default action: the ports listened before the handlers stood, which was when the loop began to run. The tasks that wait for signals and send the demand are started again if an exception ends them, as the others are.

--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -104,9 +104,9 @@
     }
 }
 
-net::awaitable<void> handle_signals(entry_node& node, std::string settings_file)
+net::awaitable<void> handle_signals(entry_node& node, boost::asio::signal_set& signals,
+                                    std::string settings_file)
 {
-    boost::asio::signal_set signals{node.loop_, SIGTERM, SIGINT, SIGHUP};
     while (true) {
         error_code fault;
         auto const signal = co_await signals.async_wait(outcome_in(fault));
@@ -263,11 +263,13 @@
     };
     node.reread_upstreams_ = [&reader] { net::post(reader.loop_, [&reader] { reread_upstreams(reader); }); };
     node.stop_placing_ = [&keeper] { net::post(keeper.loop_, [&keeper] { give_up_lease(keeper); }); };
+    // Before anything listens: a stop without a handler would end the process by its default action.
+    boost::asio::signal_set signals{loop, SIGTERM, SIGINT, SIGHUP};
     serve_callers(node, settings.callers_listen_);
     serve_own_pages(node);
     exchange_with_peers(node);
-    net::co_spawn(loop, handle_signals(node, settings_file), report_failure);
-    net::co_spawn(loop, demand.send_regularly(), report_failure);
+    run_forever(loop, "signals", [&] { return handle_signals(node, signals, settings_file); });
+    run_forever(loop, "demand", [&demand] { return demand.send_regularly(); });
     start_reading(reader);
     start_keeping(keeper, node.exchange_.incarnation_);
     std::thread control{[&control_loop] { control_loop.run(); }};
--- a/tests/transport/entry/planned_stop_test.cpp
+++ b/tests/transport/entry/planned_stop_test.cpp
@@ -496,3 +496,25 @@
     CHECK(log.find("\"event\":\"request\",\"id\":\"id-long\"") != std::string::npos);
     CHECK(world.daemon().wait_end() == 0);
 }
+
+// Guards against a process that listens before it handles signals, and is killed by the stop that comes then.
+TEST_CASE("a stop just after the start is graceful", "[entry][promise-12]")
+{
+    constexpr int starts = 8;
+    entry_world world{{after_probe(answering("x"))}};
+    auto const ip = "127.78" + world.ip_.substr(world.ip_.find('.', 4));
+    for (int i = 0; i < starts; ++i) {
+        CAPTURE(i);
+        world.start_daemon(ip, "front-a-2", "a", "shutdown_grace_s: 1\n");
+        auto& daemon = *world.daemons_.at(ip);
+        for (bool listens = false; !listens;) { // without a pause, so as to come at the first moment
+            try {
+                (void)connect_to(ip, callers_port);
+                listens = true;
+            } catch (std::runtime_error const&) {
+                REQUIRE_FALSE(daemon.has_ended());
+            }
+        }
+        CHECK(daemon.stop() == 0);
+    }
+}
