--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -257,7 +257,7 @@
     std::string request_id_;    ///< Of the present request.
     std::string last_upstream_; ///< Of the present request, for its log line.
     int last_status_{};
-    std::function<void()> cancel_try_;        ///< Ends the present try; null: none runs.
+    std::function<void()> cancel_try_;     ///< Ends the present try; null: none runs.
     upstream_try* first_try_{};            ///< Of the present try, while it waits for an answer.
     std::function<void()> on_first_event_; ///< Called once when the upstream begins to answer.
     std::function<void()> on_survival_;    ///< Called once when it has answered for `crash_onset`.
