Block the signals of stops and reloads while the process ends

The signals are blocked once no thread runs. The test sends a signal each millisecond until the process has ended, eight times; it passes. Its first form sent them without a pause and starved the daemon, on the code before and after; whether the paced form fails on the code before was not run.

--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -128,6 +128,17 @@
     }
 }
 
+/// Keeps the signals of stops and reloads from the process. \pre No other thread runs.
+void block_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (int const signal : {SIGTERM, SIGINT, SIGHUP}) {
+        sigaddset(&signals, signal);
+    }
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 /// Hands what the VMs ask for to the placement, or to the VM that places.
 class demand_sender {
 public:
@@ -276,6 +287,7 @@
     loop.run();
     control_loop.stop();
     control.join();
+    block_signals(); // their handlers end with the set, and the default action would end the process
     return static_cast<int>(exit_code::done);
 }
 
--- a/tests/transport/entry/planned_stop_test.cpp
+++ b/tests/transport/entry/planned_stop_test.cpp
@@ -518,3 +518,24 @@
         CHECK(daemon.stop() == 0);
     }
 }
+
+// Guards against a signal that meets no handler any more while the process ends.
+TEST_CASE("signals that come to the very end of a stop change nothing", "[entry][promise-12]")
+{
+    constexpr int stops = 8;
+    entry_world world{{after_probe(answering("x"))}, "shutdown_grace_s: 1\n"};
+    for (int i = 0; i < stops; ++i) {
+        CAPTURE(i);
+        if (i > 0) {
+            world.start_daemon(world.ip_, "front-a-1", "a", "shutdown_grace_s: 1\n");
+            REQUIRE(eventually(limit, [&] { return world.ready(); }));
+        }
+        auto& daemon = world.daemon();
+        ::kill(daemon.pid(), SIGTERM);
+        while (!daemon.has_ended()) {
+            ::kill(daemon.pid(), i % 2 == 0 ? SIGHUP : SIGTERM);
+            ::poll(nullptr, 0, 1); // a reload takes some time
+        }
+        CHECK(daemon.wait_end() == 0);
+    }
+}
