--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -490,7 +490,11 @@
     on_first_event_ = nullptr;
     on_survival_ = nullptr;
     log_failure("request-failed", {{"id", job.call_.request_id_}, {"fault", fault}});
-    co_return own_answer{job.used_.empty() ? internal_error : bad_gateway, "internal-error", millis{-1}};
+    if (job.used_.empty()) {
+        co_return own_answer{internal_error, "internal-error", millis{-1}};
+    }
+    job.execution_ = execution::unknown; // so that nothing is given back of its charge
+    co_return own_answer{bad_gateway, "internal-error", millis{-1}};
 }
 
 net::awaitable<std::optional<own_answer>> caller_session::dispatch(forward_job& job,
