End a planned stop of auburnchuted without waiting for its control threads

Cause: after the membership had ended, the stop joined the control threads. One waits up to 1 s for the log, others for an engine's report, a peer or an order to load (minutes); a grace time of 4 s leaves 333 ms for it.

Change: the membership's end and the end of the threads are apart, and the process ends after the first. It holds nothing that must be kept: spans are written out and the log has the end of the membership (a line if not). The watch names what the stop waited for. The tests of stops show the daemon's output when they fail.

--- a/apps/auburnchuted.cpp
+++ b/apps/auburnchuted.cpp
@@ -6,6 +6,7 @@
 #include <auburnchute/error.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <csignal>
@@ -84,14 +85,20 @@
                                  [] { return false; });
               }
               if (!stop.stop_requested()) {
-                  log_fault("stop", vm, "did not end within the grace time");
+                  log_fault("stop", vm,
+                            std::string{"did not end within the grace time; waited for "} +
+                                waits_for_.load());
                   std::_Exit(1);
               }
           }}
     {
     }
 
+    /// \brief Sets what the stop waits for from here on, as the log shows it. \param what A string literal.
+    void waits_for(char const* what) noexcept { waits_for_.store(what); }
+
 private:
+    std::atomic<char const*> waits_for_{"callers"};
     std::mutex mutex_;
     std::condition_variable_any wake_;
     std::jthread thread_;
@@ -125,7 +132,8 @@
     return hurried;
 }
 
-void serve(settings const& config, sigset_t const& signals)
+/// Serves until a planned stop has ended.
+[[noreturn]] void serve(settings const& config, sigset_t const& signals)
 {
     auburnchute::clock const clk;
     metrics counters;
@@ -149,7 +157,7 @@
     }
     auto const began = now(clk);
     auto const whole = plan_shutdown(began, config.stop_grace_, config.entry_ttl_);
-    exit_watch const watch{clk, whole.ends_at_, config.vm_};
+    exit_watch watch{clk, whole.ends_at_, config.vm_};
     auto const leave_time = std::min(leave_limit, config.stop_grace_ / leave_parts);
     auto const plan = plan_shutdown(began, config.stop_grace_ - leave_time, config.entry_ttl_);
     // Callers may keep the entry list that still names this VM for its lifetime.
@@ -157,10 +165,16 @@
     queue.refuse_waiting();
     control.begin_stop();
     bool const hurried = end_requests(callers, queue, stop, clk, plan, signals);
+    watch.waits_for("the end of the membership");
     auto const left = std::max(millis{1}, whole.answers_until_ - now(clk));
-    control.finish_stop(hurried ? millis{1} : std::min(leave_limit, left));
+    control.end_membership(hurried ? millis{1} : std::min(leave_limit, left));
+    watch.waits_for("operators");
     operators.stop();
+    watch.waits_for("the file of traces");
+    spans.close();
     log_change("stop", config.vm_, "ended");
+    // Threads may still wait for the log, an upstream or a peer for longer than the grace time.
+    std::_Exit(0);
 }
 
 } // namespace
@@ -195,5 +209,4 @@
         std::cerr << fault.what() << "\n";
         return 1;
     }
-    return 0;
 }
--- a/src/protocol/trace.cpp
+++ b/src/protocol/trace.cpp
@@ -101,11 +101,16 @@
 
 span_sink::~span_sink()
 {
-    if (file_ < 0) {
-        return;
-    }
+    close();
+}
+
+void span_sink::close()
+{
     {
         std::lock_guard const lock{mutex_};
+        if (stop_ || file_ < 0) {
+            return;
+        }
         stop_ = true;
     }
     wake_.notify_one();
@@ -148,7 +153,7 @@
     line += '\n';
 
     std::lock_guard const lock{mutex_};
-    if (buffer_.size() + line.size() > max_buffered) {
+    if (stop_ || buffer_.size() + line.size() > max_buffered) {
         ++dropped_;
         return;
     }
--- a/src/protocol/trace.hpp
+++ b/src/protocol/trace.hpp
@@ -52,13 +52,16 @@
     explicit span_sink(std::string_view file);
     span_sink(span_sink const&) = delete;
     span_sink& operator=(span_sink const&) = delete;
-    /// \brief Writes what is buffered and closes the file.
     ~span_sink();
 
     /// \brief Buffers one span; spans of unsampled traces are left out.
     void write(trace_context const& own, std::string_view parent_span_id, std::string_view name,
                millis wall_start, millis wall_end, std::span<span_attribute const> attributes);
 
+    /// \brief Writes what is buffered and closes the file; later spans are dropped. The destructor does it,
+    /// too.
+    void close();
+
     /// \returns The number of spans lost to a full buffer or a failed write.
     [[nodiscard]] std::int64_t dropped() const noexcept;
 
--- a/src/transport/fleet_control.cpp
+++ b/src/transport/fleet_control.cpp
@@ -41,7 +41,7 @@
 fleet_control::~fleet_control()
 {
     if (server_) {
-        finish_stop({0});
+        end_threads();
     }
 }
 
@@ -88,7 +88,7 @@
     return stopping_;
 }
 
-void fleet_control::finish_stop(millis limit)
+void fleet_control::end_membership(millis limit)
 {
     auto const deadline = now(clock_) + limit;
     member_id self;
@@ -101,9 +101,14 @@
         }
         self = self_;
     }
-    if (limit.count_ > 0) {
-        (void)submit_and_wait(member_gone{self, gone_evidence::left}, deadline - now(clock_));
+    auto const gone = submit_and_wait(member_gone{self, gone_evidence::left}, deadline - now(clock_));
+    if (!gone.known_) {
+        log_fault("stop", config_.vm_, "the log did not confirm the end of the membership in time");
     }
+}
+
+void fleet_control::end_threads()
+{
     for (auto& thread : threads_) {
         thread.request_stop();
     }
--- a/src/transport/fleet_control.hpp
+++ b/src/transport/fleet_control.hpp
@@ -70,8 +70,9 @@
     /// \returns True after a planned stop has begun, by a signal or by a drain.
     [[nodiscard]] bool is_stopping() const;
 
-    /// \brief Ends the membership after the last request, and all threads. Waits up to `limit` for the log.
-    void finish_stop(millis limit);
+    /// \brief Ends the membership after the last request. Waits up to `limit` for the log.
+    /// \pre `begin_stop` was called.
+    void end_membership(millis limit);
 
     /// \brief Reads the published view. The reference is valid only within `use`.
     template <typename F>
@@ -134,6 +135,9 @@
         bool reachable_{};
     };
 
+    /// Waits for calls to the log, upstreams and peers; an order to load may take minutes.
+    void end_threads();
+
     // Log.
     void run_reader(std::stop_token const& stop);
     void run_writer(std::stop_token const& stop);
--- a/tests/transport/daemon_stop_test.cpp
+++ b/tests/transport/daemon_stop_test.cpp
@@ -221,10 +221,10 @@
     CHECK(answer.status_ == 503);
     CHECK(answer.json().value("execution", "") == "unknown");
     auto const output = f.daemon(0).read_to_end();
-    CHECK(f.daemon(0).wait_end() == 0);
-    CHECK(since(began) <= grace + scheduling_slack);
     auto const id = answer.json().value("request_id", "none");
     CAPTURE(output, id);
+    CHECK(f.daemon(0).wait_end() == 0);
+    CHECK(since(began) <= grace + scheduling_slack);
     CHECK(output.find("request " + id + " outlasts the stop") != std::string::npos);
 }
 
@@ -243,9 +243,9 @@
     CHECK(ends_with_error(rest));
     CHECK(since(began) <= grace);
     auto const output = f.daemon(0).read_to_end();
+    CAPTURE(output);
     CHECK(f.daemon(0).wait_end() == 0);
     CHECK(since(began) <= grace + scheduling_slack);
-    CAPTURE(output);
     CHECK(output.find(" outlasts the stop") != std::string::npos);
 }
 
@@ -349,6 +349,32 @@
     }
 }
 
+// Guards against a stop that ends late and as failed, as a thread waits for an engine or for the log.
+TEST_CASE("a stop does not wait for calls of the control part", "[promise-12][process]")
+{
+    struct slow_call {
+        char const* name_;
+        int load_ms_;
+        int log_ms_;
+    };
+    auto const slow = GENERATE(values<slow_call>({{"an order to load", 6'000, 0}, {"the log", 100, 1'500}}));
+    CAPTURE(slow.name_);
+    fleet f{{.daemons_ = 1,
+             .engines_ = 1,
+             .load_ms_ = slow.load_ms_,
+             .daemon_settings_ = short_grace,
+             .show_errors_ = true}};
+    auto const loads = f.received_by(0, "/orders/load");
+    auto const cold = std::async(std::launch::async, [&f] { return f.ask(0, "c", "cold"); });
+    REQUIRE(eventually(10s, [&] { return f.received_by(0, "/orders/load") > loads; }));
+    fleet::fault(f.log_address(), {{"delay_ms", slow.log_ms_}});
+    auto const began = std::chrono::steady_clock::now();
+    auto const code = f.daemon(0).stop();
+    CAPTURE(f.daemon(0).read_to_end());
+    CHECK(code == 0);
+    CHECK(since(began) <= grace + scheduling_slack);
+}
+
 // Guards against a purchase that a stop has given up and that runs again when its caller repeats it.
 TEST_CASE("a purchase that outlasts the stop is not run again", "[promise-10][promise-12][process]")
 {
