Refuse in a planned stop what has no limit of its whole time

What callers saw: a stream that auburnchuted took after SIGTERM could outlast the stop and end with an error event in the middle; a call of a service could end as "unknown" in place of being refused as not run.

Cause: the stop compared a request's deadline with its end. For model requests, streamed or not, that limits the start of the answer only; for services it leaves out the 66 s that a call may take once it was sent.

Change: a request has a second limit, by which its answer is whole: none for model requests, the deadline and the limit of a call for services. It decides in a stop whether a request, a further try or one that waits for a place is taken. A stream that has begun and whose upstream cuts it is resumed as before, if that may begin in time: its caller cannot go elsewhere. No route or header bounds the whole time of a model's answer today, so all that have not started are refused from SIGTERM on.

The row of a longer grace time in "a request that waits for a place" is new. A service that sends its answer in pieces may take longer than its limit, which is of each read: not changed.

--- a/src/transport/http_front.cpp
+++ b/src/transport/http_front.cpp
@@ -365,6 +365,7 @@
     wanted.tokens_ = parsed.prompt_tokens_ + parsed.max_tokens_;
     wanted.arrived_ = context.arrived_;
     wanted.deadline_ = context.deadline_;
+    wanted.ends_by_ = context.ends_by_;
     wanted.prefix_hash_ = stable_hash(parsed.prefix_, stable_hash(parsed.model_));
     wanted.request_hash_ = stable_hash(context.id_);
     wanted.isolated_ = context.suspect_;
--- a/src/transport/model_call.cpp
+++ b/src/transport/model_call.cpp
@@ -314,12 +314,18 @@
         budgets_.again(wanted_.key_.pool_, result, context_.route_.repeatable_, tries_, time, limit)) {
         services_.metrics_.count("auburnchute_retries_total", wanted_.key_.pool_);
         wanted_.deadline_ = limit;
+        if (started_to_caller) {
+            // Its caller cannot go elsewhere, so it goes on if that may begin in time.
+            wanted_.ends_by_ = limit;
+            context_.ends_by_ = limit;
+        }
         auto const verdict = services_.control_.judge_request(context_.fingerprint_);
         context_.suspect_ = verdict == crash_verdict::suspect;
         wanted_.isolated_ = context_.suspect_;
         if (verdict != crash_verdict::confirmed) {
             while (context_.suspect_ && !services_.control_.may_start_isolated(context_.fingerprint_) &&
-                   services_.stop_.may_start(limit) && now(services_.control_.time_source()) < limit) {
+                   services_.stop_.may_start(wanted_.ends_by_) &&
+                   now(services_.control_.time_source()) < limit) {
                 std::this_thread::sleep_for(std::chrono::milliseconds{20});
             }
             return std::nullopt;
--- a/src/transport/request_context.cpp
+++ b/src/transport/request_context.cpp
@@ -1,5 +1,7 @@
 #include "transport/request_context.hpp"
 
+#include "transport/service_call.hpp"
+
 #include <algorithm>
 #include <array>
 #include <atomic>
@@ -154,6 +156,7 @@
             context.route_ = *route;
             context.row_ = {"routes", route->name_, state.tables_->version_};
             context.deadline_ = context.arrived_ + route->deadline_;
+            context.ends_by_ = route->model_.empty() ? context.deadline_ + service_call_limit : no_end;
             if (auto const* const row = find_workspace(*state.tables_, context.workspace_)) {
                 context.weight_ = row->weight_;
             }
@@ -185,7 +188,7 @@
         note(services, context, "route", "matched");
         return std::nullopt;
     });
-    if (!refused && !services.stop_.may_start(context.deadline_)) {
+    if (!refused && !services.stop_.may_start(context.ends_by_)) {
         return make_stop_problem(services, context);
     }
     return refused;
@@ -202,7 +205,7 @@
             return make_problem(context, 503, "too-late", "wait",
                                 "not run: suspected of crashing an upstream and could not run alone in time");
         }
-        if (!services.stop_.may_start(context.deadline_)) {
+        if (!services.stop_.may_start(context.ends_by_)) {
             return make_stop_problem(services, context);
         }
         std::this_thread::sleep_for(suspect_poll);
@@ -359,7 +362,7 @@
 std::optional<problem> must_not_start(request_services& services, request_context const& context,
                                       execution ran)
 {
-    if (!services.stop_.may_start(context.deadline_)) {
+    if (!services.stop_.may_start(context.ends_by_)) {
         return make_stop_problem(services, context, ran);
     }
     if (auto ended = must_end(services, context)) {
--- a/src/transport/request_context.hpp
+++ b/src/transport/request_context.hpp
@@ -10,6 +10,8 @@
 
 #include <auburnchute/clock.hpp>
 
+#include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -27,6 +29,9 @@
     stop_gate& stop_;
 };
 
+/// \brief Ends of requests whose whole time has no limit.
+inline constexpr millis no_end{std::numeric_limits<std::int64_t>::max()};
+
 /// \brief One caller's request on its way through the steps.
 ///
 /// Thread safety: one thread at a time.
@@ -36,7 +41,8 @@
     std::string parent_span_;
     millis arrived_{};
     millis arrived_wall_{};
-    millis deadline_{};
+    millis deadline_{};      ///< Of the start of the answer.
+    millis ends_by_{};       ///< When the answer is whole at the latest; decides whether it fits into a stop.
     std::string key_digest_; ///< Empty if no key came with the request. The key itself is not kept.
     std::string workspace_;  ///< Empty on an open route without a key.
     std::int64_t weight_{1};
--- a/src/transport/request_queue.cpp
+++ b/src/transport/request_queue.cpp
@@ -192,7 +192,7 @@
     control_.read([&](fleet_view const& view) {
         std::lock_guard const lock{pool.mutex_};
         // Under the lock, so that `refuse_waiting` misses no request.
-        if (!stop_.may_start(request.deadline_)) {
+        if (!stop_.may_start(request.ends_by_)) {
             grant.verdict_ = slot_verdict::stopping;
             return;
         }
@@ -317,7 +317,7 @@
         auto& pool = *queue;
         std::lock_guard const pool_lock{pool.mutex_};
         std::erase_if(pool.waiters_, [&](auto const& item) {
-            if (stop_.may_start(item.second->request_.deadline_)) {
+            if (stop_.may_start(item.second->request_.ends_by_)) {
                 return false;
             }
             cancel(pool.queue_, item.first);
--- a/src/transport/request_queue.hpp
+++ b/src/transport/request_queue.hpp
@@ -26,7 +26,8 @@
     priority priority_{priority::normal};
     std::int64_t tokens_{};
     millis arrived_{};
-    millis deadline_{};
+    millis deadline_{}; ///< Of the wait for a place.
+    millis ends_by_{};  ///< When the answer is whole at the latest; decides whether it fits into a stop.
     std::uint64_t prefix_hash_{};
     std::uint64_t request_hash_{};
     bool isolated_{};
--- a/src/transport/service_call.cpp
+++ b/src/transport/service_call.cpp
@@ -21,8 +21,10 @@
 /// Status of an outcome whose call may or may not have run.
 constexpr int unknown_outcome = 0;
 
-/// Longest time that a service may take for its answer.
-constexpr millis service_limit{60'000};
+/// Longest times of a call's parts; the last is the service's for its answer.
+constexpr millis connect_limit{1'000};
+constexpr millis send_limit{5'000};
+constexpr millis answer_limit = service_call_limit - connect_limit - send_limit;
 
 /// Headers that concern one connection or carry the caller's key.
 constexpr std::array dropped_headers{
@@ -55,7 +57,7 @@
                             slot_grant const& grant, httplib::Request const& request)
 {
     auto const started = wall_now();
-    auto const client = make_http_client(grant.address_, {{1'000}, service_limit, {5'000}});
+    auto const client = make_http_client(grant.address_, {connect_limit, answer_limit, send_limit});
     httplib::Request forwarded;
     forwarded.method = request.method;
     forwarded.path = request.target;
@@ -103,6 +105,7 @@
     wanted.tokens_ = context.route_.cost_;
     wanted.arrived_ = context.arrived_;
     wanted.deadline_ = context.deadline_;
+    wanted.ends_by_ = context.ends_by_;
     wanted.request_hash_ = stable_hash(context.id_);
     wanted.isolated_ = context.suspect_;
     return wanted;
@@ -382,7 +385,7 @@
                (context.route_.open_ || view.state_->keys_.contains(context.key_digest_));
     });
     service_result result;
-    if (!services.stop_.may_start(context.deadline_)) {
+    if (!services.stop_.may_start(context.ends_by_)) {
         services.queue_.release(wanted, grant, {1});
         record_outcome(services, context, key, self, result);
         answer_problem(make_stop_problem(services, context), response);
--- a/src/transport/service_call.hpp
+++ b/src/transport/service_call.hpp
@@ -12,6 +12,9 @@
 
 namespace auburnchute {
 
+/// \brief Longest time of a call that has begun: connecting, sending, and the wait for its answer.
+inline constexpr millis service_call_limit{66'000};
+
 /// \brief Passes a call through to a plain service. Calls on routes with `repeatable: false` are claimed in
 /// the log first and sent at most once. \pre The context was admitted; the key is not in the request's path
 /// or body. Thread safety: may be called from several threads with different contexts.
--- a/src/transport/stop_gate.cpp
+++ b/src/transport/stop_gate.cpp
@@ -65,13 +65,13 @@
     return !plan_->closing_ && now(clock_) < takes_until_;
 }
 
-bool stop_gate::may_start(millis deadline) const
+bool stop_gate::may_start(millis ends_by) const
 {
     if (!is_stopping()) {
         return true;
     }
     std::lock_guard const lock{mutex_};
-    return can_end_in_time(*plan_, deadline);
+    return can_end_in_time(*plan_, ends_by);
 }
 
 millis stop_gate::retry_after(bool other_vm_is_ready) const
--- a/src/transport/stop_gate.hpp
+++ b/src/transport/stop_gate.hpp
@@ -63,8 +63,9 @@
     /// \returns Whether new requests are taken at all.
     [[nodiscard]] bool takes_requests() const;
 
-    /// \returns Whether a request with this deadline may be sent to an upstream.
-    [[nodiscard]] bool may_start(millis deadline) const;
+    /// \param ends_by When its answer is whole at the latest. \returns Whether a request may be sent to an
+    /// upstream.
+    [[nodiscard]] bool may_start(millis ends_by) const;
 
     /// \returns When a refused caller may come back.
     [[nodiscard]] millis retry_after(bool other_vm_is_ready) const;
--- a/tests/transport/daemon_stop_test.cpp
+++ b/tests/transport/daemon_stop_test.cpp
@@ -130,7 +130,7 @@
 std::size_t service_calls(fleet const& f, std::string const& path)
 {
     std::size_t count = 0;
-    for (std::size_t i = 0; i < 2; ++i) {
+    for (std::size_t i = 0; i < f.services(); ++i) {
         auto const answer = client_of(f.service_address(i)).Get("/received");
         for (auto const& request :
              answer ? nlohmann::json::parse(answer->body)["requests"] : nlohmann::json::array()) {
@@ -166,10 +166,55 @@
     CHECK(f.daemon(0).wait_end() == 0);
 }
 
+// Guards against a model's answer, which has no limit of its whole time, that is begun in a stop and outlasts
+// it.
+TEST_CASE("a stopping daemon refuses at once an answer whose whole time has no limit",
+          "[promise-12][process]")
+{
+    // The route's deadline of 20 s, which limits the start of the answer, lies within the stop.
+    fleet f{{.daemons_ = 1, .engines_ = 1, .daemon_settings_ = "stop_grace_ms: 60000\n"}};
+    auto const streamed = GENERATE(true, false);
+    CAPTURE(streamed);
+    begin_stop(f);
+    auto const answer = f.ask(0, "m", "late", 3, streamed);
+    CAPTURE(answer.body_);
+    CHECK(answer.status_ == 503);
+    CHECK(answer.json().value("execution", "") == "not_run");
+    CHECK(answer.headers_.contains("Retry-After"));
+    CHECK(httplib::detail::get_header_value(answer.headers_, "Connection") == std::string{"close"});
+    CHECK(f.received_by(0, "/v1/chat/completions") == 0);
+    CHECK(f.daemon(0).wait_end() == 0);
+}
+
+// Guards against a call that may start in time, but whose service may answer after the end of the stop.
+TEST_CASE("a stopping daemon refuses at once a call whose answer may come after its end",
+          "[promise-12][process]")
+{
+    struct row {
+        int grace_ms_; ///< The route's deadline of 8 s lies within it.
+        int status_;   ///< With the 66 s that a service may take, the call ends within 100 s, but not 20 s.
+    };
+    auto const [grace_ms, status] = GENERATE(row{20'000, 503}, row{100'000, 200});
+    CAPTURE(grace_ms);
+    fleet f{{.daemons_ = 1,
+             .engines_ = 1,
+             .daemon_settings_ = "stop_grace_ms: " + std::to_string(grace_ms) + "\n"}};
+    begin_stop(f);
+    auto const answer = read_stock(f, "late");
+    CAPTURE(answer.body_);
+    CHECK(answer.status_ == status);
+    CHECK(service_calls(f, "/stock/late") == (status == 200 ? 1 : 0));
+    CHECK(answer.headers_.contains("Retry-After") == (status == 503));
+    CHECK(httplib::detail::get_header_value(answer.headers_, "Connection") == std::string{"close"});
+    CHECK(f.daemon(0).wait_end() == 0);
+}
+
 // Guards against a request that waits for a place on during the stop although it may outlast it.
 TEST_CASE("a request that waits for a place is refused when the stop begins", "[promise-12][process]")
 {
-    fleet f{{.daemons_ = 1, .engines_ = 1, .slots_ = 1, .token_ms_ = 20, .daemon_settings_ = short_grace}};
+    auto const settings = GENERATE(std::string{short_grace}, std::string{"stop_grace_ms: 60000\n"});
+    CAPTURE(settings);
+    fleet f{{.daemons_ = 1, .engines_ = 1, .slots_ = 1, .token_ms_ = 20, .daemon_settings_ = settings}};
     auto running = std::async(std::launch::async, [&f] { return f.ask(0, "m", "long", 100, true); });
     REQUIRE(eventually(10s, [&f] { return f.received_by(0, "/v1/chat/completions") == 1; }));
     auto waiting = std::async(std::launch::async, [&f] { return f.ask(0, "m", "waits", 1); });
@@ -204,6 +249,33 @@
     CHECK(f.daemon(0).wait_end() == 0);
 }
 
+// Guards against a stop that gives up a stream which another upstream could still end.
+TEST_CASE("a stream that its upstream cuts is resumed during a stop", "[promise-12][process]")
+{
+    fleet f{{.daemons_ = 1,
+             .engines_ = 2,
+             .token_ms_ = 20,
+             .min_replicas_ = 2,
+             .max_replicas_ = 2,
+             .resumes_streams_ = true}};
+    fleet::fault(f.engine_address(0), {{"cut_after_tokens", 50}});
+    std::vector<std::future<fleet_answer>> streams;
+    for (auto const* const prompt : {"one", "other"}) {
+        streams.push_back(
+            std::async(std::launch::async, [&f, prompt] { return f.ask(0, "m", prompt, 100, true); }));
+    }
+    auto const calls = [&f](std::size_t engine) { return f.received_by(engine, "/v1/chat/completions"); };
+    REQUIRE(eventually(10s, [&] { return calls(0) == 1 && calls(1) == 1; }));
+    begin_stop(f);
+    for (auto& stream : streams) {
+        auto const whole = stream.get();
+        CAPTURE(whole.body_);
+        CHECK(whole.body_.find("[DONE]") != std::string::npos);
+    }
+    CHECK(calls(1) == 2);
+    CHECK(f.daemon(0).wait_end() == 0);
+}
+
 // Guards against a stop that waits for a request without a limit, or ends without an answer to it.
 TEST_CASE("a call that outlasts the stop is answered and named before the end", "[promise-12][process]")
 {
--- a/tests/transport/fleet.hpp
+++ b/tests/transport/fleet.hpp
@@ -132,6 +132,7 @@
     [[nodiscard]] child_process& engine(std::size_t index) { return *engines_[index]; }
     [[nodiscard]] std::size_t daemons() const { return daemons_.size(); }
     [[nodiscard]] std::size_t engines() const { return engines_.size(); }
+    [[nodiscard]] std::size_t services() const { return services_.size(); }
     [[nodiscard]] std::string const& daemon_address(std::size_t index) const { return callers_[index]; }
     [[nodiscard]] std::string const& engine_address(std::size_t index) const
     {
