Answer the connections that the kernel holds before auburnchuted closes its port

What callers saw: a connection that the kernel had taken, but the daemon had not yet accepted when it closed its port at the end of a planned stop, was reset, with its request.

Cause: the library closes the listening socket at once; the kernel resets what waits in its queue.

Change: before it closes the port, the stop drops the first message of new handshakes (a socket filter), lets those that have begun end, and waits until the queue is empty (62 ms at most by default); what was accepted is refused as not run until the end. A caller whose first message is dropped sends it again after a second and finds the port closed. The last connections have a quarter of the time after the answers (125 ms at most), also after a pause of the process.

Not run: the same on a daemon that is paused near its end.

--- a/apps/auburnchuted.cpp
+++ b/apps/auburnchuted.cpp
@@ -54,6 +54,10 @@
 /// Largest part of the grace time for this.
 constexpr std::int64_t leave_parts = 6;
 
+/// Part of the time after the last answers for connections that have begun when no more may begin: 125 ms at
+/// most.
+constexpr std::int64_t last_parts = 4;
+
 /// Pause between two looks at what is still open.
 constexpr millis look_pause{10};
 
@@ -117,16 +121,24 @@
     queue.refuse_waiting();
     // Kept connections may bring a request until half of the time is over, and have its other half for the
     // answer.
-    auto const idle_until = closing.answers_until_ + (closing.ends_at_ - closing.answers_until_) / 2;
-    for (bool ended = false; now(clk) < closing.ends_at_ && callers.has_connections();) {
+    auto const closing_time = closing.ends_at_ - closing.answers_until_;
+    auto const idle_until = closing.answers_until_ + closing_time / 2;
+    auto const begins_until = closing.ends_at_ - closing_time / last_parts;
+    for (bool ended = false; now(clk) < begins_until && callers.has_connections();) {
         if (!ended && now(clk) >= idle_until) {
             callers.end_idle();
             ended = true;
         }
         hurried = wait_for_signal(signals, look_pause) || hurried;
     }
-    stop.log_unanswered();
     callers.end_idle();
+    // A paused process has this time too.
+    auto const last_until = std::max(closing.ends_at_, now(clk) + closing_time / last_parts);
+    callers.take_last((last_until - now(clk)) / 2);
+    while (now(clk) < last_until && callers.has_connections()) {
+        hurried = wait_for_signal(signals, look_pause) || hurried;
+    }
+    stop.log_unanswered();
     callers.cut();
     callers.stop();
     return hurried;
--- a/src/transport/http_front.cpp
+++ b/src/transport/http_front.cpp
@@ -179,6 +179,11 @@
     }
 }
 
+void http_front::take_last(millis limit)
+{
+    listener_->take_last(limit);
+}
+
 void http_front::cut()
 {
     if (plain_ != nullptr) {
--- a/src/transport/http_front.hpp
+++ b/src/transport/http_front.hpp
@@ -19,7 +19,7 @@
 
 /// \brief The HTTP interface for callers.
 ///
-/// Thread safety: `has_connections`, `end_idle`, `cut`, `open_requests` and `stop` may be
+/// Thread safety: `has_connections`, `end_idle`, `take_last`, `cut`, `open_requests` and `stop` may be
 /// called from any thread.
 class http_front {
 public:
@@ -38,6 +38,10 @@
     /// \brief Ends connections without a request.
     void end_idle();
 
+    /// \brief Lets no further connection begin, and takes those that the kernel holds. \param limit Longest
+    /// time for this.
+    void take_last(millis limit);
+
     /// \brief Ends all connections; with TLS those without a request end by themselves.
     void cut();
 
--- a/src/transport/http_listener.hpp
+++ b/src/transport/http_listener.hpp
@@ -2,6 +2,8 @@
 
 #include "protocol/settings.hpp"
 
+#include <auburnchute/clock.hpp>
+
 #include <memory>
 #include <string_view>
 #include <thread>
@@ -14,7 +16,7 @@
 
 /// \brief Binds an HTTP server and runs it on a thread of its own until it is stopped or destroyed.
 ///
-/// Thread safety: `stop` may be called from any thread.
+/// Thread safety: `take_last` and `stop` may be called from any thread.
 class http_listener {
 public:
     /// \brief Prepares the server's sockets. \pre `server` outlives this object.
@@ -27,6 +29,10 @@
     /// error. \returns The bound port. \throws error if the address cannot be bound.
     int start(listen_address const& address, std::string_view who);
 
+    /// \brief Lets no further connection begin, and takes those that have begun, as the kernel would reset
+    /// them when the port is closed. \param limit Longest time for this. \pre `start` was called.
+    void take_last(millis limit);
+
     /// \brief Closes the port and waits until the open connections have ended.
     void stop();
 
