Give connections with TLS the same end as plain ones in auburnchuted

What callers with TLS saw in a planned stop: an answer did not close its connection, although it said so, and the process ended 5 s late, or as failed at the end of its grace time, because of kept connections. By reading: the last answer could be cut by a reset if further bytes had come.

Cause: connections with TLS were served by the library's own loop.

A read of the end of a connection breaks a TLS session, so the end is looked at before the read and the caller is told of the close. A handshake counts as busy; one that fails has a log line.

Result: the tests of stops run with TLS, too, with a certificate that the test makes.

"kept connections" has one more connection, which sends nothing at all.

--- a/src/transport/caller_server.hpp
+++ b/src/transport/caller_server.hpp
@@ -1,46 +1,38 @@
 #pragma once
 
-#include <auburnchute/clock.hpp>
+#include "transport/caller_connections.hpp"
 
-#include <atomic>
-#include <cstddef>
 #include <httplib.h>
-#include <map>
-#include <mutex>
+#include <string>
 
 namespace auburnchute {
 
-/// \brief An HTTP server whose connections end without losing an answer.
-///
-/// The library's own loop closes a connection with unread bytes, which resets answers that are on their way,
-/// drops connections that were accepted when it stops, and cannot close after an answer.
-/// Thread safety: all functions may be called from any thread, except `close_after_answer`.
+/// \brief An HTTP server for callers.
 class caller_server : public httplib::Server {
 public:
-    /// \returns Open connections.
-    [[nodiscard]] std::size_t connections() const;
+    [[nodiscard]] caller_connections& connections() noexcept { return connections_; }
 
-    /// \returns Connections with a request that is being read or answered.
-    [[nodiscard]] int busy() const noexcept { return busy_.load(); }
+private:
+    bool process_and_close_socket(socket_t socket) override;
 
-    /// \brief Ends connections without a request; one that has arrived is answered still.
-    void end_idle();
+    caller_connections connections_;
+};
 
-    /// \brief Ends all connections.
-    void cut();
+/// \brief An HTTPS server for callers.
+class tls_caller_server : public httplib::SSLServer {
+public:
+    /// \param certificate, private_key PEM files. `is_valid` tells whether they can be used.
+    tls_caller_server(std::string const& certificate, std::string const& private_key)
+        : httplib::SSLServer{certificate.c_str(), private_key.c_str()}
+    {
+    }
 
-    /// \brief Closes the connection of the calling handler after its answer.
-    static void close_after_answer() noexcept;
+    [[nodiscard]] caller_connections& connections() noexcept { return connections_; }
 
 private:
     bool process_and_close_socket(socket_t socket) override;
-    bool serve(socket_t socket);
-    bool answer_one(socket_t socket, bool last);
 
-    mutable std::mutex mutex_;
-    std::map<socket_t, bool> sockets_; ///< With whether a request is being read or answered.
-    std::atomic<int> busy_{};
-    std::atomic<bool> ending_{};
+    caller_connections connections_;
 };
 
 } // namespace auburnchute
--- a/src/transport/http_front.cpp
+++ b/src/transport/http_front.cpp
@@ -137,12 +137,14 @@
 {
     auto const& config = services_.config_;
     if (config.callers_certificate_.empty()) {
-        auto plain = std::make_unique<caller_server>();
-        plain_ = plain.get();
-        server_ = std::move(plain);
+        auto server = std::make_unique<caller_server>();
+        connections_ = &server->connections();
+        server_ = std::move(server);
     } else {
-        server_ = std::make_unique<httplib::SSLServer>(config.callers_certificate_.c_str(),
-                                                       config.callers_private_key_.c_str());
+        auto server =
+            std::make_unique<tls_caller_server>(config.callers_certificate_, config.callers_private_key_);
+        connections_ = &server->connections();
+        server_ = std::move(server);
         if (!server_->is_valid()) {
             throw error{"settings", config.callers_certificate_, "the certificate or its key cannot be used"};
         }
@@ -169,14 +171,12 @@
 
 bool http_front::has_connections() const
 {
-    return plain_ == nullptr || plain_->connections() > 0;
+    return connections_->count() > 0;
 }
 
 void http_front::end_idle()
 {
-    if (plain_ != nullptr) {
-        plain_->end_idle();
-    }
+    connections_->end_idle();
 }
 
 void http_front::take_last(millis limit)
@@ -186,14 +186,12 @@
 
 void http_front::cut()
 {
-    if (plain_ != nullptr) {
-        plain_->cut();
-    }
+    connections_->cut();
 }
 
 int http_front::open_requests() const noexcept
 {
-    return std::max(open_.load(), plain_ == nullptr ? 0 : plain_->busy());
+    return std::max(open_.load(), connections_->busy());
 }
 
 void http_front::stop()
@@ -260,7 +258,7 @@
             response.headers.erase("Connection");
             response.headers.erase("Keep-Alive");
             response.set_header("Connection", "close");
-            caller_server::close_after_answer();
+            caller_connections::close_after_answer();
         }
     });
     server_->set_error_handler([](httplib::Request const&, httplib::Response& response) {
--- a/src/transport/http_front.hpp
+++ b/src/transport/http_front.hpp
@@ -15,7 +15,7 @@
 
 namespace auburnchute {
 
-class caller_server;
+class caller_connections;
 
 /// \brief The HTTP interface for callers.
 ///
@@ -32,7 +32,7 @@
     /// the address cannot be bound.
     int start();
 
-    /// \returns Whether connections are open. With TLS this is not known, and true.
+    /// \returns Whether connections are open.
     [[nodiscard]] bool has_connections() const;
 
     /// \brief Ends connections without a request.
@@ -42,7 +42,7 @@
     /// time for this.
     void take_last(millis limit);
 
-    /// \brief Ends all connections; with TLS those without a request end by themselves.
+    /// \brief Ends all connections.
     void cut();
 
     /// \returns Requests that are being read or answered.
@@ -63,8 +63,7 @@
     request_services services_;
     retry_budgets budgets_;
     std::unique_ptr<httplib::Server> server_;
-    caller_server* plain_{}; ///< The server, unless it has TLS.
-
+    caller_connections* connections_{}; ///< The server's.
     std::atomic<int> open_{};
     std::unique_ptr<http_listener> listener_;
 };
--- a/tests/transport/daemon_stop_test.cpp
+++ b/tests/transport/daemon_stop_test.cpp
@@ -1,10 +1,9 @@
 // Planned stops of the real auburnchuted.
-#include "transport/entry/standin_platform.hpp"
+#include "transport/caller_connection.hpp"
 #include "transport/fleet.hpp"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <cerrno>
 #include <future>
 #include <optional>
 
@@ -36,47 +35,25 @@
            "\r\n\r\n" + body;
 }
 
-owned_socket connect_to_daemon(fleet const& f)
+/// A connection before the handshake, if there is one.
+caller_connection begin_connection(fleet const& f)
 {
     auto const& address = f.daemon_address(0);
     auto const colon = address.rfind(':');
-    return connect_to(address.substr(0, colon), std::stoi(address.substr(colon + 1)));
+    return {address.substr(0, colon), std::stoi(address.substr(colon + 1))};
 }
 
-/// What came on a connection until it ended.
-struct received_bytes {
-    std::string text_;
-    bool reset_{};
-    bool timed_out_{};
-};
-
-received_bytes receive_all(owned_socket const& connection, std::chrono::milliseconds limit)
+caller_connection connect_to_daemon(fleet const& f)
 {
-    received_bytes all;
-    auto const end = std::chrono::steady_clock::now() + limit;
-    for (;;) {
-        auto const left =
-            std::chrono::duration_cast<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
-        pollfd readable{connection.handle(), POLLIN, 0};
-        if (left.count() <= 0 || ::poll(&readable, 1, static_cast<int>(left.count())) <= 0) {
-            all.timed_out_ = true;
-            return all;
-        }
-        char buffer[4096];
-        auto const got = ::recv(connection.handle(), buffer, sizeof buffer, 0);
-        if (got <= 0) {
-            // A reset behind the end of the stream is an error of the socket.
-            constexpr int reset_ms = 200;
-            pollfd failed{connection.handle(), 0, 0};
-            all.reset_ = got < 0 || (::poll(&failed, 1, reset_ms) > 0 && (failed.revents & POLLERR) != 0);
-            return all;
-        }
-        all.text_.append(buffer, static_cast<std::size_t>(got));
+    auto connection = begin_connection(f);
+    if (f.uses_tls()) {
+        connection.start_tls();
     }
+    return connection;
 }
 
 /// A connection on which one request was answered, as callers keep them.
-owned_socket kept_connection(fleet const& f)
+caller_connection kept_connection(fleet const& f)
 {
     auto connection = connect_to_daemon(f);
     connection.send(call_text("/stock/kept", R"({"order": "kept"})"));
@@ -98,14 +75,14 @@
 
 fleet_answer read_stock(fleet const& f, std::string const& order)
 {
-    auto client = client_of(f.daemon_address(0));
+    auto client = f.callers_client(0);
     client.set_bearer_token_auth(fleet_key);
     auto const result = client.Post("/stock/" + order, order_body(order), "application/json");
     return result ? fleet_answer{result->status, result->body, result->headers} : fleet_answer{};
 }
 
 /// A connection on which a stream of 20 s has begun.
-owned_socket streaming_connection(fleet const& f)
+caller_connection streaming_connection(fleet const& f)
 {
     nlohmann::json const body{{"model", "m"},
                               {"max_tokens", 1'000},
@@ -150,14 +127,15 @@
 // Guards against a stopping daemon that takes a request whose time limit lies beyond its stop.
 TEST_CASE("a stopping daemon refuses at once what may outlast its stop", "[promise-12][process]")
 {
-    fleet f{{.daemons_ = 1, .engines_ = 1, .daemon_settings_ = short_grace}};
-    std::optional<owned_socket> connection;
+    auto const tls = GENERATE(false, true);
     auto const kept = GENERATE(true, false);
+    fleet f{{.daemons_ = 1, .engines_ = 1, .daemon_settings_ = short_grace, .tls_ = tls}};
+    std::optional<caller_connection> connection;
     connection.emplace(kept ? kept_connection(f) : connect_to_daemon(f));
     begin_stop(f);
     connection->send(call_text("/stock/late", order_body("late")));
-    auto const answer = receive_all(*connection, 2s);
-    CAPTURE(kept, answer.text_);
+    auto const answer = connection->receive_all(2s);
+    CAPTURE(tls, kept, answer.text_);
     auto const head = answer.text_.find("HTTP/1.1 503");
     REQUIRE(head != std::string::npos);
     CHECK(is_refusal(answer.text_.substr(head)));
@@ -303,15 +281,19 @@
 // Guards against a stop that waits for a stream without a limit, or cuts it off without a word.
 TEST_CASE("a stream that outlasts the stop ends with an error event", "[promise-12][process]")
 {
+    auto const tls = GENERATE(false, true);
+    CAPTURE(tls);
     fleet f{{.daemons_ = 1,
              .engines_ = 1,
              .token_ms_ = 20,
              .daemon_settings_ = short_grace,
+             .tls_ = tls,
              .show_errors_ = true}};
     auto const stream = streaming_connection(f);
     auto const began = begin_stop(f);
-    auto const rest = receive_all(stream, grace);
+    auto const rest = stream.receive_all(grace);
     CAPTURE(rest.text_.substr(rest.text_.size() - std::min<std::size_t>(rest.text_.size(), 300)));
+    CAPTURE(rest.reset_, rest.timed_out_, rest.tls_error_);
     CHECK(ends_with_error(rest));
     CHECK(since(began) <= grace);
     auto const output = f.daemon(0).read_to_end();
@@ -324,7 +306,9 @@
 // Guards against a second signal that waits for open streams and kept connections.
 TEST_CASE("a second signal ends a stop at once", "[promise-12][process]")
 {
-    fleet f{{.daemons_ = 1, .engines_ = 1, .token_ms_ = 20}};
+    auto const tls = GENERATE(false, true);
+    CAPTURE(tls);
+    fleet f{{.daemons_ = 1, .engines_ = 1, .token_ms_ = 20, .tls_ = tls}};
     auto const idle = kept_connection(f);
     auto const stream = streaming_connection(f);
     begin_stop(f);
@@ -332,13 +316,14 @@
     ::kill(f.daemon(0).pid(), SIGINT);
     CHECK(f.daemon(0).wait_end() == 0);
     CHECK(since(again) < 2s); // closing, margin and slack
-    CHECK(ends_with_error(receive_all(stream, 1s)));
+    CHECK(ends_with_error(stream.receive_all(1s)));
 }
 
 // Guards against an early end while a request is being read.
 TEST_CASE("a request that is being read when the stop grows quiet is answered", "[promise-12][process]")
 {
-    fleet f{{.daemons_ = 1, .engines_ = 1, .daemon_settings_ = short_grace}};
+    auto const tls = GENERATE(false, true);
+    fleet f{{.daemons_ = 1, .engines_ = 1, .daemon_settings_ = short_grace, .tls_ = tls}};
     auto const text = call_text("/stock/read", order_body("read"));
     auto const connection = kept_connection(f);
     auto const began = begin_stop(f);
@@ -346,8 +331,8 @@
     auto const after_quiet = 2'600ms; // twice the lifetime of the entry list and a second, with slack
     std::this_thread::sleep_for(after_quiet - since(began));
     connection.send(text.substr(text.size() - 5));
-    auto const answer = receive_all(connection, 4s);
-    CAPTURE(answer.text_);
+    auto const answer = connection.receive_all(4s);
+    CAPTURE(tls, answer.text_);
     auto const head = answer.text_.find("HTTP/1.1 503");
     REQUIRE(head != std::string::npos);
     CHECK(is_refusal(answer.text_.substr(head)));
@@ -360,13 +345,14 @@
 // read.
 TEST_CASE("the last answer on a connection is not reset by what follows it", "[promise-12][process]")
 {
-    fleet f{{.daemons_ = 1, .engines_ = 1, .daemon_settings_ = short_grace}};
+    auto const tls = GENERATE(false, true);
+    fleet f{{.daemons_ = 1, .engines_ = 1, .daemon_settings_ = short_grace, .tls_ = tls}};
     auto const connection = connect_to_daemon(f);
     begin_stop(f);
     connection.send(call_text("/stock/last", order_body("last")));
     connection.send(call_text("/stock/next", std::string(100'000, 'x')));
-    auto const answer = receive_all(connection, 3s);
-    CAPTURE(answer.text_);
+    auto const answer = connection.receive_all(3s);
+    CAPTURE(tls, answer.text_);
     CHECK(is_refusal(answer.text_));
     CHECK_FALSE(answer.reset_);
     CHECK_FALSE(answer.timed_out_);
@@ -376,13 +362,16 @@
 // Guards against kept connections that hold up the end of a stop.
 TEST_CASE("kept connections do not delay the end of a stop", "[promise-12][process]")
 {
-    fleet f{{.daemons_ = 1, .engines_ = 1}};
-    std::vector<owned_socket> idle;
+    auto const tls = GENERATE(false, true);
+    CAPTURE(tls);
+    fleet f{{.daemons_ = 1, .engines_ = 1, .tls_ = tls}};
+    std::vector<caller_connection> idle;
     auto const began = begin_stop(f);
     std::this_thread::sleep_for(300ms - since(began)); // within the lifetime of the entry list, 500 ms
     for (int i = 0; i < 3; ++i) {
         idle.push_back(connect_to_daemon(f));
     }
+    idle.push_back(begin_connection(f));
     CHECK(f.daemon(0).wait_end() == 0);
     CHECK(since(began) < 2s + 1s + scheduling_slack); // quiet, closing and exit, slack
 }
@@ -390,11 +379,19 @@
 // Guards against a stop without a limit: a slow upstream, half a request and the log's outage together.
 TEST_CASE("a stop ends within its grace time whatever it waits for", "[promise-12][process]")
 {
-    auto const grace_ms = GENERATE(200, 1'000, 3'000);
-    bool const log_is_down = GENERATE(false, true);
+    struct row {
+        int grace_ms_;
+        bool log_is_down_;
+        bool tls_;
+    };
+    auto const [grace_ms, log_is_down, tls] =
+        GENERATE(row{200, false, false}, row{200, true, false}, row{1'000, false, false},
+                 row{1'000, true, false}, row{3'000, false, false}, row{3'000, true, false},
+                 row{200, false, true}, row{1'000, false, true}, row{3'000, false, true});
     fleet f{{.daemons_ = 1,
              .engines_ = 1,
              .daemon_settings_ = "stop_grace_ms: " + std::to_string(grace_ms) + "\n",
+             .tls_ = tls,
              .show_errors_ = true}};
     fleet::fault(f.service_address(0), {{"delay_ms", 8'000}});
     auto const half = connect_to_daemon(f);
@@ -409,7 +406,7 @@
     }
     auto const began = std::chrono::steady_clock::now();
     (void)f.daemon(0).stop();
-    CAPTURE(grace_ms, log_is_down);
+    CAPTURE(grace_ms, log_is_down, tls);
     CHECK(since(began) <= std::chrono::milliseconds{grace_ms} + scheduling_slack);
     auto const output = f.daemon(0).read_to_end();
     CAPTURE(output);
--- a/tests/transport/fleet.hpp
+++ b/tests/transport/fleet.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "transport/child_process.hpp"
+#include "transport/test_certificate.hpp"
 
 #include <auburnchute/ids.hpp>
 
@@ -40,11 +41,11 @@
     return true;
 }
 
-/// \returns A client for `IP:PORT`.
-inline httplib::Client client_of(std::string const& address)
+/// \param tls Whether the server speaks TLS; its certificate is not checked. \returns A client for `IP:PORT`.
+inline httplib::Client client_of(std::string const& address, bool tls = false)
 {
-    auto const colon = address.rfind(':');
-    httplib::Client client{address.substr(0, colon), std::stoi(address.substr(colon + 1))};
+    httplib::Client client{(tls ? "https://" : "http://") + address};
+    client.enable_server_certificate_verification(false);
     client.set_connection_timeout(std::chrono::seconds{2});
     client.set_read_timeout(std::chrono::seconds{120});
     client.set_tcp_nodelay(true);
@@ -85,6 +86,7 @@
     std::int64_t burst_{1'000'000'000};
     std::vector<std::string> log_arguments_{};
     std::string daemon_settings_{}; ///< Further lines of the daemons' settings.
+    bool tls_{};                    ///< Callers speak TLS to the daemons.
     bool show_errors_{};            ///< The daemons' log lines come with their output.
 };
 
@@ -118,6 +120,9 @@
             add_vm(name, service_addresses_.back(), 1'000);
         }
         publish_list();
+        if (options_.tls_) {
+            write_certificate(folder_ / "callers.pem", folder_ / "callers.key");
+        }
         for (int i = 0; i < options_.daemons_; ++i) {
             start_daemon(i);
         }
@@ -143,6 +148,13 @@
         return service_addresses_[index];
     }
     [[nodiscard]] std::string const& log_address() const { return log_address_; }
+    [[nodiscard]] bool uses_tls() const { return options_.tls_; }
+
+    /// \returns A client of a daemon, without a key.
+    [[nodiscard]] httplib::Client callers_client(std::size_t daemon) const
+    {
+        return client_of(callers_[daemon], options_.tls_);
+    }
 
     /// \brief Sets faults of a stand-in.
     static void fault(std::string const& address, nlohmann::json const& fields)
@@ -163,7 +175,7 @@
                                   {"max_tokens", tokens},
                                   {"stream", stream},
                                   {"messages", {{{"role", "user"}, {"content", prompt}}}}};
-        auto client = client_of(callers_[daemon]);
+        auto client = callers_client(daemon);
         if (!key.empty()) {
             client.set_bearer_token_auth(key);
         }
@@ -173,7 +185,7 @@
     /// \brief Sends a purchase.
     [[nodiscard]] fleet_answer buy(std::size_t daemon, std::string const& order) const
     {
-        auto client = client_of(callers_[daemon]);
+        auto client = callers_client(daemon);
         httplib::Headers const headers{{"Authorization", std::string{"Bearer "} + fleet_key},
                                        {"Idempotency-Key", order}};
         return read(client.Post("/orders/purchase", headers, nlohmann::json{{"order", order}}.dump(),
@@ -182,7 +194,7 @@
 
     [[nodiscard]] fleet_answer get(std::size_t daemon, std::string const& path) const
     {
-        auto client = client_of(callers_[daemon]);
+        auto client = callers_client(daemon);
         client.set_bearer_token_auth(fleet_key);
         return read(client.Get(path));
     }
@@ -300,8 +312,8 @@
             admin_.push_back("127.0.0.1:" + std::to_string(free_port()));
             auto const callers = "127.0.0.1:" + std::to_string(free_port());
             std::ofstream{path} << "vm: " << vm << "\navailability_zone: occ-a\ncallers: {listen: \""
-                                << callers
-                                << "\", entry_ttl_ms: 500}\npeers: {listen: \"127.0.0.1:" << free_port()
+                                << callers << "\", entry_ttl_ms: 500" << tls_settings()
+                                << "}\npeers: {listen: \"127.0.0.1:" << free_port()
                                 << "\"}\nadmin: {listen: \"" << admin_.back() << "\"}\nlog: {address: \""
                                 << log_address_ << "\"}\nvm_list: {address: \"" << list_address_
                                 << "\"}\nkey_salt: " << fleet_salt << "\noperator_token: " << fleet_token
@@ -326,6 +338,14 @@
         return pattern;
     }
 
+    /// Fields of `callers` in the settings.
+    [[nodiscard]] std::string tls_settings() const
+    {
+        return options_.tls_ ? ", certificate: " + (folder_ / "callers.pem").string() +
+                                   ", private_key: " + (folder_ / "callers.key").string()
+                             : std::string{};
+    }
+
     static fleet_answer read(httplib::Result const& result)
     {
         return result ? fleet_answer{result->status, result->body, result->headers} : fleet_answer{};
--- a/tests/transport/http_listener_test.cpp
+++ b/tests/transport/http_listener_test.cpp
@@ -27,7 +27,7 @@
         int held_{};
     };
 
-    explicit held_queue(gate& gate) : connection_threads{64}, gate_{gate} {}
+    explicit held_queue(gate& shared) : connection_threads{64}, gate_{shared} {}
 
     void enqueue(std::function<void()> connection) override
     {
