--- a/src/transport/http_front.hpp
+++ b/src/transport/http_front.hpp
@@ -15,11 +15,11 @@
 
 namespace auburnchute {
 
-class caller_server;
+class caller_connections;
 
 /// \brief The HTTP interface for callers.
 ///
-/// Thread safety: `has_connections`, `end_idle`, `cut`, `open_requests` and `stop` may be
+/// Thread safety: `has_connections`, `end_idle`, `take_last`, `cut`, `open_requests` and `stop` may be
 /// called from any thread.
 class http_front {
 public:
@@ -32,13 +32,17 @@
     /// the address cannot be bound.
     int start();
 
-    /// \returns Whether connections are open. With TLS this is not known, and true.
+    /// \returns Whether connections are open.
     [[nodiscard]] bool has_connections() const;
 
     /// \brief Ends connections without a request.
     void end_idle();
 
-    /// \brief Ends all connections; with TLS those without a request end by themselves.
+    /// \brief Lets no further connection begin, and takes those that the kernel holds. \param limit Longest
+    /// time for this.
+    void take_last(millis limit);
+
+    /// \brief Ends all connections.
     void cut();
 
     /// \returns Requests that are being read or answered.
@@ -59,8 +63,7 @@
     request_services services_;
     retry_budgets budgets_;
     std::unique_ptr<httplib::Server> server_;
-    caller_server* plain_{}; ///< The server, unless it has TLS.
-
+    caller_connections* connections_{}; ///< The server's.
     std::atomic<int> open_{};
     std::unique_ptr<http_listener> listener_;
 };
--- a/tests/transport/daemon_stop_test.cpp
+++ b/tests/transport/daemon_stop_test.cpp
@@ -1,10 +1,9 @@
 // Planned stops of the real auburnchuted.
-#include "transport/entry/standin_platform.hpp"
+#include "transport/caller_connection.hpp"
 #include "transport/fleet.hpp"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <cerrno>
 #include <future>
 #include <optional>
 
@@ -36,47 +35,25 @@
            "\r\n\r\n" + body;
 }
 
-owned_socket connect_to_daemon(fleet const& f)
+/// A connection before the handshake, if there is one.
+caller_connection begin_connection(fleet const& f)
 {
     auto const& address = f.daemon_address(0);
     auto const colon = address.rfind(':');
-    return connect_to(address.substr(0, colon), std::stoi(address.substr(colon + 1)));
+    return {address.substr(0, colon), std::stoi(address.substr(colon + 1))};
 }
 
-/// What came on a connection until it ended.
-struct received_bytes {
-    std::string text_;
-    bool reset_{};
-    bool timed_out_{};
-};
-
-received_bytes receive_all(owned_socket const& connection, std::chrono::milliseconds limit)
+caller_connection connect_to_daemon(fleet const& f)
 {
-    received_bytes all;
-    auto const end = std::chrono::steady_clock::now() + limit;
-    for (;;) {
-        auto const left =
-            std::chrono::duration_cast<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
-        pollfd readable{connection.handle(), POLLIN, 0};
-        if (left.count() <= 0 || ::poll(&readable, 1, static_cast<int>(left.count())) <= 0) {
-            all.timed_out_ = true;
-            return all;
-        }
-        char buffer[4096];
-        auto const got = ::recv(connection.handle(), buffer, sizeof buffer, 0);
-        if (got <= 0) {
-            // A reset behind the end of the stream is an error of the socket.
-            constexpr int reset_ms = 200;
-            pollfd failed{connection.handle(), 0, 0};
-            all.reset_ = got < 0 || (::poll(&failed, 1, reset_ms) > 0 && (failed.revents & POLLERR) != 0);
-            return all;
-        }
-        all.text_.append(buffer, static_cast<std::size_t>(got));
+    auto connection = begin_connection(f);
+    if (f.uses_tls()) {
+        connection.start_tls();
     }
+    return connection;
 }
 
 /// A connection on which one request was answered, as callers keep them.
-owned_socket kept_connection(fleet const& f)
+caller_connection kept_connection(fleet const& f)
 {
     auto connection = connect_to_daemon(f);
     connection.send(call_text("/stock/kept", R"({"order": "kept"})"));
@@ -98,14 +75,14 @@
 
 fleet_answer read_stock(fleet const& f, std::string const& order)
 {
-    auto client = client_of(f.daemon_address(0));
+    auto client = f.callers_client(0);
     client.set_bearer_token_auth(fleet_key);
     auto const result = client.Post("/stock/" + order, order_body(order), "application/json");
     return result ? fleet_answer{result->status, result->body, result->headers} : fleet_answer{};
 }
 
 /// A connection on which a stream of 20 s has begun.
-owned_socket streaming_connection(fleet const& f)
+caller_connection streaming_connection(fleet const& f)
 {
     nlohmann::json const body{{"model", "m"},
                               {"max_tokens", 1'000},
@@ -130,7 +107,7 @@
 std::size_t service_calls(fleet const& f, std::string const& path)
 {
     std::size_t count = 0;
-    for (std::size_t i = 0; i < 2; ++i) {
+    for (std::size_t i = 0; i < f.services(); ++i) {
         auto const answer = client_of(f.service_address(i)).Get("/received");
         for (auto const& request :
              answer ? nlohmann::json::parse(answer->body)["requests"] : nlohmann::json::array()) {
@@ -150,14 +127,15 @@
 // Guards against a stopping daemon that takes a request whose time limit lies beyond its stop.
 TEST_CASE("a stopping daemon refuses at once what may outlast its stop", "[promise-12][process]")
 {
-    fleet f{{.daemons_ = 1, .engines_ = 1, .daemon_settings_ = short_grace}};
-    std::optional<owned_socket> connection;
+    auto const tls = GENERATE(false, true);
     auto const kept = GENERATE(true, false);
+    fleet f{{.daemons_ = 1, .engines_ = 1, .daemon_settings_ = short_grace, .tls_ = tls}};
+    std::optional<caller_connection> connection;
     connection.emplace(kept ? kept_connection(f) : connect_to_daemon(f));
     begin_stop(f);
     connection->send(call_text("/stock/late", order_body("late")));
-    auto const answer = receive_all(*connection, 2s);
-    CAPTURE(kept, answer.text_);
+    auto const answer = connection->receive_all(2s);
+    CAPTURE(tls, kept, answer.text_);
     auto const head = answer.text_.find("HTTP/1.1 503");
     REQUIRE(head != std::string::npos);
     CHECK(is_refusal(answer.text_.substr(head)));
@@ -166,10 +144,55 @@
     CHECK(f.daemon(0).wait_end() == 0);
 }
 
+// Guards against a model's answer, which has no limit of its whole time, that is begun in a stop and outlasts
+// it.
+TEST_CASE("a stopping daemon refuses at once an answer whose whole time has no limit",
+          "[promise-12][process]")
+{
+    // The route's deadline of 20 s, which limits the start of the answer, lies within the stop.
+    fleet f{{.daemons_ = 1, .engines_ = 1, .daemon_settings_ = "stop_grace_ms: 60000\n"}};
+    auto const streamed = GENERATE(true, false);
+    CAPTURE(streamed);
+    begin_stop(f);
+    auto const answer = f.ask(0, "m", "late", 3, streamed);
+    CAPTURE(answer.body_);
+    CHECK(answer.status_ == 503);
+    CHECK(answer.json().value("execution", "") == "not_run");
+    CHECK(answer.headers_.contains("Retry-After"));
+    CHECK(httplib::detail::get_header_value(answer.headers_, "Connection") == std::string{"close"});
+    CHECK(f.received_by(0, "/v1/chat/completions") == 0);
+    CHECK(f.daemon(0).wait_end() == 0);
+}
+
+// Guards against a call that may start in time, but whose service may answer after the end of the stop.
+TEST_CASE("a stopping daemon refuses at once a call whose answer may come after its end",
+          "[promise-12][process]")
+{
+    struct row {
+        int grace_ms_; ///< The route's deadline of 8 s lies within it.
+        int status_;   ///< With the 66 s that a service may take, the call ends within 100 s, but not 20 s.
+    };
+    auto const [grace_ms, status] = GENERATE(row{20'000, 503}, row{100'000, 200});
+    CAPTURE(grace_ms);
+    fleet f{{.daemons_ = 1,
+             .engines_ = 1,
+             .daemon_settings_ = "stop_grace_ms: " + std::to_string(grace_ms) + "\n"}};
+    begin_stop(f);
+    auto const answer = read_stock(f, "late");
+    CAPTURE(answer.body_);
+    CHECK(answer.status_ == status);
+    CHECK(service_calls(f, "/stock/late") == (status == 200 ? 1 : 0));
+    CHECK(answer.headers_.contains("Retry-After") == (status == 503));
+    CHECK(httplib::detail::get_header_value(answer.headers_, "Connection") == std::string{"close"});
+    CHECK(f.daemon(0).wait_end() == 0);
+}
+
 // Guards against a request that waits for a place on during the stop although it may outlast it.
 TEST_CASE("a request that waits for a place is refused when the stop begins", "[promise-12][process]")
 {
-    fleet f{{.daemons_ = 1, .engines_ = 1, .slots_ = 1, .token_ms_ = 20, .daemon_settings_ = short_grace}};
+    auto const settings = GENERATE(std::string{short_grace}, std::string{"stop_grace_ms: 60000\n"});
+    CAPTURE(settings);
+    fleet f{{.daemons_ = 1, .engines_ = 1, .slots_ = 1, .token_ms_ = 20, .daemon_settings_ = settings}};
     auto running = std::async(std::launch::async, [&f] { return f.ask(0, "m", "long", 100, true); });
     REQUIRE(eventually(10s, [&f] { return f.received_by(0, "/v1/chat/completions") == 1; }));
     auto waiting = std::async(std::launch::async, [&f] { return f.ask(0, "m", "waits", 1); });
@@ -204,6 +227,33 @@
     CHECK(f.daemon(0).wait_end() == 0);
 }
 
+// Guards against a stop that gives up a stream which another upstream could still end.
+TEST_CASE("a stream that its upstream cuts is resumed during a stop", "[promise-12][process]")
+{
+    fleet f{{.daemons_ = 1,
+             .engines_ = 2,
+             .token_ms_ = 20,
+             .min_replicas_ = 2,
+             .max_replicas_ = 2,
+             .resumes_streams_ = true}};
+    fleet::fault(f.engine_address(0), {{"cut_after_tokens", 50}});
+    std::vector<std::future<fleet_answer>> streams;
+    for (auto const* const prompt : {"one", "other"}) {
+        streams.push_back(
+            std::async(std::launch::async, [&f, prompt] { return f.ask(0, "m", prompt, 100, true); }));
+    }
+    auto const calls = [&f](std::size_t engine) { return f.received_by(engine, "/v1/chat/completions"); };
+    REQUIRE(eventually(10s, [&] { return calls(0) == 1 && calls(1) == 1; }));
+    begin_stop(f);
+    for (auto& stream : streams) {
+        auto const whole = stream.get();
+        CAPTURE(whole.body_);
+        CHECK(whole.body_.find("[DONE]") != std::string::npos);
+    }
+    CHECK(calls(1) == 2);
+    CHECK(f.daemon(0).wait_end() == 0);
+}
+
 // Guards against a stop that waits for a request without a limit, or ends without an answer to it.
 TEST_CASE("a call that outlasts the stop is answered and named before the end", "[promise-12][process]")
 {
@@ -231,15 +281,19 @@
 // Guards against a stop that waits for a stream without a limit, or cuts it off without a word.
 TEST_CASE("a stream that outlasts the stop ends with an error event", "[promise-12][process]")
 {
+    auto const tls = GENERATE(false, true);
+    CAPTURE(tls);
     fleet f{{.daemons_ = 1,
              .engines_ = 1,
              .token_ms_ = 20,
              .daemon_settings_ = short_grace,
+             .tls_ = tls,
              .show_errors_ = true}};
     auto const stream = streaming_connection(f);
     auto const began = begin_stop(f);
-    auto const rest = receive_all(stream, grace);
+    auto const rest = stream.receive_all(grace);
     CAPTURE(rest.text_.substr(rest.text_.size() - std::min<std::size_t>(rest.text_.size(), 300)));
+    CAPTURE(rest.reset_, rest.timed_out_, rest.tls_error_);
     CHECK(ends_with_error(rest));
     CHECK(since(began) <= grace);
     auto const output = f.daemon(0).read_to_end();
@@ -252,7 +306,9 @@
 // Guards against a second signal that waits for open streams and kept connections.
 TEST_CASE("a second signal ends a stop at once", "[promise-12][process]")
 {
-    fleet f{{.daemons_ = 1, .engines_ = 1, .token_ms_ = 20}};
+    auto const tls = GENERATE(false, true);
+    CAPTURE(tls);
+    fleet f{{.daemons_ = 1, .engines_ = 1, .token_ms_ = 20, .tls_ = tls}};
     auto const idle = kept_connection(f);
     auto const stream = streaming_connection(f);
     begin_stop(f);
@@ -260,13 +316,14 @@
     ::kill(f.daemon(0).pid(), SIGINT);
     CHECK(f.daemon(0).wait_end() == 0);
     CHECK(since(again) < 2s); // closing, margin and slack
-    CHECK(ends_with_error(receive_all(stream, 1s)));
+    CHECK(ends_with_error(stream.receive_all(1s)));
 }
 
 // Guards against an early end while a request is being read.
 TEST_CASE("a request that is being read when the stop grows quiet is answered", "[promise-12][process]")
 {
-    fleet f{{.daemons_ = 1, .engines_ = 1, .daemon_settings_ = short_grace}};
+    auto const tls = GENERATE(false, true);
+    fleet f{{.daemons_ = 1, .engines_ = 1, .daemon_settings_ = short_grace, .tls_ = tls}};
     auto const text = call_text("/stock/read", order_body("read"));
     auto const connection = kept_connection(f);
     auto const began = begin_stop(f);
@@ -274,8 +331,8 @@
     auto const after_quiet = 2'600ms; // twice the lifetime of the entry list and a second, with slack
     std::this_thread::sleep_for(after_quiet - since(began));
     connection.send(text.substr(text.size() - 5));
-    auto const answer = receive_all(connection, 4s);
-    CAPTURE(answer.text_);
+    auto const answer = connection.receive_all(4s);
+    CAPTURE(tls, answer.text_);
     auto const head = answer.text_.find("HTTP/1.1 503");
     REQUIRE(head != std::string::npos);
     CHECK(is_refusal(answer.text_.substr(head)));
@@ -288,13 +345,14 @@
 // read.
 TEST_CASE("the last answer on a connection is not reset by what follows it", "[promise-12][process]")
 {
-    fleet f{{.daemons_ = 1, .engines_ = 1, .daemon_settings_ = short_grace}};
+    auto const tls = GENERATE(false, true);
+    fleet f{{.daemons_ = 1, .engines_ = 1, .daemon_settings_ = short_grace, .tls_ = tls}};
     auto const connection = connect_to_daemon(f);
     begin_stop(f);
     connection.send(call_text("/stock/last", order_body("last")));
     connection.send(call_text("/stock/next", std::string(100'000, 'x')));
-    auto const answer = receive_all(connection, 3s);
-    CAPTURE(answer.text_);
+    auto const answer = connection.receive_all(3s);
+    CAPTURE(tls, answer.text_);
     CHECK(is_refusal(answer.text_));
     CHECK_FALSE(answer.reset_);
     CHECK_FALSE(answer.timed_out_);
@@ -304,13 +362,16 @@
 // Guards against kept connections that hold up the end of a stop.
 TEST_CASE("kept connections do not delay the end of a stop", "[promise-12][process]")
 {
-    fleet f{{.daemons_ = 1, .engines_ = 1}};
-    std::vector<owned_socket> idle;
+    auto const tls = GENERATE(false, true);
+    CAPTURE(tls);
+    fleet f{{.daemons_ = 1, .engines_ = 1, .tls_ = tls}};
+    std::vector<caller_connection> idle;
     auto const began = begin_stop(f);
     std::this_thread::sleep_for(300ms - since(began)); // within the lifetime of the entry list, 500 ms
     for (int i = 0; i < 3; ++i) {
         idle.push_back(connect_to_daemon(f));
     }
+    idle.push_back(begin_connection(f));
     CHECK(f.daemon(0).wait_end() == 0);
     CHECK(since(began) < 2s + 1s + scheduling_slack); // quiet, closing and exit, slack
 }
@@ -318,11 +379,19 @@
 // Guards against a stop without a limit: a slow upstream, half a request and the log's outage together.
 TEST_CASE("a stop ends within its grace time whatever it waits for", "[promise-12][process]")
 {
-    auto const grace_ms = GENERATE(200, 1'000, 3'000);
-    bool const log_is_down = GENERATE(false, true);
+    struct row {
+        int grace_ms_;
+        bool log_is_down_;
+        bool tls_;
+    };
+    auto const [grace_ms, log_is_down, tls] =
+        GENERATE(row{200, false, false}, row{200, true, false}, row{1'000, false, false},
+                 row{1'000, true, false}, row{3'000, false, false}, row{3'000, true, false},
+                 row{200, false, true}, row{1'000, false, true}, row{3'000, false, true});
     fleet f{{.daemons_ = 1,
              .engines_ = 1,
              .daemon_settings_ = "stop_grace_ms: " + std::to_string(grace_ms) + "\n",
+             .tls_ = tls,
              .show_errors_ = true}};
     fleet::fault(f.service_address(0), {{"delay_ms", 8'000}});
     auto const half = connect_to_daemon(f);
@@ -337,7 +406,7 @@
     }
     auto const began = std::chrono::steady_clock::now();
     (void)f.daemon(0).stop();
-    CAPTURE(grace_ms, log_is_down);
+    CAPTURE(grace_ms, log_is_down, tls);
     CHECK(since(began) <= std::chrono::milliseconds{grace_ms} + scheduling_slack);
     auto const output = f.daemon(0).read_to_end();
     CAPTURE(output);
