Count a request's time limit from its first bytes

What callers saw: a request with a slow body was held, and handed to an upstream, for longer than its caller waits: the time of the upload came on top of its limit. In a planned stop it was refused only once all of its body had come, or at the end; one that waited for 100 was even asked for its body. An upload that outlasted its limit was held until the idle timeout and closed without an answer.

Cause: the deadline was set when the request had been read whole, and nothing looked at it before.

Change: the limit counts from the first bytes (those behind another request: from when they were seen). Once the head is read, the body is read as long as the deadline lies ahead and, in a stop, within it; then the request is refused with 503 ("stopping" or "deadline"), and the connection closes after it as every other one, lingering, so that a caller that still uploads reads the answer. What has come already is read first, so that a further request behind it is not dropped.

--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -101,6 +101,7 @@
 constexpr int timed_out = 504;
 constexpr int unavailable = 503;
 
+using body_parser = http::request_parser<http::string_body>;
 using answer_parser = http::response_parser<http::buffer_body>;
 
 /// \returns Whether the body of a stream consists of events; one that does not is passed on as it is.
@@ -201,6 +202,7 @@
     [[nodiscard]] std::string_view request_id() const noexcept override { return request_id_; }
     [[nodiscard]] std::string_view upstream_id() const noexcept override { return last_upstream_; }
     void end_request() override;
+    void end_late_upload() override;
     void abort() override;
 
 private:
@@ -238,6 +240,8 @@
     {
         return is_closing(node_) && fault == net::error::operation_aborted;
     }
+    /// Reads the rest of a request whose head was read. \returns False if it is not to be served.
+    net::awaitable<bool> read_body(body_parser& parser, caller_limits const& limits);
     void start_watch();
     void end_watch();
     void note_result(forward_job const& job, chosen_upstream const& upstream, try_outcome const& outcome);
@@ -252,8 +256,13 @@
     std::uint64_t watch_{};
     bool watching_{};
     bool gone_{};
-    bool given_up_{};           ///< A planned stop has ended the present request.
-    bool keep_{};               ///< The connection stays open after the present request.
+    bool given_up_{};        ///< A planned stop has ended the present request.
+    bool keep_{};            ///< The connection stays open after the present request.
+    millis began_at_{};      ///< When the first bytes of the present request came.
+    millis next_began_at_{}; ///< The same for a request behind it that has come already; 0: none has.
+    /// Of the present request, while its body is read.
+    std::optional<millis> upload_deadline_;
+    std::uint64_t upload_{};    ///< Counts the bodies, so that the end of one does not end the next.
     bool head_only_{};          ///< The present request is a HEAD, so that its answers have no body.
     std::string request_id_;    ///< Of the present request.
     std::string last_upstream_; ///< Of the present request, for its log line.
@@ -319,6 +328,13 @@
     }
 }
 
+void caller_session::end_late_upload()
+{
+    if (upload_deadline_ && !may_begin(node_, *upload_deadline_)) {
+        stream_.cancel();
+    }
+}
+
 void caller_session::abort()
 {
     end_request();
@@ -342,7 +358,9 @@
         }
     }
     enter(session_state::reading);
-    http::request_parser<http::string_body> parser;
+    auto const came_at = std::exchange(next_began_at_, millis{0});
+    began_at_ = came_at > millis{0} ? came_at : state_since();
+    body_parser parser;
     parser.header_limit(limits.header_bytes_);
     parser.body_limit(limits.body_bytes_);
     stream_.expires_after(to_chrono(limits.header_timeout_));
@@ -372,27 +390,70 @@
         co_await refuse_unread({400, "malformed-request", millis{-1}}, request_id_);
         co_return false;
     }
-    if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-        if (!co_await write_caller("HTTP/1.1 100 Continue\r\n\r\n")) {
-            co_return false;
-        }
+    if (!co_await read_body(parser, limits)) {
+        co_return false;
     }
-    stream_.expires_after(to_chrono(limits.idle_timeout_));
-    co_await http::async_read(stream_, buffer_, parser, outcome_in(fault));
-    if (fault == http::error::body_limit) {
-        co_await refuse_unread({413, "body-too-large", millis{-1}}, request_id_);
+    keep_ = parser.keep_alive();
+    request = parser.release();
+    if (buffer_.size() > 0) {
+        next_began_at_ = boot_now();
+    }
+    co_return true;
+}
+
+net::awaitable<bool> caller_session::read_body(body_parser& parser, caller_limits const& limits)
+{
+    bool const asked = boost::beast::iequals(parser.get()[http::field::expect], "100-continue");
+    if (parser.is_done() && !asked) {
+        co_return true;
+    }
+    auto const call = platform::parse_request_attributes(parser.get().base());
+    auto const config = current_view(node_).config_;
+    auto const* const route = config ? match_route(*config, call.host_, call.path_) : nullptr;
+    // Without a route the request is refused for that once it was read.
+    auto const deadline =
+        route != nullptr ? std::optional{deadline_of(*route, call, began_at_)} : std::nullopt;
+    auto const is_late = [&] { return deadline && !may_begin(node_, *deadline); };
+    auto const is_over = [&] { return deadline && boot_now() >= *deadline; };
+    if (asked && !is_late() && !co_await write_caller("HTTP/1.1 100 Continue\r\n\r\n")) {
         co_return false;
     }
-    if (ended_by_stop(fault)) {
+    stream_.expires_after(to_chrono(limits.idle_timeout_));
+    net::steady_timer until_deadline{node_.loop_};
+    if (deadline) {
+        until_deadline.expires_after(to_chrono(*deadline - boot_now()));
+        until_deadline.async_wait([self = shared_from_this(), upload = ++upload_](error_code const& ended) {
+            if (!ended && self->upload_deadline_ && self->upload_ == upload) {
+                self->stream_.cancel();
+            }
+        });
+    }
+    upload_deadline_ = deadline;
+    error_code fault;
+    bool in_time = true;
+    while (!parser.is_done() && !fault && in_time) {
+        // What has come is read, so that a further request behind it is not dropped.
+        bool const must_wait = buffer_.size() == 0 && !has_input(stream_.socket());
+        in_time = !must_wait || !(is_late() || is_over());
+        if (in_time) {
+            co_await http::async_read_some(stream_, buffer_, parser, outcome_in(fault));
+        }
+    }
+    upload_deadline_.reset();
+    bool const given_up = !in_time || fault == net::error::operation_aborted;
+    if (given_up && (is_late() || is_closing(node_))) {
         co_await refuse_unread(refuse_for_stop(node_, boot_now()), request_id_);
         co_return false;
     }
-    if (fault) {
+    if (given_up && is_over()) {
+        co_await refuse_unread({unavailable, "deadline", least_retry_after}, request_id_);
         co_return false;
     }
-    keep_ = parser.keep_alive();
-    request = parser.release();
-    co_return true;
+    if (fault == http::error::body_limit) {
+        co_await refuse_unread({413, "body-too-large", millis{-1}}, request_id_);
+        co_return false;
+    }
+    co_return !fault;
 }
 
 net::awaitable<void> caller_session::refuse_unread(own_answer answer, std::string request_id)
@@ -433,7 +494,10 @@
         co_return;
     }
     if (is_connected(stream_.socket())) {
-        co_return; // the caller's next request
+        if (next_began_at_ == millis{0}) {
+            next_began_at_ = boot_now();
+        }
+        co_return;
     }
     gone_ = true;
     if (cancel_try_) {
@@ -447,7 +511,7 @@
 net::awaitable<bool> caller_session::serve(caller_request& request)
 {
     forward_job job;
-    job.arrived_ = boot_now();
+    job.arrived_ = began_at_;
     job.config_ = current_view(node_).config_;
     job.call_ = platform::parse_request_attributes(request);
     last_status_ = 0;
@@ -455,7 +519,7 @@
     enter(session_state::serving);
     std::optional<own_answer> own = admit(node_, job, request);
     if (!own) {
-        note_need(node_, job, job.arrived_);
+        note_need(node_, job, boot_now());
         start_watch();
         own = co_await dispatch_safely(job, request);
         end_watch();
--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -25,6 +25,9 @@
 /// Least time until another VM may give orders after a holder fell silent; see order_lease.hpp.
 constexpr millis takeover_time{3'000};
 
+/// Time limit of a request whose route states none.
+constexpr millis default_timeout{30'000};
+
 constexpr int unauthorized = 401;
 constexpr int not_found = 404;
 constexpr int too_many_requests = 429;
@@ -96,6 +99,12 @@
            (job.route_->kind_ == route_type::stream && job.route_->resumable_);
 }
 
+millis deadline_of(request_route const& route, request_attributes const& call, millis arrived)
+{
+    auto const allowed = route.timeout_ > millis{0} ? route.timeout_ : default_timeout;
+    return arrived + (call.time_left_ ? std::min(allowed, *call.time_left_) : allowed);
+}
+
 std::optional<own_answer> admit(entry_node& node, forward_job& job, caller_request const& request)
 {
     auto const now = boot_now();
@@ -126,11 +135,8 @@
     }
     job.service_ = choose_service(*job.route_, stable_hash(job.call_.request_id_));
     job.engine_ = find_engine(*job.config_, job.service_);
-    auto left = job.route_->timeout_ > millis{0} ? job.route_->timeout_ : millis{30'000};
-    if (job.call_.time_left_) {
-        left = std::min(left, *job.call_.time_left_);
-    }
-    job.deadline_ = job.arrived_ + left;
+    job.deadline_ = deadline_of(*job.route_, job.call_, job.arrived_);
+    auto const left = job.deadline_ - job.arrived_;
     auto const patience = job.route_->caller_stall_timeout_ > millis{0}
                               ? std::min(left, job.route_->caller_stall_timeout_)
                               : left;
--- a/src/transport/entry/forward_job.hpp
+++ b/src/transport/entry/forward_job.hpp
@@ -23,7 +23,7 @@
     std::string service_;
     workspace_limit const* workspace_{}; ///< Null on a route open to all.
     engine_profile const* engine_{};     ///< Null for a plain service.
-    millis arrived_{};
+    millis arrived_{};                   ///< When its first bytes came.
     millis deadline_{};
     millis first_deadline_{}; ///< Until when the caller waits for the first part of the answer.
     std::int64_t urgency_{};
@@ -42,6 +42,11 @@
 /// \returns Whether the request may run more than once. Thread safety: pure.
 [[nodiscard]] bool is_repeatable(forward_job const& job) noexcept;
 
+/// \returns Until when a request may take: its caller's or its route's time limit, whichever is shorter.
+/// \param arrived When its first bytes came; boot clock.
+/// Thread safety: pure.
+[[nodiscard]] millis deadline_of(request_route const& route, request_attributes const& call, millis arrived);
+
 /// \brief Checks key, route, limits and age of knowledge, and charges the workspace.
 /// \returns The refusal, or none if the request may go on.
 [[nodiscard]] std::optional<own_answer> admit(entry_node& node, forward_job& job,
--- a/src/transport/entry/open_session.hpp
+++ b/src/transport/entry/open_session.hpp
@@ -54,6 +54,10 @@
     /// \pre The node's stop is closing.
     virtual void end_request() = 0;
 
+    /// \brief Refuses a request whose body is being read if it cannot be served before the stop ends.
+    /// \pre The node's stop has begun.
+    virtual void end_late_upload() = 0;
+
     /// \brief Closes the connection, whatever its state; the session ends in the loop's next turns.
     virtual void abort() = 0;
 
--- a/src/transport/entry/planned_stop.cpp
+++ b/src/transport/entry/planned_stop.cpp
@@ -49,6 +49,9 @@
     node.stop_placing_();
     node.send_state_(message_targets::all);
     wake_waiting(node);
+    for (auto* const session : *node.sessions_) {
+        session->end_late_upload();
+    }
     while (boot_now() < plan.answers_until_ &&
            (boot_now() < plan.quiet_from_ || open_requests(*node.sessions_) > 0)) {
         co_await pause_for(look_pause);
--- a/tests/transport/entry/planned_stop_test.cpp
+++ b/tests/transport/entry/planned_stop_test.cpp
@@ -317,6 +317,103 @@
     CHECK(world.arrivals() == 0);
 }
 
+// Guards against a caller that must upload all of a request before it hears that the stop leaves no time for
+// it, and against a reset that takes the refusal away while it uploads.
+TEST_CASE("an upload that cannot be served before the end of a planned stop is refused at once",
+          "[entry][promise-12]")
+{
+    struct row {
+        char const* what_;
+        bool begun_; ///< The head came before the stop.
+        bool asks_;  ///< The caller waits for 100 before it sends the body.
+    };
+    auto const r = GENERATE(row{"begun before the stop", true, false}, row{"begun in the stop", false, false},
+                            row{"asked in the stop", false, true});
+    CAPTURE(r.what_);
+    constexpr std::size_t piece = 1'000;
+    entry_world world{{after_probe(answering("x"))}, grace_setting};
+    auto const caller = connect_to(world.ip_, callers_port);
+    auto text = request_text("POST", "/buy/1", "id-upload", std::string(900 * piece, 'b'), 4s);
+    if (r.asks_) {
+        text.insert(text.find("\r\n") + 2, "Expect: 100-continue\r\n");
+    }
+    auto const head = text.find("\r\n\r\n") + 4;
+    auto sent = head;
+    if (r.begun_) {
+        sent += piece;
+        caller.send(text.substr(0, sent));
+        REQUIRE(eventually(limit, [&] { return world.metric(world.ip_, "auburnchute_open_requests") == 1; }));
+        begin_stop(world);
+    } else {
+        begin_stop(world);
+        caller.send(text.substr(0, sent));
+    }
+    auto const began = std::chrono::steady_clock::now();
+    pollfd answered{caller.handle(), POLLIN, 0};
+    if (!r.asks_) {
+        for (; sent < text.size() && ::poll(&answered, 1, 1) == 0; sent += piece) { // a slow upload
+            caller.send(text.substr(sent, piece));
+        }
+    }
+    REQUIRE(::poll(&answered, 1, 10'000) == 1);
+    CHECK(std::chrono::steady_clock::now() - began < scheduling_slack);
+    CHECK(sent < text.size() / 2);
+    if (!r.asks_) {
+        caller.send(text.substr(sent)); // the rest, before it reads
+    }
+    auto const answer = receive_whole(caller);
+    CHECK(entry_world::status_of(answer) == 503);
+    CHECK(is_whole(answer));
+    CHECK(answer.find("X-Request-Id: id-upload") != std::string::npos);
+    CHECK(answer.find("Retry-After: ") != std::string::npos);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    CHECK(caller.receive().empty());
+    CHECK(world.arrivals() == 0);
+}
+
+// Guards against a request that is held, and handed on, for longer than its caller waits.
+TEST_CASE("a request's time limit counts from its first bytes", "[entry]")
+{
+    auto const in_head = GENERATE(false, true);
+    CAPTURE(in_head);
+    constexpr auto allowed = 2'000ms;
+    constexpr auto pause = 1'000ms;
+    entry_world world{{after_probe(answering("bought"))}};
+    auto const caller = connect_to(world.ip_, callers_port);
+    auto const text = request_text("POST", "/buy/1", "id-slow", "an order", allowed);
+    auto const part = text.size() - (in_head ? 20 : 4);
+    auto const began = std::chrono::steady_clock::now();
+    caller.send(text.substr(0, part));
+    std::this_thread::sleep_until(began + pause); // the slow upload that the test is about
+    caller.send(text.substr(part));
+    CHECK(entry_world::status_of(receive_whole(caller)) == 200);
+    for (auto const& request : world.upstreams_[0]->requests()) {
+        if (!is_probe(request)) {
+            CHECK(std::stoll(request.field("X-Deadline-Ms")) <= (allowed - pause).count());
+        }
+    }
+    CHECK(world.arrivals() == 1);
+}
+
+// Guards against an upload that outlasts its caller's time limit and is held, or ends without an answer.
+TEST_CASE("an upload that outlasts its time limit is refused then", "[entry]")
+{
+    constexpr auto allowed = 700ms;
+    entry_world world{{after_probe(answering("x"))}};
+    auto const caller = connect_to(world.ip_, callers_port);
+    auto const text = request_text("POST", "/buy/1", "id-endless", "an order", allowed);
+    auto const began = std::chrono::steady_clock::now();
+    caller.send(text.substr(0, text.size() - 4));
+    auto const answer = receive_whole(caller);
+    auto const took = std::chrono::steady_clock::now() - began;
+    CHECK(took >= allowed - 10ms);
+    CHECK(took < allowed + scheduling_slack);
+    CHECK(entry_world::status_of(answer) == 503);
+    CHECK(is_whole(answer));
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    CHECK(world.arrivals() == 0);
+}
+
 // Guards against a half read request that a stop misses as its read has just ended.
 TEST_CASE("uploads that go on at the end of a planned stop are refused", "[entry][promise-12]")
 {
