Read the next page of the upstreams' entries at once

Callers saw: after a mass of large odd entries the daemon used old entries for many seconds, though the sound ones had been written.

Cause, traced with logs kept (the finding of 22 failed checks in odd_entries_test): with the daemon held up while 20 MB of odd entries were written, its next read got them in one answer and failed each time with "body limit exceeded" (6 of 6 reads up to 3.6 s), so both check_follows of the case failed, 22 checks. The stand-in store answered with all records at once; the platform's store answers with 1 MB, or the newest records with 500 or 1 MB. The check is right, the stand-in was wrong. With pages as the platform's store makes them, the daemon failed just so: a VM that reads for all waited its interval of 0.4 s after each page, so 1 MB each 0.4 s, in place of reading on.

Change: the stand-in keeps to the page sizes (max_kb, 500 items or 1 MB); a reader that knows of more records reads on at once; so does the one of the members (that part has no test of its own). The new case stops the daemon while the entries are written, so that it does not depend on the machine's load.

--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -343,7 +343,8 @@
     }
 }
 
-net::awaitable<void> read_upstreams_once(store_reader& reader, platform::store_client& store)
+/// Reads once, one page at most. \returns Whether more records are known to follow.
+net::awaitable<bool> read_upstreams_once(store_reader& reader, platform::store_client& store)
 {
     if (!reader.upstreams_next_ || reader.reads_all_upstreams_) {
         co_await read_all_upstreams(reader, store);
@@ -354,12 +355,12 @@
     mark_store_reachable(reader.registry_, boot_now());
     if (page.expired_) {
         reader.reads_all_upstreams_ = true;
-        co_return;
+        co_return false;
     }
     if (page.end_offset_ < from) {
         log_failure("upstreams-beyond-end", {{"offset", from}, {"end", page.end_offset_}});
         reader.upstreams_next_.reset(); // told by a peer; the entries between were never read
-        co_return;
+        co_return false;
     }
     entry_updates updates{from, page.next_offset_, {}};
     for (auto const& stored : page.records_) {
@@ -370,7 +371,9 @@
     take_updates(reader, updates, "", message_targets::all);
     if (page.next_offset_ >= page.end_offset_) {
         note_entries_proof(reader, sent_at);
+        co_return false;
     }
+    co_return !page.records_.empty();
 }
 
 /// How long this VM need not read: until its turn, or until its knowledge is too old.
@@ -393,8 +396,9 @@
     growing_pause after_failure;
     millis read_at{};
     millis idle_since{};
+    bool more_follows = false;
     while (true) {
-        if (auto const left = until_read(reader, read_at); left > millis{0}) {
+        if (auto const left = until_read(reader, read_at); left > millis{0} && !more_follows) {
             if (drop_lapsed(reader.registry_, boot_now())) {
                 publish_upstreams(reader);
             }
@@ -407,7 +411,8 @@
             store.emplace(reader.loop_, reader.settings_.store_address_, store_call_limit);
         }
         try {
-            co_await read_upstreams_once(reader, *store);
+            more_follows = false;
+            more_follows = co_await read_upstreams_once(reader, *store);
             idle_since = boot_now();
             after_failure.reset();
             continue;
@@ -474,15 +479,18 @@
                                   std::optional<std::uint64_t>& next)
 {
     bool changed = false;
-    if (next) {
+    while (next) {
         auto const page = co_await store.read(platform::member_topic, *next, millis{0});
+        if (page.expired_) {
+            break;
+        }
         for (auto const& stored : page.records_) {
             if (auto const record = platform::parse_keyed_record(stored.bytes_)) {
                 changed = take_member(reader.draft_, record->key_, record->value_) || changed;
             }
         }
-        if (!page.expired_) {
-            next = page.next_offset_;
+        next = page.next_offset_;
+        if (page.records_.empty() || page.next_offset_ >= page.end_offset_) {
             co_return changed;
         }
     }
--- a/tests/transport/entry/odd_entries_test.cpp
+++ b/tests/transport/entry/odd_entries_test.cpp
@@ -180,6 +180,16 @@
         check_follows(world, ip, "second");
         check_follows(world, ip, "third");
     }
+    SECTION("while the VM is paused, so that they come in one go")
+    {
+        ::kill(world.daemon().pid(), SIGSTOP);
+        put_all("");
+        put_all(std::string(200, 'k'));
+        put_all("more-");
+        ::kill(world.daemon().pid(), SIGCONT);
+        check_follows(world, ip, "second");
+        check_follows(world, ip, "third");
+    }
     SECTION("before the first read")
     {
         world.daemons_.clear();
--- a/tests/transport/entry/standin_platform.hpp
+++ b/tests/transport/entry/standin_platform.hpp
@@ -282,8 +282,13 @@
             return;
         }
         auto body = big_endian(topic.end(), 8) + big_endian(topic.first_, 8);
+        auto const page =
+            request.has_param("max_kb") ? std::stoull(request.get_param_value("max_kb")) * 1024 : page_bytes;
         for (auto at = from; at < topic.end(); ++at) {
             auto const& record = topic.records_[at - topic.first_];
+            if (at > from && body.size() + record.size() > page) {
+                break;
+            }
             body += big_endian(record.size(), 4) + record;
         }
         response.set_content(body, "application/octet-stream");
@@ -292,17 +297,31 @@
     void newest(httplib::Request const& request, httplib::Response& response)
     {
         std::scoped_lock const lock{mutex_};
+        auto const after = request.get_param_value("after");
         auto const& topic = topics_[request.get_param_value("topic")];
         auto items = nlohmann::json::array();
-        for (auto const& [key, newest] : topic.newest_) {
+        std::size_t bytes = 0;
+        auto at = topic.newest_.upper_bound(after);
+        for (; at != topic.newest_.end(); ++at) {
+            auto const& [key, newest] = *at;
+            bytes += key.size() + newest.first.size();
+            if (items.size() == page_items || (!items.empty() && bytes > page_bytes)) {
+                break;
+            }
             items.push_back({{"key", key}, {"value", to_base64(newest.first)}, {"offset", newest.second}});
         }
-        response.set_content(
-            nlohmann::json{{"items", items}, {"truncated", false}, {"end_offset", topic.end()}}.dump(),
-            "application/json");
+        // A key that is not UTF-8 cannot be written in JSON as it is.
+        response.set_content(nlohmann::json{{"items", items},
+                                            {"truncated", at != topic.newest_.end()},
+                                            {"end_offset", topic.end()}}
+                                 .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
+                             "application/json");
     }
 
     static constexpr std::size_t store_threads = 96;
+    /// Bounds of an answer, as the platform's page on the store states them; one record always fits.
+    static constexpr std::size_t page_bytes = 1024 * 1024;
+    static constexpr std::size_t page_items = 500;
 
     httplib::Server server_;
     int port_{};
