Take an entry that cannot be read as a removal at all VMs

Callers saw: nothing at once, but the VMs differed for good: after another writer had overwritten the entry of an upstream in use by an odd one, VMs that knew the upstream used it on, VMs that started later did not. They found that they differ and read all entries again and again.

What is right: the store keeps the newest record of a key only, so a VM that starts later cannot know the sound one. The protocol says that an odd entry names no server to use. So all VMs stop to use the upstream, as after a removal: within the bound for leaves, or after the grace time if the store was just away. Requests that run there are not touched. What this costs is weighed: the upstream gets no new requests until its process writes its entry again, which it does every heartbeat (1.2 s in the settings' example). A grace time as long as that heartbeat plus the spread to all VMs would exceed the 2 s within which a change must be in force.

Change: a record that cannot be read is applied as a removal at its offset, and told to peers as one, so that what is told never depends on its bytes (they may not even fit into a datagram). One for an id that no sound entry held is noted and not told. The log says `in_use` if it ended an upstream's use.

--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -189,27 +189,34 @@
     bool leaving_{}; ///< An upstream leaves or is gone.
 };
 
-/// Takes a record of an upstream. \param told_by The VM that told it, or empty for the store.
+/// Takes a record of an upstream. One that cannot be read names no upstream to use, whatever the id named
+/// before; it becomes a removal in `update`, so that all VMs take it alike.
+/// \param told_by The VM that told it, or empty for the store.
 /// \returns Whether the record must be forwarded to other VMs: it says something new, or did so when it was
 /// taken before its turn.
-bool take_upstream(store_reader& reader, upstream_entry_update const& update, std::string const& told_by,
+bool take_upstream(store_reader& reader, upstream_entry_update& update, std::string const& told_by,
                    entry_changes& changes)
 {
     auto const& id = update.id_;
+    auto entry = update.document_ ? platform::parse_upstream(id, *update.document_) : std::nullopt;
+    bool const unreadable = update.document_ && !entry;
+    if (unreadable) {
+        update.document_.reset();
+    }
     auto const now = boot_now();
     bool const known = reader.registry_.entries_.contains(id);
     auto const applied = reader.registry_.applied_.find(id);
     if (applied != reader.registry_.applied_.end() && applied->second.offset_ >= update.offset_) {
         return true;
     }
-    auto change = entry_change::none;
-    if (!update.document_) {
-        change = apply_removal(reader.registry_, id, update.offset_, now);
-    } else if (auto entry = platform::parse_upstream(id, *update.document_)) {
-        change = apply_entry(reader.registry_, std::move(*entry), update.offset_, now);
-    } else {
+    if (unreadable) {
         reader.counters_.count("auburnchute_unreadable_entries_total");
-        log_failure("upstream-unreadable", {{"upstream", id}});
+        log_failure("upstream-unreadable", {{"upstream", id}, {"in_use", known}, {"told_by", told_by}});
+    }
+    auto const change = entry ? apply_entry(reader.registry_, std::move(*entry), update.offset_, now)
+                              : apply_removal(reader.registry_, id, update.offset_, now);
+    if (unreadable && !known) {
+        return false; // VMs that lack it do not know the id either, or learn of its removal in turn
     }
     switch (change) {
     case entry_change::none:
@@ -261,7 +268,8 @@
     if (changes.any_) {
         publish_upstreams(reader);
     } else {
-        publish(reader); // the offset, so that nobody tells the same again
+        expire_notices(reader.registry_, boot_now()); // odd entries leave removals behind and change nothing
+        publish(reader);                              // the offset, so that nobody tells the same again
     }
     if (changes.leaving_ && reader.leave_learned_) {
         reader.leave_learned_(untold);
@@ -294,13 +302,15 @@
     entry_changes changes;
     std::set<std::string, std::less<>> there;
     for (auto const& record : newest.records_) {
-        (void)take_upstream(reader, {record.offset_, record.key_, record.value_}, "", changes);
+        upstream_entry_update update{record.offset_, record.key_, record.value_};
+        (void)take_upstream(reader, update, "", changes);
         there.insert(record.key_);
     }
     auto const known = reader.registry_.entries_;
     for (auto const& [id, entry] : known) {
         if (!there.contains(id) && newest.next_offset_ > 0) {
-            (void)take_upstream(reader, {newest.next_offset_ - 1, id, std::nullopt}, "", changes);
+            upstream_entry_update removal{newest.next_offset_ - 1, id, std::nullopt};
+            (void)take_upstream(reader, removal, "", changes);
         }
     }
     auto const next = std::max(reader.upstreams_next_.value_or(0), newest.next_offset_);
@@ -320,16 +330,16 @@
 }
 
 /// Takes records that lead from one offset to another; those after it are taken, too, but not counted on.
-void take_updates(store_reader& reader, entry_updates const& updates, std::string const& told_by,
+void take_updates(store_reader& reader, entry_updates updates, std::string const& told_by,
                   message_targets untold)
 {
     entry_changes changes;
     std::vector<upstream_entry_update> forwarded;
     auto const next = *reader.upstreams_next_;
-    for (auto const& update : updates.changes_) {
+    for (auto& update : updates.changes_) {
         if (take_upstream(reader, update, told_by, changes) && update.offset_ >= next &&
             update.offset_ < updates.to_) {
-            forwarded.push_back(update);
+            forwarded.push_back(std::move(update));
         }
     }
     bool const leads_on = updates.from_ <= next && next < updates.to_;
@@ -368,7 +378,7 @@
             updates.changes_.push_back({stored.offset_, std::move(record->key_), std::move(record->value_)});
         }
     }
-    take_updates(reader, updates, "", message_targets::all);
+    take_updates(reader, std::move(updates), "", message_targets::all);
     if (page.next_offset_ >= page.end_offset_) {
         note_entries_proof(reader, sent_at);
         co_return false;
--- a/tests/transport/entry/odd_entries_test.cpp
+++ b/tests/transport/entry/odd_entries_test.cpp
@@ -106,6 +106,12 @@
     return address.replace(address.find("127.77."), 7, "127.78.");
 }
 
+std::string third_address()
+{
+    auto address = own_address();
+    return address.replace(address.find("127.77."), 7, "127.79.");
+}
+
 /// \returns The body of an answer to a caller, or an empty text.
 std::string ask(entry_world const& world, std::string const& ip = "", std::string const& key = "key")
 {
@@ -223,6 +229,45 @@
     }
 }
 
+// Guards against VMs that differ for good, and read all entries again and again, depending on whether they
+// knew an upstream before its entry was overwritten.
+TEST_CASE("an odd entry over that of an upstream ends its use at all VMs until it is written again",
+          "[entry][odd]")
+{
+    auto const odd = GENERATE(std::string{"{"}, entry_with("slots", "1e300"),
+                              entry_with("note", "\"" + std::string(60'000, 'x') + "\""));
+    entry_world world{{answering("first"), answering("other")}};
+    std::vector<std::string> const vms{world.ip_, second_address(), third_address()};
+    auto const start = [&](std::size_t index, std::string const& vm, std::string const& zone) {
+        world.start_daemon(vms[index], vm, zone);
+        REQUIRE(
+            eventually(limit, [&] { return world.ready(vms[index]) && !ask(world, vms[index]).empty(); }));
+    };
+    auto const check_answers = [&](std::string const& body, std::size_t count) {
+        for (std::size_t i = 0; i < count; ++i) {
+            CAPTURE(vms[i], body);
+            CHECK(eventually(in_force, [&] { return ask(world, vms[i]) == body; }));
+        }
+    };
+    start(1, "front-b-1", "b");
+    world.put_entry(1, "draining", 1);
+    check_answers("first", 2);
+
+    world.put_entry(1, "ready", 2);
+    world.store_.put("keyed.servers", "i-1", odd);
+    start(2, "front-c-1", "c"); // knows the odd entry only
+    check_answers("other", 3);
+    CHECK(eventually(limit, [&] { return world.metric(vms[2], "auburnchute_members") == 3; }));
+    auto const reads = world.store_.newest_reads("keyed.servers");
+    CHECK_FALSE(eventually(std::chrono::seconds{4},
+                           [&] { return world.store_.newest_reads("keyed.servers") > reads + 2; }));
+
+    world.put_entry(1, "draining", 2);
+    check_answers("", 3); // none that may be used is left
+    world.put_entry(0, "ready", 1);
+    check_answers("first", 3);
+}
+
 // Guards against all VMs ending at once, or keeping an old configuration for good.
 TEST_CASE("an odd configuration neither ends a VM nor keeps it from following the next one", "[entry][odd]")
 {
--- a/tests/transport/entry/standin_platform.hpp
+++ b/tests/transport/entry/standin_platform.hpp
@@ -186,6 +186,13 @@
         return !topics_[topic].newest_.empty();
     }
 
+    /// \returns How often all newest records of the topic were asked for.
+    [[nodiscard]] int newest_reads(std::string const& topic)
+    {
+        std::scoped_lock const lock{mutex_};
+        return newest_reads_[topic];
+    }
+
     /// \brief Makes each call take this much longer.
     void set_slow(std::chrono::milliseconds by)
     {
@@ -297,8 +304,10 @@
     void newest(httplib::Request const& request, httplib::Response& response)
     {
         std::scoped_lock const lock{mutex_};
+        auto const name = request.get_param_value("topic");
         auto const after = request.get_param_value("after");
-        auto const& topic = topics_[request.get_param_value("topic")];
+        auto const& topic = topics_[name];
+        newest_reads_[name] += after.empty() ? 1 : 0;
         auto items = nlohmann::json::array();
         std::size_t bytes = 0;
         auto at = topic.newest_.upper_bound(after);
@@ -331,6 +340,7 @@
     std::atomic<bool> down_{false};
     std::atomic<std::int64_t> slow_ms_{0};
     std::map<std::string, stored_topic> topics_;
+    std::map<std::string, int> newest_reads_;
 };
 
 /// \brief A request as an upstream got it.
