Hold what peers tell of the entries' end against proofs, and read all if they differ

Callers saw: a VM that does not read the entries for all followed no change any more, and used upstreams that had left, after one message of a known peer that claimed entries which did not exist (yet). Found by reading; shown by the new test.

Cause: the VM took the claimed offset for its own. Its peers then told it nothing below that offset, and their honest proofs of less counted as proofs for it, so it never read the store itself, where it would have found that the store does not reach so far.

Change: the VM notes who told it up to which offset, and when. A peer that proves an earlier end at a later time contradicts that, so the VM reads all entries at once; proofs are lower bounds in its own boot clock, so that honest peers never contradict each other. If the store ends before what was told, its teller is not heeded on the entries for a minute; if the store has grown past it, neither of the two is, since it cannot be known which one was wrong. So a peer that goes on does not make the VM read all entries again and again. Leaves are taken from everybody, as before. A VM that hears the false peer alone still believes its proofs.

--- a/include/auburnchute/entry_feed.hpp
+++ b/include/auburnchute/entry_feed.hpp
@@ -5,6 +5,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace auburnchute {
@@ -61,6 +63,34 @@
     std::vector<upstream_entry_update> changes_;
 };
 
+/// \brief The offset up to which peers told this VM the entries since it last read all of them itself.
+struct told_offset {
+    std::string vm_; ///< That told the latest step; empty: none did.
+    std::uint64_t to_{};
+    millis at_{}; ///< When it did; boot clock.
+
+    friend bool operator==(told_offset const&, told_offset const&) = default;
+};
+
+/// \brief What a peer says of the entries' end.
+struct end_claim {
+    std::string vm_;
+    std::uint64_t seen_{};             ///< Offset up to which it has the entries.
+    std::optional<millis> proof_at_{}; ///< When there was nothing after it; a lower bound in the boot clock.
+};
+
+/// \returns Whether one of the two is wrong: entries were told before the proof, and are not in it.
+[[nodiscard]] bool contradicts(end_claim const& claim, told_offset const& told) noexcept;
+
+/// \returns The VMs whose word does not hold or may not, given where the entries ended when all of them were
+/// read later. \param claim The one that contradicted, if any did.
+[[nodiscard]] std::vector<std::string> doubtful_vms(std::optional<end_claim> const& claim,
+                                                    told_offset const& told, std::uint64_t end);
+
+/// \brief How long a VM whose word did not hold is not heeded on the entries: long enough that reading all of
+/// them again costs next to nothing.
+inline constexpr millis distrust_time{60'000};
+
 /// \brief Appends the changes between two offsets. Changes that are too old or too many to keep are dropped.
 void append_updates(entry_log& log, std::uint64_t from, std::uint64_t to,
                     std::vector<upstream_entry_update> changes, millis now);
--- a/src/coordination/entry_feed.cpp
+++ b/src/coordination/entry_feed.cpp
@@ -60,6 +60,24 @@
             .longest_idle_ = silence_fits ? read_interval * 2 : millis{0}};
 }
 
+bool contradicts(end_claim const& claim, told_offset const& told) noexcept
+{
+    return !told.vm_.empty() && claim.proof_at_ && *claim.proof_at_ >= told.at_ && claim.seen_ < told.to_;
+}
+
+std::vector<std::string> doubtful_vms(std::optional<end_claim> const& claim, told_offset const& told,
+                                      std::uint64_t end)
+{
+    if (told.vm_.empty()) {
+        return {};
+    }
+    if (end < told.to_) {
+        return {told.vm_};
+    }
+    // The entries may have grown since the claim, so the read shows that one is wrong, but not which one.
+    return claim ? std::vector{told.vm_, claim->vm_} : std::vector<std::string>{};
+}
+
 void append_updates(entry_log& log, std::uint64_t from, std::uint64_t to,
                     std::vector<upstream_entry_update> changes, millis now)
 {
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -295,10 +295,37 @@
     return boot_now() - millis{reader.shared_.entries_proof_at_.load(std::memory_order_acquire)};
 }
 
+/// Decides whose word on the entries' end does not hold, given where they ended in a read of them.
+/// \param told What peers had told before the read was sent.
+void settle_doubt(store_reader& reader, told_offset const& told, std::uint64_t end)
+{
+    auto const doubt = std::exchange(reader.doubt_, std::nullopt);
+    for (auto const& vm : doubtful_vms(doubt, told, end)) {
+        log_failure("upstreams-misreported", {{"vm", vm}, {"told", told.to_}, {"end", end}});
+        reader.distrusted_[vm] = boot_now() + distrust_time;
+    }
+    bool const told_since = !(reader.told_ == told);
+    if (told_since && reader.told_.to_ > end) {
+        return; // entries that came after the read was sent
+    }
+    reader.told_ = {};
+    if (told.to_ > end) {
+        reader.upstreams_next_.reset(); // what was told does not count
+    }
+}
+
+bool is_distrusted(store_reader& reader, std::string const& vm)
+{
+    std::erase_if(reader.distrusted_, [](auto const& known) { return known.second <= boot_now(); });
+    return reader.distrusted_.contains(vm);
+}
+
 net::awaitable<void> read_all_upstreams(store_reader& reader, platform::store_client& store)
 {
+    auto const told = reader.told_;
     auto const newest = co_await store.read_newest(platform::upstream_topic);
     mark_store_reachable(reader.registry_, boot_now());
+    settle_doubt(reader, told, newest.next_offset_);
     entry_changes changes;
     std::set<std::string, std::less<>> there;
     for (auto const& record : newest.records_) {
@@ -343,6 +370,9 @@
         }
     }
     bool const leads_on = updates.from_ <= next && next < updates.to_;
+    if (leads_on && !told_by.empty()) {
+        reader.told_ = {told_by, updates.to_, boot_now()};
+    }
     if (leads_on) {
         append_updates(reader.log_, next, updates.to_, std::move(forwarded), boot_now());
         reader.upstreams_next_ = updates.to_;
@@ -363,6 +393,9 @@
     auto const from = *reader.upstreams_next_; // a peer's updates may be faster than the read
     auto const page = co_await store.read(platform::upstream_topic, from, millis{0});
     mark_store_reachable(reader.registry_, boot_now());
+    if (!reader.upstreams_next_) {
+        co_return false; // a peer contradicted what others told, so all entries are read first
+    }
     if (page.expired_) {
         reader.reads_all_upstreams_ = true;
         co_return false;
@@ -613,9 +646,19 @@
     if (new_leave) {
         publish_changes(reader, {.any_ = true, .leaving_ = true}, untold);
     }
-    if (!reader.upstreams_next_) {
+    if (!reader.upstreams_next_ || is_distrusted(reader, report.told_by_)) {
         return; // changes say nothing of the entries before them
     }
+    end_claim const claim{report.told_by_, report.seen_, report.proof_at_};
+    if (contradicts(claim, reader.told_)) {
+        log_failure("upstreams-contradicted", {{"vm", claim.vm_},
+                                               {"end", claim.seen_},
+                                               {"told_by", reader.told_.vm_},
+                                               {"told", reader.told_.to_}});
+        reader.doubt_ = claim;
+        reader.upstreams_next_.reset(); // read from the store at once
+        return;
+    }
     take_updates(reader, report.updates_, report.told_by_, untold);
     if (report.proof_at_ && report.seen_ > 0 && *reader.upstreams_next_ >= report.seen_) {
         note_entries_proof(reader, *report.proof_at_);
--- a/src/transport/entry/store_reader.hpp
+++ b/src/transport/entry/store_reader.hpp
@@ -28,9 +28,13 @@
     entry_view draft_{};
     upstream_registry registry_{};
     std::optional<std::uint64_t>
-        upstreams_next_{};       ///< Offset from which entries are read next; none: none were read yet.
-    bool reads_all_upstreams_{}; ///< Entries may have been missed, so the next read takes all of them.
-    entry_log log_{};            ///< Their latest changes, for the peers.
+        upstreams_next_{};             ///< Offset from which entries are read next; none: none were read yet.
+    bool reads_all_upstreams_{};       ///< Entries may have been missed, so the next read takes all of them.
+    entry_log log_{};                  ///< Their latest changes, for the peers.
+    told_offset told_{};               ///< What peers told since the last read of all.
+    std::optional<end_claim> doubt_{}; ///< Contradicts it; the next read of all decides.
+    std::map<std::string, millis>
+        distrusted_{};           ///< Peers, and until when they are not heeded on the entries.
     bool store_reachable_{true}; ///< As of the last call; a change is logged.
     std::function<void(std::vector<trait_record>)>
         evidence_read_{}; ///< Called once with the crash evidence that the store holds.
--- a/tests/coordination/entry_feed_test.cpp
+++ b/tests/coordination/entry_feed_test.cpp
@@ -230,3 +230,29 @@
     CHECK(budget.read_interval_ + silence(budget.read_interval_) + call <= bound);
     CHECK(budget.proof_limit_ + look_interval + silence(budget.proof_limit_) + call <= bound);
 }
+
+// Guards against a VM that believes one peer's claim against the proofs of all others, and against one that
+// reads all entries again for each message of such a peer.
+TEST_CASE("a claim on the entries' end is held against later proofs", "[entry-feed][odd]")
+{
+    told_offset const told{"teller", 50, millis{1'000}};
+    struct row {
+        end_claim claim_;
+        bool contradicts_;
+    };
+    for (auto const& row : {row{{"other", 49, millis{1'000}}, true}, row{{"other", 50, millis{2'000}}, false},
+                            row{{"other", 90, millis{2'000}}, false},
+                            row{{"other", 49, millis{999}}, false}, // written since its proof
+                            row{{"other", 49, std::nullopt}, false}}) {
+        CAPTURE(row.claim_.seen_, row.claim_.proof_at_.value_or(millis{-1}).count_);
+        CHECK(contradicts(row.claim_, told) == row.contradicts_);
+        CHECK_FALSE(contradicts(row.claim_, {}));
+    }
+    end_claim const claim{"other", 49, millis{1'000}};
+    using vms = std::vector<std::string>;
+    CHECK(doubtful_vms(claim, told, 49) == vms{"teller"});
+    CHECK(doubtful_vms(std::nullopt, told, 49) == vms{"teller"});
+    CHECK(doubtful_vms(claim, told, 60) == vms{"teller", "other"});
+    CHECK(doubtful_vms(std::nullopt, told, 60).empty());
+    CHECK(doubtful_vms(claim, {}, 60).empty());
+}
