Put the newest configuration in force that can be read

Callers saw: if an odd configuration came so soon after a sound one that one read returned both, the VM skipped the sound one and stayed with the one before; a VM that read in between had it in force. Found with fresh eyes on odd input.

Cause: of the records of one page only the newest was looked at. Change: the newest one that can be read is taken; the others leave their line `config-unreadable` in the log. A VM that starts when the newest record is odd still has no configuration: the store keeps no older one.

--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -80,14 +80,15 @@
     reader.shared_.config_read_at_.store(sent_at.count_, std::memory_order_release);
 }
 
-void take_config(store_reader& reader, std::string const& document, std::uint64_t next)
+/// \returns Whether the document can be read; one that cannot leaves the configuration in force.
+bool take_config(store_reader& reader, std::string const& document, std::uint64_t next)
 {
     try {
         auto config = std::make_shared<fleet_config const>(platform::parse_config(document));
         auto const before = reader.draft_.config_ ? reader.draft_.config_->version_ : 0;
         if (reader.draft_.config_ && config->version_ < before) {
             log_failure("config-older", {{"version", config->version_}, {"in_force", before}});
-            return;
+            return true;
         }
         if (config->version_ != before) {
             log_decision("config-in-force", {{"version", config->version_},
@@ -97,8 +98,10 @@
                                              {"offset", next}});
         }
         reader.draft_.config_ = std::move(config);
+        return true;
     } catch (error const& failure) {
         log_failure("config-unreadable", {{"fault", failure.what()}, {"offset", next}});
+        return false;
     }
 }
 
@@ -108,7 +111,7 @@
     auto const newest = co_await store.read_newest(platform::config_topic);
     for (auto const& record : newest.records_) {
         if (record.key_ == platform::config_key && record.value_) {
-            take_config(reader, *record.value_, newest.next_offset_);
+            (void)take_config(reader, *record.value_, newest.next_offset_); // no other is kept
         }
     }
     reader.draft_.config_next_ = std::max(reader.draft_.config_next_, newest.next_offset_);
@@ -155,16 +158,13 @@
                 next.reset();
                 continue;
             }
-            std::optional<std::string> newest;
-            for (auto const& stored : page.records_) {
-                auto const record = platform::parse_keyed_record(stored.bytes_);
-                if (record && record->key_ == platform::config_key && record->value_) {
-                    newest = record->value_;
-                }
-            }
             next = page.next_offset_;
-            if (newest) {
-                take_config(reader, *newest, page.next_offset_);
+            for (auto stored = page.records_.rbegin(); stored != page.records_.rend(); ++stored) {
+                auto const record = platform::parse_keyed_record(stored->bytes_);
+                bool const is_config = record && record->key_ == platform::config_key && record->value_;
+                if (is_config && take_config(reader, *record->value_, stored->offset_ + 1)) {
+                    break; // the newest one that can be read
+                }
             }
             if (!page.records_.empty()) {
                 reader.draft_.config_next_ = std::max(reader.draft_.config_next_, page.next_offset_);
--- a/tests/transport/entry/odd_entries_test.cpp
+++ b/tests/transport/entry/odd_entries_test.cpp
@@ -296,6 +296,12 @@
     }
     world.store_.put("keyed.op", "config", config_document(5, "\"next\""));
     CHECK(eventually(in_force, [&] { return ask(world, "", "next") == "first"; }));
+    world.store_.set_down(true); // so that one read takes both
+    world.store_.put("keyed.op", "config", config_document(6, "\"last\""));
+    world.store_.put("keyed.op", "config", "{");
+    world.store_.set_down(false);
+    CHECK(eventually(in_force, [&] { return ask(world, "", "last") == "first"; }));
+    CHECK_FALSE(world.daemon().wait_text("config-unreadable", limit).empty());
 }
 
 // Guards against VMs that no longer find each other, or never again place models.
