Ignore entries with addresses at which no upstream can listen, and with replaced keys

Callers saw: an entry of another writer with the address 0.0.0.0:PORT named an upstream to use, by which a VM forwards requests to itself; so did multicast and broadcast addresses, and IPv6 addresses without brackets, whose last group was taken for a port. Found with fresh eyes on odd input.

A key that is not UTF-8 cannot stand in the JSON of the store's pages of newest records. A store that writes U+FFFD in its place would give it another name there than in its log, and VMs that read the one or the other would differ; so an id that holds U+FFFD is ignored.

The table of odd entries of the process test has the addresses, too, and its case before the first read has the odd keys.

--- a/tests/platform/json_codec_test.cpp
+++ b/tests/platform/json_codec_test.cpp
@@ -229,6 +229,13 @@
                             row{"address", R"("10.0.0.1:")"},
                             row{"address", R"("10.0.0.1")"},
                             row{"address", R"("[::1]:80x")"},
+                            row{"address", R"("::1:80")"},
+                            row{"address", R"("fe80::1:80")"},
+                            row{"address", R"("0.0.0.0:80")"},
+                            row{"address", R"("255.255.255.255:80")"},
+                            row{"address", R"("224.0.0.1:80")"},
+                            row{"address", R"("")"},
+                            row{"address", R"("10.0.0.1:80,10.0.0.2:80")"},
                             row{"address", R"("10.0.0.1\u0000:80")"},
                             row{"address", R"("10.0.0.1\u0000\r\nX-Tenant: w:80")"}}) {
         CAPTURE(row.name_, row.value_);
@@ -274,7 +281,8 @@
     auto const document = entry_with("slots", "6");
     for (auto const& id :
          {std::string{}, std::string{"i\r\nX-Tenant: w"}, std::string{"i\0j", 3}, std::string{"i-\x01"},
-          std::string{"i-\x7f"}, std::string{"\xff\xfe"}, std::string{" i-1"}, std::string{"i-1\t"}}) {
+          std::string{"i-\x7f"}, std::string{"\xff\xfe"}, std::string{" i-1"}, std::string{"i-1\t"},
+          std::string{"i-\xef\xbf\xbd"}}) {
         CAPTURE(id);
         CHECK_FALSE(parse_upstream(id, document));
     }
--- a/tests/transport/entry/odd_entries_test.cpp
+++ b/tests/transport/entry/odd_entries_test.cpp
@@ -75,8 +75,9 @@
     for (auto const* const port : {":0", ":65536", ":-1", ":99999999999", ":", "", ":80 ", ":8x"}) {
         add(entry_with("address", R"("127.0.0.9)" + std::string{port} + "\""));
     }
-    for (auto const* const address : {"host.example:80", "[::1]:x", "127.0.0.9\\u0000:80",
-                                      "127.0.0.9\\u0000\\r\\nX: y:80", "\\u0001", ":80"}) {
+    for (auto const* const address :
+         {"host.example:80", "[::1]:x", "::1:80", "0.0.0.0:8221", "224.0.0.1:80", "255.255.255.255:80",
+          "127.0.0.9\\u0000:80", "127.0.0.9\\u0000\\r\\nX: y:80", "\\u0001", ":80"}) {
         add(entry_with("address", "\"" + std::string{address} + "\""));
     }
     for (auto const* const name : {"service", "address", "zone", "state", "models"}) {
@@ -86,7 +87,7 @@
             }
         }
     }
-    for (auto const* const text : {"", "{", "\xff\xfe", "nul", "[1,2]", "7", "\"x\""}) {
+    for (auto const* const text : {"", "{", "\xff\xfe", "nul", "null", "true", "[1,2]", "7", "\"x\""}) {
         if (*text != '\0') {
             add(text);
         }
@@ -97,7 +98,7 @@
 /// \returns Keys under which even a sound entry names no upstream, since they cannot be a header value.
 std::vector<std::string> odd_keys()
 {
-    return {"i\r\nX-Tenant: w", std::string{"i\0j", 3}, "\xff\xfe", "\x01", " i", "i\t"};
+    return {"i\r\nX-Tenant: w", std::string{"i\0j", 3}, "\xff\xfe", "\x01", " i", "i\t", "i-\xc3"};
 }
 
 std::string second_address()
@@ -200,6 +201,9 @@
     {
         world.daemons_.clear();
         put_all("");
+        for (auto const& key : odd_keys()) {
+            world.store_.put("keyed.servers", key, entry_with("slots", "8"));
+        }
         world.start_daemon(ip, "front-a-1", "a");
         REQUIRE(eventually(limit, [&] { return world.ready() && ask(world) == "first"; }));
         check_follows(world, ip, "second");
