--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -80,14 +80,15 @@
     reader.shared_.config_read_at_.store(sent_at.count_, std::memory_order_release);
 }
 
-void take_config(store_reader& reader, std::string const& document, std::uint64_t next)
+/// \returns Whether the document can be read; one that cannot leaves the configuration in force.
+bool take_config(store_reader& reader, std::string const& document, std::uint64_t next)
 {
     try {
         auto config = std::make_shared<fleet_config const>(platform::parse_config(document));
         auto const before = reader.draft_.config_ ? reader.draft_.config_->version_ : 0;
         if (reader.draft_.config_ && config->version_ < before) {
             log_failure("config-older", {{"version", config->version_}, {"in_force", before}});
-            return;
+            return true;
         }
         if (config->version_ != before) {
             log_decision("config-in-force", {{"version", config->version_},
@@ -97,8 +98,10 @@
                                              {"offset", next}});
         }
         reader.draft_.config_ = std::move(config);
+        return true;
     } catch (error const& failure) {
         log_failure("config-unreadable", {{"fault", failure.what()}, {"offset", next}});
+        return false;
     }
 }
 
@@ -108,7 +111,7 @@
     auto const newest = co_await store.read_newest(platform::config_topic);
     for (auto const& record : newest.records_) {
         if (record.key_ == platform::config_key && record.value_) {
-            take_config(reader, *record.value_, newest.next_offset_);
+            (void)take_config(reader, *record.value_, newest.next_offset_); // no other is kept
         }
     }
     reader.draft_.config_next_ = std::max(reader.draft_.config_next_, newest.next_offset_);
@@ -155,16 +158,13 @@
                 next.reset();
                 continue;
             }
-            std::optional<std::string> newest;
-            for (auto const& stored : page.records_) {
-                auto const record = platform::parse_keyed_record(stored.bytes_);
-                if (record && record->key_ == platform::config_key && record->value_) {
-                    newest = record->value_;
-                }
-            }
             next = page.next_offset_;
-            if (newest) {
-                take_config(reader, *newest, page.next_offset_);
+            for (auto stored = page.records_.rbegin(); stored != page.records_.rend(); ++stored) {
+                auto const record = platform::parse_keyed_record(stored->bytes_);
+                bool const is_config = record && record->key_ == platform::config_key && record->value_;
+                if (is_config && take_config(reader, *record->value_, stored->offset_ + 1)) {
+                    break; // the newest one that can be read
+                }
             }
             if (!page.records_.empty()) {
                 reader.draft_.config_next_ = std::max(reader.draft_.config_next_, page.next_offset_);
@@ -189,27 +189,34 @@
     bool leaving_{}; ///< An upstream leaves or is gone.
 };
 
-/// Takes a record of an upstream. \param told_by The VM that told it, or empty for the store.
+/// Takes a record of an upstream. One that cannot be read names no upstream to use, whatever the id named
+/// before; it becomes a removal in `update`, so that all VMs take it alike.
+/// \param told_by The VM that told it, or empty for the store.
 /// \returns Whether the record must be forwarded to other VMs: it says something new, or did so when it was
 /// taken before its turn.
-bool take_upstream(store_reader& reader, upstream_entry_update const& update, std::string const& told_by,
+bool take_upstream(store_reader& reader, upstream_entry_update& update, std::string const& told_by,
                    entry_changes& changes)
 {
     auto const& id = update.id_;
+    auto entry = update.document_ ? platform::parse_upstream(id, *update.document_) : std::nullopt;
+    bool const unreadable = update.document_ && !entry;
+    if (unreadable) {
+        update.document_.reset();
+    }
     auto const now = boot_now();
     bool const known = reader.registry_.entries_.contains(id);
     auto const applied = reader.registry_.applied_.find(id);
     if (applied != reader.registry_.applied_.end() && applied->second.offset_ >= update.offset_) {
         return true;
     }
-    auto change = entry_change::none;
-    if (!update.document_) {
-        change = apply_removal(reader.registry_, id, update.offset_, now);
-    } else if (auto entry = platform::parse_upstream(id, *update.document_)) {
-        change = apply_entry(reader.registry_, std::move(*entry), update.offset_, now);
-    } else {
+    if (unreadable) {
         reader.counters_.count("auburnchute_unreadable_entries_total");
-        log_failure("upstream-unreadable", {{"upstream", id}});
+        log_failure("upstream-unreadable", {{"upstream", id}, {"in_use", known}, {"told_by", told_by}});
+    }
+    auto const change = entry ? apply_entry(reader.registry_, std::move(*entry), update.offset_, now)
+                              : apply_removal(reader.registry_, id, update.offset_, now);
+    if (unreadable && !known) {
+        return false; // VMs that lack it do not know the id either, or learn of its removal in turn
     }
     switch (change) {
     case entry_change::none:
@@ -261,7 +268,8 @@
     if (changes.any_) {
         publish_upstreams(reader);
     } else {
-        publish(reader); // the offset, so that nobody tells the same again
+        expire_notices(reader.registry_, boot_now()); // odd entries leave removals behind and change nothing
+        publish(reader);                              // the offset, so that nobody tells the same again
     }
     if (changes.leaving_ && reader.leave_learned_) {
         reader.leave_learned_(untold);
@@ -287,20 +295,49 @@
     return boot_now() - millis{reader.shared_.entries_proof_at_.load(std::memory_order_acquire)};
 }
 
+/// Decides whose word on the entries' end does not hold, given where they ended in a read of them.
+/// \param told What peers had told before the read was sent.
+void settle_doubt(store_reader& reader, told_offset const& told, std::uint64_t end)
+{
+    auto const doubt = std::exchange(reader.doubt_, std::nullopt);
+    for (auto const& vm : doubtful_vms(doubt, told, end)) {
+        log_failure("upstreams-misreported", {{"vm", vm}, {"told", told.to_}, {"end", end}});
+        reader.distrusted_[vm] = boot_now() + distrust_time;
+    }
+    bool const told_since = !(reader.told_ == told);
+    if (told_since && reader.told_.to_ > end) {
+        return; // entries that came after the read was sent
+    }
+    reader.told_ = {};
+    if (told.to_ > end) {
+        reader.upstreams_next_.reset(); // what was told does not count
+    }
+}
+
+bool is_distrusted(store_reader& reader, std::string const& vm)
+{
+    std::erase_if(reader.distrusted_, [](auto const& known) { return known.second <= boot_now(); });
+    return reader.distrusted_.contains(vm);
+}
+
 net::awaitable<void> read_all_upstreams(store_reader& reader, platform::store_client& store)
 {
+    auto const told = reader.told_;
     auto const newest = co_await store.read_newest(platform::upstream_topic);
     mark_store_reachable(reader.registry_, boot_now());
+    settle_doubt(reader, told, newest.next_offset_);
     entry_changes changes;
     std::set<std::string, std::less<>> there;
     for (auto const& record : newest.records_) {
-        (void)take_upstream(reader, {record.offset_, record.key_, record.value_}, "", changes);
+        upstream_entry_update update{record.offset_, record.key_, record.value_};
+        (void)take_upstream(reader, update, "", changes);
         there.insert(record.key_);
     }
     auto const known = reader.registry_.entries_;
     for (auto const& [id, entry] : known) {
         if (!there.contains(id) && newest.next_offset_ > 0) {
-            (void)take_upstream(reader, {newest.next_offset_ - 1, id, std::nullopt}, "", changes);
+            upstream_entry_update removal{newest.next_offset_ - 1, id, std::nullopt};
+            (void)take_upstream(reader, removal, "", changes);
         }
     }
     auto const next = std::max(reader.upstreams_next_.value_or(0), newest.next_offset_);
@@ -320,19 +357,22 @@
 }
 
 /// Takes records that lead from one offset to another; those after it are taken, too, but not counted on.
-void take_updates(store_reader& reader, entry_updates const& updates, std::string const& told_by,
+void take_updates(store_reader& reader, entry_updates updates, std::string const& told_by,
                   message_targets untold)
 {
     entry_changes changes;
     std::vector<upstream_entry_update> forwarded;
     auto const next = *reader.upstreams_next_;
-    for (auto const& update : updates.changes_) {
+    for (auto& update : updates.changes_) {
         if (take_upstream(reader, update, told_by, changes) && update.offset_ >= next &&
             update.offset_ < updates.to_) {
-            forwarded.push_back(update);
+            forwarded.push_back(std::move(update));
         }
     }
     bool const leads_on = updates.from_ <= next && next < updates.to_;
+    if (leads_on && !told_by.empty()) {
+        reader.told_ = {told_by, updates.to_, boot_now()};
+    }
     if (leads_on) {
         append_updates(reader.log_, next, updates.to_, std::move(forwarded), boot_now());
         reader.upstreams_next_ = updates.to_;
@@ -343,7 +383,8 @@
     }
 }
 
-net::awaitable<void> read_upstreams_once(store_reader& reader, platform::store_client& store)
+/// Reads once, one page at most. \returns Whether more records are known to follow.
+net::awaitable<bool> read_upstreams_once(store_reader& reader, platform::store_client& store)
 {
     if (!reader.upstreams_next_ || reader.reads_all_upstreams_) {
         co_await read_all_upstreams(reader, store);
@@ -352,14 +393,17 @@
     auto const from = *reader.upstreams_next_; // a peer's updates may be faster than the read
     auto const page = co_await store.read(platform::upstream_topic, from, millis{0});
     mark_store_reachable(reader.registry_, boot_now());
+    if (!reader.upstreams_next_) {
+        co_return false; // a peer contradicted what others told, so all entries are read first
+    }
     if (page.expired_) {
         reader.reads_all_upstreams_ = true;
-        co_return;
+        co_return false;
     }
     if (page.end_offset_ < from) {
         log_failure("upstreams-beyond-end", {{"offset", from}, {"end", page.end_offset_}});
         reader.upstreams_next_.reset(); // told by a peer; the entries between were never read
-        co_return;
+        co_return false;
     }
     entry_updates updates{from, page.next_offset_, {}};
     for (auto const& stored : page.records_) {
@@ -367,10 +411,12 @@
             updates.changes_.push_back({stored.offset_, std::move(record->key_), std::move(record->value_)});
         }
     }
-    take_updates(reader, updates, "", message_targets::all);
+    take_updates(reader, std::move(updates), "", message_targets::all);
     if (page.next_offset_ >= page.end_offset_) {
         note_entries_proof(reader, sent_at);
+        co_return false;
     }
+    co_return !page.records_.empty();
 }
 
 /// How long this VM need not read: until its turn, or until its knowledge is too old.
@@ -393,8 +439,9 @@
     growing_pause after_failure;
     millis read_at{};
     millis idle_since{};
+    bool more_follows = false;
     while (true) {
-        if (auto const left = until_read(reader, read_at); left > millis{0}) {
+        if (auto const left = until_read(reader, read_at); left > millis{0} && !more_follows) {
             if (drop_lapsed(reader.registry_, boot_now())) {
                 publish_upstreams(reader);
             }
@@ -407,7 +454,8 @@
             store.emplace(reader.loop_, reader.settings_.store_address_, store_call_limit);
         }
         try {
-            co_await read_upstreams_once(reader, *store);
+            more_follows = false;
+            more_follows = co_await read_upstreams_once(reader, *store);
             idle_since = boot_now();
             after_failure.reset();
             continue;
@@ -474,15 +522,18 @@
                                   std::optional<std::uint64_t>& next)
 {
     bool changed = false;
-    if (next) {
+    while (next) {
         auto const page = co_await store.read(platform::member_topic, *next, millis{0});
+        if (page.expired_) {
+            break;
+        }
         for (auto const& stored : page.records_) {
             if (auto const record = platform::parse_keyed_record(stored.bytes_)) {
                 changed = take_member(reader.draft_, record->key_, record->value_) || changed;
             }
         }
-        if (!page.expired_) {
-            next = page.next_offset_;
+        next = page.next_offset_;
+        if (page.records_.empty() || page.next_offset_ >= page.end_offset_) {
             co_return changed;
         }
     }
@@ -595,9 +646,19 @@
     if (new_leave) {
         publish_changes(reader, {.any_ = true, .leaving_ = true}, untold);
     }
-    if (!reader.upstreams_next_) {
+    if (!reader.upstreams_next_ || is_distrusted(reader, report.told_by_)) {
         return; // changes say nothing of the entries before them
     }
+    end_claim const claim{report.told_by_, report.seen_, report.proof_at_};
+    if (contradicts(claim, reader.told_)) {
+        log_failure("upstreams-contradicted", {{"vm", claim.vm_},
+                                               {"end", claim.seen_},
+                                               {"told_by", reader.told_.vm_},
+                                               {"told", reader.told_.to_}});
+        reader.doubt_ = claim;
+        reader.upstreams_next_.reset(); // read from the store at once
+        return;
+    }
     take_updates(reader, report.updates_, report.told_by_, untold);
     if (report.proof_at_ && report.seen_ > 0 && *reader.upstreams_next_ >= report.seen_) {
         note_entries_proof(reader, *report.proof_at_);
--- a/tests/transport/entry/odd_entries_test.cpp
+++ b/tests/transport/entry/odd_entries_test.cpp
@@ -75,8 +75,9 @@
     for (auto const* const port : {":0", ":65536", ":-1", ":99999999999", ":", "", ":80 ", ":8x"}) {
         add(entry_with("address", R"("127.0.0.9)" + std::string{port} + "\""));
     }
-    for (auto const* const address : {"host.example:80", "[::1]:x", "127.0.0.9\\u0000:80",
-                                      "127.0.0.9\\u0000\\r\\nX: y:80", "\\u0001", ":80"}) {
+    for (auto const* const address :
+         {"host.example:80", "[::1]:x", "::1:80", "0.0.0.0:8221", "224.0.0.1:80", "255.255.255.255:80",
+          "127.0.0.9\\u0000:80", "127.0.0.9\\u0000\\r\\nX: y:80", "\\u0001", ":80"}) {
         add(entry_with("address", "\"" + std::string{address} + "\""));
     }
     for (auto const* const name : {"service", "address", "zone", "state", "models"}) {
@@ -86,7 +87,7 @@
             }
         }
     }
-    for (auto const* const text : {"", "{", "\xff\xfe", "nul", "[1,2]", "7", "\"x\""}) {
+    for (auto const* const text : {"", "{", "\xff\xfe", "nul", "null", "true", "[1,2]", "7", "\"x\""}) {
         if (*text != '\0') {
             add(text);
         }
@@ -97,7 +98,7 @@
 /// \returns Keys under which even a sound entry names no upstream, since they cannot be a header value.
 std::vector<std::string> odd_keys()
 {
-    return {"i\r\nX-Tenant: w", std::string{"i\0j", 3}, "\xff\xfe", "\x01", " i", "i\t"};
+    return {"i\r\nX-Tenant: w", std::string{"i\0j", 3}, "\xff\xfe", "\x01", " i", "i\t", "i-\xc3"};
 }
 
 std::string second_address()
@@ -106,6 +107,12 @@
     return address.replace(address.find("127.77."), 7, "127.78.");
 }
 
+std::string third_address()
+{
+    auto address = own_address();
+    return address.replace(address.find("127.77."), 7, "127.79.");
+}
+
 /// \returns The body of an answer to a caller, or an empty text.
 std::string ask(entry_world const& world, std::string const& ip = "", std::string const& key = "key")
 {
@@ -180,10 +187,23 @@
         check_follows(world, ip, "second");
         check_follows(world, ip, "third");
     }
+    SECTION("while the VM is paused, so that they come in one go")
+    {
+        ::kill(world.daemon().pid(), SIGSTOP);
+        put_all("");
+        put_all(std::string(200, 'k'));
+        put_all("more-");
+        ::kill(world.daemon().pid(), SIGCONT);
+        check_follows(world, ip, "second");
+        check_follows(world, ip, "third");
+    }
     SECTION("before the first read")
     {
         world.daemons_.clear();
         put_all("");
+        for (auto const& key : odd_keys()) {
+            world.store_.put("keyed.servers", key, entry_with("slots", "8"));
+        }
         world.start_daemon(ip, "front-a-1", "a");
         REQUIRE(eventually(limit, [&] { return world.ready() && ask(world) == "first"; }));
         check_follows(world, ip, "second");
@@ -213,6 +233,45 @@
     }
 }
 
+// Guards against VMs that differ for good, and read all entries again and again, depending on whether they
+// knew an upstream before its entry was overwritten.
+TEST_CASE("an odd entry over that of an upstream ends its use at all VMs until it is written again",
+          "[entry][odd]")
+{
+    auto const odd = GENERATE(std::string{"{"}, entry_with("slots", "1e300"),
+                              entry_with("note", "\"" + std::string(60'000, 'x') + "\""));
+    entry_world world{{answering("first"), answering("other")}};
+    std::vector<std::string> const vms{world.ip_, second_address(), third_address()};
+    auto const start = [&](std::size_t index, std::string const& vm, std::string const& zone) {
+        world.start_daemon(vms[index], vm, zone);
+        REQUIRE(
+            eventually(limit, [&] { return world.ready(vms[index]) && !ask(world, vms[index]).empty(); }));
+    };
+    auto const check_answers = [&](std::string const& body, std::size_t count) {
+        for (std::size_t i = 0; i < count; ++i) {
+            CAPTURE(vms[i], body);
+            CHECK(eventually(in_force, [&] { return ask(world, vms[i]) == body; }));
+        }
+    };
+    start(1, "front-b-1", "b");
+    world.put_entry(1, "draining", 1);
+    check_answers("first", 2);
+
+    world.put_entry(1, "ready", 2);
+    world.store_.put("keyed.servers", "i-1", odd);
+    start(2, "front-c-1", "c"); // knows the odd entry only
+    check_answers("other", 3);
+    CHECK(eventually(limit, [&] { return world.metric(vms[2], "auburnchute_members") == 3; }));
+    auto const reads = world.store_.newest_reads("keyed.servers");
+    CHECK_FALSE(eventually(std::chrono::seconds{4},
+                           [&] { return world.store_.newest_reads("keyed.servers") > reads + 2; }));
+
+    world.put_entry(1, "draining", 2);
+    check_answers("", 3); // none that may be used is left
+    world.put_entry(0, "ready", 1);
+    check_answers("first", 3);
+}
+
 // Guards against all VMs ending at once, or keeping an old configuration for good.
 TEST_CASE("an odd configuration neither ends a VM nor keeps it from following the next one", "[entry][odd]")
 {
@@ -241,6 +300,12 @@
     }
     world.store_.put("keyed.op", "config", config_document(5, "\"next\""));
     CHECK(eventually(in_force, [&] { return ask(world, "", "next") == "first"; }));
+    world.store_.set_down(true); // so that one read takes both
+    world.store_.put("keyed.op", "config", config_document(6, "\"last\""));
+    world.store_.put("keyed.op", "config", "{");
+    world.store_.set_down(false);
+    CHECK(eventually(in_force, [&] { return ask(world, "", "last") == "first"; }));
+    CHECK_FALSE(world.daemon().wait_text("config-unreadable", limit).empty());
 }
 
 // Guards against VMs that no longer find each other, or never again place models.
