Write a blocked trait to the store again when it comes to hold for others

Callers saw engines crash under a prompt part that had been refused to all workspaces, after all entry VMs were lost at once: the restarted VMs refused it only to the workspace under which it had first been blocked.

note_blocked wrote a record only when its trait became blocked; a record that was blocked already and came to hold for a further workspace, or for all, was skipped. Now it compares for whom the trait is blocked, and a VM whose own requests took part writes the record again when that changes.

The test blocks a part for two workspaces one after the other and restarts all VMs.

--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -6,7 +6,7 @@
 #include <auburnchute/order_lease.hpp>
 
 #include <algorithm>
-#include <set>
+#include <map>
 
 namespace auburnchute {
 
@@ -132,21 +132,30 @@
 /// Least time between the rounds in which further VMs may try a blocked trait.
 constexpr millis least_trial_round{500};
 
-std::set<trait_hash> blocked_hashes(entry_node const& node)
+using blocked_traits = std::map<trait_hash, blocked_trait>;
+
+blocked_traits blocked_now(entry_node const& node)
 {
-    std::set<trait_hash> hashes;
+    blocked_traits traits;
     for (auto const& blocked : node.evidence_.blocked_) {
-        hashes.insert(blocked.hash_);
+        traits.emplace(blocked.hash_, blocked);
     }
-    return hashes;
+    return traits;
+}
+
+bool holds_for_same(blocked_trait const& a, blocked_trait const& b)
+{
+    return a.everywhere_ == b.everywhere_ && a.workspaces_ == b.workspaces_;
 }
 
-/// Logs which traits became blocked or free, and keeps in the store what this VM's own requests took part in.
-void note_blocked(entry_node& node, std::set<trait_hash> const& before)
+/// Logs which traits became blocked, for whom, or free, and keeps in the store what this VM's own requests
+/// took part in.
+void note_blocked(entry_node& node, blocked_traits const& before)
 {
     for (auto const& blocked : node.evidence_.blocked_) {
         auto const& record = node.evidence_.records_.at(blocked.hash_);
-        if (before.contains(blocked.hash_)) {
+        auto const known = before.find(blocked.hash_);
+        if (known != before.end() && holds_for_same(known->second, blocked)) {
             continue;
         }
         log_failure("trait-blocked", {{"trait", trait_name(blocked.hash_)},
@@ -159,7 +168,7 @@
             node.keep_evidence_(blocked.hash_, record);
         }
     }
-    for (auto const hash : before) {
+    for (auto const& [hash, blocked] : before) {
         if (find_blocked(node.evidence_, hash) == nullptr) {
             log_decision("trait-free", {{"trait", trait_name(hash)}});
         }
@@ -181,7 +190,7 @@
 
 void book_crash(entry_node& node, crashed_request const& request)
 {
-    auto const before = blocked_hashes(node);
+    auto const before = blocked_now(node);
     record_crash(node.evidence_, request, boot_now());
     note_blocked(node, before);
     tell_evidence(node);
@@ -189,7 +198,7 @@
 
 void book_answer(entry_node& node, std::span<request_trait const> traits, millis began_at)
 {
-    auto const before = blocked_hashes(node);
+    auto const before = blocked_now(node);
     auto const version = node.evidence_.version_;
     for (auto const hash : record_answer(node.evidence_, traits, began_at, boot_now())) {
         if (node.keep_evidence_) {
@@ -204,7 +213,7 @@
 
 bool take_evidence(entry_node& node, std::span<trait_record const> records)
 {
-    auto const before = blocked_hashes(node);
+    auto const before = blocked_now(node);
     bool const changed = merge_records(node.evidence_, records, boot_now());
     if (changed) {
         note_blocked(node, before);
@@ -214,7 +223,7 @@
 
 void take_stored_evidence(entry_node& node, std::vector<trait_record> records)
 {
-    auto const before = blocked_hashes(node);
+    auto const before = blocked_now(node);
     if (restore_records(node.evidence_, std::move(records), boot_now())) {
         note_blocked(node, before);
     }
--- a/tests/transport/entry/deadly_part_test.cpp
+++ b/tests/transport/entry/deadly_part_test.cpp
@@ -71,6 +71,8 @@
     return address.replace(address.find("127.77."), 7, "127.78.");
 }
 
+constexpr auto evidence_topic = "keyed.auburnchute-crashes";
+
 /// Crashes after which the users' rules bind.
 constexpr int crash_bound = 5;
 
@@ -131,6 +133,34 @@
     CHECK(fleet.ask("aa:100,bb:20") == 200);
 }
 
+// Guards against a store that keeps a block as it was at first, for the workspaces that crashed upstreams
+// then.
+TEST_CASE("a block that comes to hold for all workspaces does so after the restart of all VMs",
+          "[entry][promise-3][promise-9]")
+{
+    constexpr int most_crashes = 4; // for a workspace, if the reset overtakes the heads of the answers
+    crashing_fleet fleet{10, {"dead"}};
+    auto& world = fleet.world();
+    std::uint64_t stored = 0;
+    for (auto const* const key : {"key", "key-v"}) {
+        bool refused = false;
+        for (int crashes = 0; crashes <= most_crashes && !refused; ++crashes) {
+            refused = fleet.ask("aa:100,dead:50,bb:20", key) == 503;
+            CHECK(fleet.ask("aa:100,bb:20", key) == 200);
+        }
+        REQUIRE(refused);
+        CHECK(eventually(limit, [&] { return world.store_.end_offset(evidence_topic) > stored; }));
+        stored = world.store_.end_offset(evidence_topic);
+    }
+    auto const before = fleet.crashes();
+    world.daemons_.clear();
+    world.start_daemon(world.ip_, "front-a-1", "a");
+    REQUIRE(eventually(limit, [&] { return world.ready(); }));
+    CHECK(fleet.ask("aa:100,dead:50,bb:20", "key") == 503);
+    CHECK(fleet.ask("aa:100,dead:50,bb:20", "key-v") == 503);
+    CHECK(fleet.crashes() == before);
+}
+
 // Guards against a part that stays refused for good, and a store that keeps it.
 TEST_CASE("a part that is no longer deadly serves again", "[entry][promise-9]")
 {
--- a/tests/transport/entry/standin_platform.hpp
+++ b/tests/transport/entry/standin_platform.hpp
@@ -186,6 +186,13 @@
         return !topics_[topic].newest_.empty();
     }
 
+    /// \returns How many records the topic has been given.
+    [[nodiscard]] std::uint64_t end_offset(std::string const& topic)
+    {
+        std::scoped_lock const lock{mutex_};
+        return topics_[topic].end();
+    }
+
     /// \brief Makes each call take this much longer.
     void set_slow(std::chrono::milliseconds by)
     {
