Let an answer remove the crash marks of its own workspace only

Callers of one workspace saw engines crash again under a prompt part that was refused to them: a caller of another workspace named the same part, got an answer, and so freed the part for all, as often as it liked. Callers declare their prompt parts, so a prompt need not hold what it names.

Ways weighed. Ignoring answers of workspaces without marks would leave a sound part refused to them until the others are answered, which may be never. Asking for as many answers as there were crashes slows the freeing of sound parts and still lets one caller free all. Chosen: an answer removes the marks of its workspace and exempts it from a block for all; answers to two named workspaces remove the marks of all, the number that has a part blocked for all. So sound requests are freed by their own first answer, as before, and a workspace alone can free a part for itself only, where two further crashes block it again.

A record counts the answers to each workspace in its round. The merge takes the greater count of a workspace with the marks after it, unites marks of equal counts, and begins a new round by the counts alone, so it does not depend on the order of messages.

A record that is freed by the merge is deleted in the store by the VMs whose requests took part, as no single answer may have freed it.

--- a/include/auburnchute/crash_evidence.hpp
+++ b/include/auburnchute/crash_evidence.hpp
@@ -15,13 +15,15 @@
 ///
 /// A trait is what requests have in common: a part of their prompts, or everything, if a request comes again.
 /// When an upstream crashes, each trait of the requests that it had not answered gets a mark. An answer
-/// removes the marks of its request's traits. Traits that collected marks from several crashes, with no
-/// answer between them, are blocked: of all traits, the fewest that explain the crashes, so that a sound
-/// trait that only accompanies a deadly one stays allowed. A blocked trait is tried again after a pause that
-/// doubles with each further crash.
+/// removes the marks that its request's workspace has under its traits; answers to two workspaces remove
+/// those of all, so that no workspace alone can free what crashes upstreams under another. Traits that
+/// collected marks from several crashes, with no answer between them, are blocked: of all traits, the fewest
+/// that explain the crashes, so that a sound trait that only accompanies a deadly one stays allowed. A
+/// blocked trait is tried again after a pause that doubles with each further crash.
 ///
 /// The records of all VMs can be merged in any order and repeatedly: the newer round of a record replaces the
-/// older one, and marks of the same round are united.
+/// older one. Within a round, a workspace's marks are replaced by those after a further answer to it, and
+/// otherwise united.
 ///
 /// Thread safety: functions that change the evidence need exclusive access; the others are pure.
 
@@ -55,16 +57,25 @@
     friend bool operator==(crash_mark const&, crash_mark const&) = default;
 };
 
+/// \brief How often answers removed a workspace's marks.
+struct workspace_answers {
+    std::uint32_t workspace_{}; ///< As in `crash_mark`.
+    std::uint32_t answers_{};
+
+    friend bool operator==(workspace_answers const&, workspace_answers const&) = default;
+};
+
 /// \brief What is known of a trait.
 struct trait_record {
     request_trait trait_;
-    std::uint32_t round_{};         ///< Grows with each answer that removed marks.
+    std::uint32_t round_{};         ///< Grows when answers remove the marks of all workspaces.
     std::uint32_t trials_{};        ///< Requests that were let through although the trait was blocked.
     std::vector<crash_mark> marks_; ///< By crash and workspace.
-    millis changed_at_{};           ///< Time of the last mark, trial or answer; boot clock.
-    millis first_marked_at_{};      ///< When this VM learned of the round's first mark; boot clock.
-    std::uint64_t version_{};       ///< `crash_evidence::version_` at the last change on this VM.
-    bool observed_{};               ///< One of the marks is of this VM's own requests.
+    std::vector<workspace_answers> answers_; ///< In this round, by workspace.
+    millis changed_at_{};                    ///< Time of the last mark, trial or answer; boot clock.
+    millis first_marked_at_{};               ///< When this VM learned of the round's first mark; boot clock.
+    std::uint64_t version_{};                ///< `crash_evidence::version_` at the last change on this VM.
+    bool observed_{};                        ///< This VM's own requests took part in it.
 };
 
 /// \brief A trait whose requests are refused.
@@ -72,6 +83,7 @@
     trait_hash hash_{};
     bool everywhere_{};                     ///< For all workspaces, also those without a mark.
     std::vector<std::uint32_t> workspaces_; ///< Otherwise those that are refused.
+    std::vector<std::uint32_t> answered_;   ///< Not refused, even if all others are.
     std::size_t crashes_{};
     millis retry_at_{}; ///< When a request may be let through as a trial; boot clock.
 };
@@ -112,10 +124,11 @@
 /// \brief Marks the traits of a request whose upstream crashed.
 void record_crash(crash_evidence& evidence, crashed_request const& request, millis now);
 
-/// \brief Removes the marks of an answered request's traits, unless the answer began before the first of
-/// them. \param began_at When the answer began; boot clock. \returns The traits that were blocked.
-std::vector<trait_hash> record_answer(crash_evidence& evidence, std::span<request_trait const> traits,
-                                      millis began_at, millis now);
+/// \brief Removes the marks that the workspace of an answered request has under its traits, unless the
+/// answer began before the first mark; after answers to a second workspace those of all.
+/// \param workspace As in `crash_mark`. \param began_at When the answer began; boot clock.
+void record_answer(crash_evidence& evidence, std::span<request_trait const> traits, std::uint32_t workspace,
+                   millis began_at, millis now);
 
 /// \brief Merges records of another VM or of the store, whose `changed_at_` was translated to this VM's
 /// clock. \returns Whether anything changed.
--- a/src/coordination/crash_evidence.cpp
+++ b/src/coordination/crash_evidence.cpp
@@ -25,6 +25,9 @@
 constexpr std::size_t marked_workspaces = 3;
 constexpr int blocking_weight_of_all = 6;
 
+/// Answers to so many workspaces remove the marks of all. Callers of routes open to all do not count.
+constexpr std::ptrdiff_t freeing_workspaces = 2;
+
 /// Pause before a blocked trait is tried again; doubles with each trial, or crash after the second.
 constexpr millis first_trial_pause{10'000};
 constexpr std::size_t most_doublings = 6;
@@ -99,7 +102,9 @@
     if (!warned) {
         return; // the crashes may have one cause that struck several upstreams at once
     }
-    blocked_trait found{record.trait_.hash_, false, {}, all.size(), {}};
+    blocked_trait found;
+    found.hash_ = record.trait_.hash_;
+    found.crashes_ = all.size();
     std::size_t named = 0;
     std::size_t named_blocked = 0;
     for (auto const& [workspace, weights] : by_workspace) {
@@ -112,12 +117,25 @@
     }
     found.everywhere_ = named_blocked >= blocked_workspaces ||
                         (named >= marked_workspaces && sum_of(all) >= blocking_weight_of_all);
+    for (auto const& [workspace, answers] : record.answers_) {
+        if (!by_workspace.contains(workspace)) {
+            found.answered_.push_back(workspace);
+        }
+    }
     if (found.everywhere_ || !found.workspaces_.empty()) {
         found.retry_at_ = record.changed_at_ + trial_pause(record);
         blocked.push_back(std::move(found));
     }
 }
 
+bool holds_for(blocked_trait const& blocked, std::uint32_t workspace)
+{
+    auto const contains = [workspace](std::vector<std::uint32_t> const& workspaces) {
+        return std::find(workspaces.begin(), workspaces.end(), workspace) != workspaces.end();
+    };
+    return blocked.everywhere_ ? !contains(blocked.answered_) : contains(blocked.workspaces_);
+}
+
 /// Chooses the blocked traits greedily: first the one that most crashes speak against, and of equal ones the
 /// most special, which the fewest requests have. The crashes that it explains no longer speak against others.
 void choose_blocked(crash_evidence& evidence)
@@ -197,6 +215,41 @@
     return changed;
 }
 
+std::uint32_t answers_to(trait_record const& record, std::uint32_t workspace) noexcept
+{
+    auto const found = std::find_if(record.answers_.begin(), record.answers_.end(),
+                                    [&](auto const& entry) { return entry.workspace_ == workspace; });
+    return found == record.answers_.end() ? 0 : found->answers_;
+}
+
+bool has_marks(trait_record const& record, std::uint32_t workspace) noexcept
+{
+    return std::any_of(record.marks_.begin(), record.marks_.end(),
+                       [&](crash_mark const& mark) { return mark.workspace_ == workspace; });
+}
+
+/// Removes the marks that a workspace had before this many answers to it.
+void set_answers(trait_record& record, std::uint32_t workspace, std::uint32_t answers)
+{
+    std::erase_if(record.marks_, [&](crash_mark const& mark) { return mark.workspace_ == workspace; });
+    std::erase_if(record.answers_, [&](auto const& entry) { return entry.workspace_ == workspace; });
+    record.answers_.push_back({workspace, answers});
+}
+
+/// Begins a new round if enough workspaces were answered. Depends on the number of answers alone, which only
+/// grows within a round, so that VMs agree in whatever order they learn of them.
+void end_round_if_due(trait_record& record)
+{
+    auto const named = std::count_if(record.answers_.begin(), record.answers_.end(),
+                                     [](auto const& entry) { return entry.workspace_ != 0; });
+    if (named >= freeing_workspaces) {
+        record.marks_.clear();
+        record.answers_.clear();
+        ++record.round_;
+        record.trials_ = 0;
+    }
+}
+
 /// \returns The workspace that a record is charged to.
 std::uint32_t owner_of(trait_record const& record) noexcept
 {
@@ -240,8 +293,15 @@
         if (record.marks_.empty() && !from.marks_.empty()) {
             record.first_marked_at_ = now;
         }
+        for (auto const& [workspace, answers] : from.answers_) {
+            if (answers > answers_to(record, workspace)) {
+                set_answers(record, workspace, answers);
+                changed = true;
+            }
+        }
         for (auto const& mark : from.marks_) {
-            changed = add_mark(record, mark) || changed;
+            bool const answered = answers_to(from, mark.workspace_) < answers_to(record, mark.workspace_);
+            changed = (!answered && add_mark(record, mark)) || changed;
         }
         if (from.trials_ > record.trials_) {
             record.trials_ = from.trials_;
@@ -251,6 +311,7 @@
         record.changed_at_ = std::max(record.changed_at_, from.changed_at_);
     }
     if (changed) {
+        end_round_if_due(record);
         note_change(evidence, record);
     }
     return changed;
@@ -306,10 +367,9 @@
     choose_blocked(evidence);
 }
 
-std::vector<trait_hash> record_answer(crash_evidence& evidence, std::span<request_trait const> traits,
-                                      millis began_at, millis now)
+void record_answer(crash_evidence& evidence, std::span<request_trait const> traits, std::uint32_t workspace,
+                   millis began_at, millis now)
 {
-    std::vector<trait_hash> were_blocked;
     bool changed = false;
     for (auto const& trait : traits) {
         auto const found = evidence.records_.find(trait.hash_);
@@ -318,21 +378,22 @@
             continue;
         }
         auto& record = found->second;
-        if (find_blocked(evidence, trait.hash_) != nullptr) {
-            were_blocked.push_back(trait.hash_);
+        auto const answers = answers_to(record, workspace);
+        if (answers > 0 && !has_marks(record, workspace)) {
+            continue; // known already
+        }
+        set_answers(record, workspace, answers + 1);
+        end_round_if_due(record);
+        record.observed_ = true;
+        if (record.marks_.empty()) {
+            record.changed_at_ = now; // else the other workspaces' next trial would be put off
         }
-        record.marks_.clear();
-        ++record.round_;
-        record.trials_ = 0;
-        record.observed_ = false;
-        record.changed_at_ = now;
         note_change(evidence, record);
         changed = true;
     }
     if (changed) {
         choose_blocked(evidence);
     }
-    return were_blocked;
 }
 
 bool merge_records(crash_evidence& evidence, std::span<trait_record const> records, millis now)
@@ -385,9 +446,7 @@
     request_verdict verdict;
     for (auto const& trait : traits) {
         auto const* const blocked = find_blocked(evidence, trait.hash_);
-        if (blocked == nullptr ||
-            (!blocked->everywhere_ && std::find(blocked->workspaces_.begin(), blocked->workspaces_.end(),
-                                                workspace) == blocked->workspaces_.end())) {
+        if (blocked == nullptr || !holds_for(*blocked, workspace)) {
             continue;
         }
         bool const due = now >= blocked->retry_at_;
--- a/src/protocol/fleet_codec.cpp
+++ b/src/protocol/fleet_codec.cpp
@@ -139,6 +139,9 @@
     return placement;
 }
 
+/// Weight of a row that counts answers.
+constexpr std::uint32_t answers_row = 0;
+
 void write_evidence(trait_record const& record, wire::CrashEvidence& into)
 {
     into.set_trait(record.trait_.hash_);
@@ -151,6 +154,12 @@
         into.add_weight(static_cast<std::uint32_t>(mark.weight_));
         into.add_warned(mark.warned_);
     }
+    for (auto const& [workspace, answers] : record.answers_) {
+        into.add_crash(answers);
+        into.add_workspace(workspace);
+        into.add_weight(answers_row);
+        into.add_warned(false);
+    }
 }
 
 trait_record read_evidence(wire::CrashEvidence const& from)
@@ -160,6 +169,10 @@
                         .trials_ = from.trials()};
     check_columns(from.crash_size(), from.workspace(), from.weight(), from.warned());
     for (int i = 0; i < from.crash_size(); ++i) {
+        if (from.weight(i) == answers_row) {
+            record.answers_.push_back({from.workspace(i), from.crash(i)});
+            continue;
+        }
         record.marks_.push_back({from.crash(i), from.workspace(i),
                                  from.weight(i) >= static_cast<std::uint32_t>(crash_weight::begun)
                                      ? crash_weight::begun
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -1057,7 +1057,7 @@
 {
     if (!node_.evidence_.records_.empty()) {
         auto const began_at = job.answer_began_at_ > millis{0} ? job.answer_began_at_ : boot_now();
-        book_answer(node_, traits_of(job, request), began_at);
+        book_answer(node_, traits_of(job, request), evidence_workspace(job), began_at);
     }
 }
 
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -145,7 +145,7 @@
 
 bool holds_for_same(blocked_trait const& a, blocked_trait const& b)
 {
-    return a.everywhere_ == b.everywhere_ && a.workspaces_ == b.workspaces_;
+    return a.everywhere_ == b.everywhere_ && a.workspaces_ == b.workspaces_ && a.answered_ == b.answered_;
 }
 
 /// Logs which traits became blocked, for whom, or free, and keeps in the store what this VM's own requests
@@ -171,6 +171,10 @@
     for (auto const& [hash, blocked] : before) {
         if (find_blocked(node.evidence_, hash) == nullptr) {
             log_decision("trait-free", {{"trait", trait_name(hash)}});
+            auto const record = node.evidence_.records_.find(hash);
+            if (record != node.evidence_.records_.end() && record->second.observed_ && node.keep_evidence_) {
+                node.keep_evidence_(hash, std::nullopt);
+            }
         }
     }
     node.counters_.gauge("auburnchute_blocked_traits", "",
@@ -196,15 +200,12 @@
     tell_evidence(node);
 }
 
-void book_answer(entry_node& node, std::span<request_trait const> traits, millis began_at)
+void book_answer(entry_node& node, std::span<request_trait const> traits, std::uint32_t workspace,
+                 millis began_at)
 {
     auto const before = blocked_now(node);
     auto const version = node.evidence_.version_;
-    for (auto const hash : record_answer(node.evidence_, traits, began_at, boot_now())) {
-        if (node.keep_evidence_) {
-            node.keep_evidence_(hash, std::nullopt);
-        }
-    }
+    record_answer(node.evidence_, traits, workspace, began_at, boot_now());
     if (node.evidence_.version_ != version) {
         note_blocked(node, before);
         tell_evidence(node);
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -184,8 +184,10 @@
 /// blocked.
 void book_crash(entry_node& node, crashed_request const& request);
 
-/// \brief Books that a request was answered. \param began_at When its answer began; boot clock.
-void book_answer(entry_node& node, std::span<request_trait const> traits, millis began_at);
+/// \brief Books that a request was answered. \param workspace As in `crash_mark`.
+/// \param began_at When its answer began; boot clock.
+void book_answer(entry_node& node, std::span<request_trait const> traits, std::uint32_t workspace,
+                 millis began_at);
 
 /// \brief Takes over evidence of a peer; its times are in this VM's boot clock.
 /// \returns Whether any of it was new.
--- a/tests/coordination/crash_evidence_test.cpp
+++ b/tests/coordination/crash_evidence_test.cpp
@@ -36,10 +36,16 @@
         }
     }
 
-    void answer(std::vector<request_trait> const& request)
+    void answer(std::vector<request_trait> const& request, std::uint32_t workspace = 1)
     {
         now_ += tick;
-        (void)record_answer(evidence_, request, now_, now_);
+        record_answer(evidence_, request, workspace, now_, now_);
+    }
+
+    void hear(evidence_player const& peer)
+    {
+        now_ = std::max(now_, peer.now_) + tick;
+        (void)merge_records(evidence_, records_after(peer.evidence_, 0), now_);
     }
 
     [[nodiscard]] bool refuses(std::vector<request_trait> const& request, std::uint32_t workspace = 1) const
@@ -186,7 +192,7 @@
                 }
                 bool const done = vm.now_ - sent.sent_at_ >= millis{300};
                 if (done) {
-                    (void)record_answer(vm.evidence_, sent.traits_, vm.now_, vm.now_);
+                    record_answer(vm.evidence_, sent.traits_, 1, vm.now_, vm.now_);
                 }
                 return done;
             });
@@ -255,6 +261,79 @@
     }
 }
 
+// Guards against callers who free what crashes upstreams under others by naming it in prompts without it.
+TEST_CASE("one workspace cannot free a part for another", "[crash-evidence]")
+{
+    evidence_player vm;
+    auto const liar = GENERATE(0U, 1U, 2U);
+    auto const crash_for = [&](std::uint32_t workspace) {
+        vm.crash({vm.traits({50}, workspace)}, workspace);
+    };
+    if (liar == 2) { // has marks of its own too
+        crash_for(liar);
+        crash_for(liar);
+    }
+    for (auto const workspace : {3U, 4U, 3U, 4U}) {
+        crash_for(workspace);
+    }
+    for (int i = 0; i < 10; ++i) {
+        CAPTURE(liar, i);
+        vm.answer(vm.traits({50}, liar), liar);
+        CHECK(vm.refuses(vm.traits({50}, 3), 3));
+        CHECK(vm.refuses(vm.traits({50}, 4), 4));
+        CHECK(vm.refuses(vm.traits({50}, 5), 5));
+        CHECK_FALSE(vm.refuses(vm.traits({50}, liar), liar));
+        crash_for(liar);
+    }
+    SECTION("answers to two free it for all")
+    {
+        vm.answer(vm.traits({50}, 1), 1);
+        vm.answer(vm.traits({50}, 2), 2);
+        for (std::uint32_t workspace = 1; workspace <= 5; ++workspace) {
+            CHECK_FALSE(vm.refuses(vm.traits({50}, workspace), workspace));
+        }
+    }
+    SECTION("its own answers free a workspace's part, and it can be blocked again")
+    {
+        vm.answer(vm.traits({50}, 3), 3);
+        CHECK_FALSE(vm.refuses(vm.traits({50}, 3), 3));
+        crash_for(3);
+        crash_for(3);
+        CHECK(vm.refuses(vm.traits({50}, 3), 3));
+    }
+}
+
+// Guards against VMs that differ on what is blocked, as each has seen the answers to another workspace.
+TEST_CASE("answers to workspaces on several VMs count together, and late marks do not come back",
+          "[crash-evidence]")
+{
+    evidence_player before;
+    for (auto const workspace : {3U, 4U, 3U, 4U}) {
+        before.crash({before.traits({50}, workspace)}, workspace);
+    }
+    auto one = before;
+    auto two = before;
+    one.answer(one.traits({50}, 3), 3);
+    two.answer(two.traits({50}, 4), 4);
+    one.hear(before);
+    CHECK_FALSE(one.refuses(one.traits({50}, 3), 3));
+    CHECK(one.refuses(one.traits({50}, 4), 4));
+    CHECK(two.refuses(two.traits({50}, 3), 3));
+    auto third = before;
+    bool const reversed = GENERATE(false, true);
+    third.hear(reversed ? two : one);
+    third.hear(reversed ? one : two);
+    one.hear(two);
+    two.hear(before);
+    two.hear(one);
+    for (auto* const vm : {&one, &two, &third}) {
+        vm->hear(before);
+        CHECK_FALSE(vm->refuses(vm->traits({50}, 3), 3));
+        CHECK_FALSE(vm->refuses(vm->traits({50}, 4), 4));
+        CHECK(vm->evidence_.records_.at(vm->traits({50})[1].hash_).round_ == 1);
+    }
+}
+
 TEST_CASE("a part that crashes upstreams under three workspaces is refused to all", "[crash-evidence]")
 {
     evidence_player vm;
@@ -292,7 +371,8 @@
 TEST_CASE("records merge to the same evidence in any order", "[crash-evidence]")
 {
     auto const seed = GENERATE(range(1U, 30U));
-    CAPTURE(seed);
+    auto const workspaces = GENERATE(1U, 4U);
+    CAPTURE(seed, workspaces);
     std::mt19937_64 random{seed};
     std::vector<evidence_player> vms(4);
     std::vector<trait_record> told;
@@ -301,10 +381,11 @@
         auto& vm = vms[random() % vms.size()];
         vm.now_ = millis{1'000'000 + step * 100};
         auto const request = vm.traits({random() % 4, 10 + random() % 6});
+        auto const workspace = static_cast<std::uint32_t>(random() % workspaces) + (workspaces == 1 ? 1 : 0);
         if (random() % 3 == 0) {
-            record_crash(vm.evidence_, {request, ++crash, 1, crash_weight::begun, vm.now_}, vm.now_);
+            record_crash(vm.evidence_, {request, ++crash, workspace, crash_weight::begun, vm.now_}, vm.now_);
         } else {
-            (void)record_answer(vm.evidence_, request, vm.now_, vm.now_);
+            record_answer(vm.evidence_, request, workspace, vm.now_, vm.now_);
         }
         auto const records = records_after(vm.evidence_, 0);
         told.insert(told.end(), records.begin(), records.end());
--- a/tests/protocol/fleet_codec_test.cpp
+++ b/tests/protocol/fleet_codec_test.cpp
@@ -38,6 +38,7 @@
                           .round_ = 3,
                           .trials_ = 1,
                           .marks_ = {{7, 8, crash_weight::begun, true}, {9, 0, crash_weight::waiting, false}},
+                          .answers_ = {{8, 3}, {0, 1}},
                           .changed_at_ = millis{message.sent_at_ - 40}}};
     message.evidence_version_ = 1'234;
     message.seen_evidence_ = 5'678;
@@ -103,6 +104,7 @@
     CHECK(read->evidence_[0].round_ == 3);
     CHECK(read->evidence_[0].trials_ == 1);
     CHECK(read->evidence_[0].marks_ == message.evidence_[0].marks_);
+    CHECK(read->evidence_[0].answers_ == message.evidence_[0].answers_);
     CHECK(read->evidence_[0].changed_at_ == message.evidence_[0].changed_at_);
     CHECK(read->evidence_version_ == 1'234);
     CHECK(read->seen_evidence_ == 5'678);
@@ -175,6 +177,9 @@
             auto const traits = traits_of(parts, 1, workspace, std::uint64_t{crash} << 8U | workspace << 1U);
             record_crash(evidence, {traits, crash, workspace, crash_weight::begun, {}}, millis{crash});
         }
+        auto const most = traits_of(parts, 1, 1, 0);
+        record_answer(evidence, most, 0, millis{crash}, millis{crash});
+        record_answer(evidence, most, 9, millis{crash}, millis{crash});
     }
     fleet_message message;
     message.vm_ = "front-a-1";
--- a/tests/transport/entry/deadly_part_test.cpp
+++ b/tests/transport/entry/deadly_part_test.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 /// Upstreams that crash when they begin to answer a request with a deadly part in its prompt: the head of the
-/// answer comes, then the connections break and nothing listens any more.
+/// answer comes, then the connections break and nothing listens any more. Requests that also name the part
+/// `named` only claim to hold a deadly one.
 class crashing_fleet {
 public:
     crashing_fleet(std::size_t upstreams, std::vector<std::string> deadly) : deadly_{std::move(deadly)}
@@ -43,9 +44,11 @@
         return after_probe([this, index](received_request const& request, owned_socket& connection) {
             auto const parts = request.field("X-Prompt-Prefix");
             connection.send(stream_head(request));
-            bool const crash = armed_ && std::any_of(deadly_.begin(), deadly_.end(), [&](auto const& part) {
-                                   return parts.find(part + ":") != std::string::npos;
-                               });
+            bool const names_only = parts.find("named:") != std::string::npos;
+            bool const crash =
+                armed_ && !names_only && std::any_of(deadly_.begin(), deadly_.end(), [&](auto const& part) {
+                    return parts.find(part + ":") != std::string::npos;
+                });
             if (crash) {
                 ++crashes_;
                 world_->upstreams_[index]->stop_listening();
@@ -161,6 +164,24 @@
     CHECK(fleet.crashes() == before);
 }
 
+// Guards against callers who free what crashes upstreams under others by naming it in prompts without it.
+TEST_CASE("a workspace that names a deadly part does not free it for another",
+          "[entry][promise-3][promise-9]")
+{
+    crashing_fleet fleet{9, {"dead"}};
+    while (fleet.crashes() < crash_bound && fleet.ask("aa:100,dead:50,bb:20", "key") != 503) {
+        CHECK(fleet.ask("aa:100,bb:20", "key") == 200);
+    }
+    auto const before = fleet.crashes();
+    for (int i = 0; i < 5; ++i) {
+        CAPTURE(i);
+        CHECK(fleet.ask("aa:100,dead:50,named:10,bb:20", "key-v") == 200);
+        CHECK(fleet.ask("aa:100,dead:50,bb:20", "key") == 503);
+        CHECK(fleet.ask("aa:100,bb:20", "key") == 200);
+    }
+    CHECK(fleet.crashes() == before);
+}
+
 // Guards against a part that stays refused for good, and a store that keeps it.
 TEST_CASE("a part that is no longer deadly serves again", "[entry][promise-9]")
 {
