Count crashes of upstreams whose caller left after the head of the answer

When a caller leaves, its connection to the upstream is closed at once, and so the crash, 13 ms later there, broke nothing that the VM still held; a check under way of whether the upstream still listens was given up as well. If it refuses, the crash is booked with the weight of a head only, and the upstream is passed over as after any refused connection. The upstream still learns at once that the caller has left.

A caller that leaves before the head hides a crash as before.

The test lets callers leave once the daemon has the head and crashes the upstream then.

--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -192,6 +192,53 @@
     bool running_;
 };
 
+/// Books the crash of a request's upstream. \pre The job's traits were computed.
+void note_crash(entry_node& node, forward_job const& job, chosen_upstream const& upstream, int status)
+{
+    auto const now = boot_now();
+    bool const answering = job.answer_began_at_ > millis{0};
+    bool const suspect = !answering || now - job.answer_began_at_ < crash_onset;
+    bool const head_only = !answering && status != 0;
+    node.counters_.count("auburnchute_crashed_requests_total", answering ? "answering" : "before-answer");
+    log_failure("upstream-crashed",
+                {{"id", job.call_.request_id_},
+                 {"upstream", upstream.id_},
+                 {"workspace", job.workspace_ != nullptr ? std::string_view{job.workspace_->name_} : ""},
+                 {"route", job.route_->name_},
+                 {"model", job.call_.model_},
+                 {"shared_parts", shared_part_ids(job.call_)},
+                 {"status", status},
+                 {"answered_ms", answering ? (now - job.answer_began_at_).count_ : -1},
+                 {"tries", job.used_.size()},
+                 {"suspect", suspect}});
+    if (suspect) {
+        book_crash(node, {.traits_ = job.traits_,
+                          .crash_ = short_hash_of(upstream.id_ + "/" + std::to_string(upstream.started_at_)),
+                          .workspace_ = evidence_workspace(job),
+                          .weight_ = head_only ? crash_weight::begun : crash_weight::waiting,
+                          .sent_at_ = job.sent_at_});
+    }
+}
+
+/// Sees whether the upstream of a request whose caller left before the first event crashes in the time in
+/// which the request may be the cause: its connection is closed and shows nothing. \pre As `note_crash`.
+net::awaitable<void> watch_abandoned(entry_node& node, forward_job job, chosen_upstream upstream, int status)
+{
+    co_await pause_for(crash_onset);
+    auto const probe = node.pool_.make(upstream.id_);
+    error_code fault;
+    co_await upstream_pool::open(probe, upstream.address_, probe_limit, fault);
+    if (fault != net::error::connection_refused) {
+        co_return;
+    }
+    auto const now = boot_now();
+    auto& own = use_of(node, upstream.id_);
+    own.suspect_until_ = now + suspect_time;
+    own.closed_until_ = now + refused_time;
+    node.pool_.forget(upstream.id_);
+    note_crash(node, job, upstream, status);
+}
+
 class caller_session final : public open_session, public std::enable_shared_from_this<caller_session> {
 public:
     caller_session(entry_node& node, tcp::socket socket) : node_{node}, stream_{std::move(socket)} {}
@@ -241,8 +288,6 @@
     void start_watch();
     void end_watch();
     void note_result(forward_job const& job, chosen_upstream const& upstream, try_outcome const& outcome);
-    void note_crash(forward_job& job, caller_request const& request, chosen_upstream const& upstream,
-                    try_outcome const& outcome);
     void note_survival(forward_job& job, caller_request const& request);
     void log_end(forward_job const& job, std::string_view outcome, int status, std::string_view reason) const;
 
@@ -754,9 +799,20 @@
         cancel_try_ = nullptr;
         outcome.upstream_gone_ = fault == net::error::connection_refused;
         if (outcome.upstream_gone_) {
-            note_crash(job, request, upstream, outcome);
+            (void)traits_of(job, request);
+            note_crash(node_, job, upstream, outcome.status_);
         }
     }
+    bool const head_only = outcome.result_ == try_result::cut_in_answer && job.answer_began_at_ == millis{0};
+    if (head_only && gone_ && !outcome.upstream_gone_) {
+        (void)traits_of(job, request);
+        net::co_spawn(
+            node_.loop_,
+            [&node = node_, job, upstream, status = outcome.status_] {
+                return watch_abandoned(node, job, upstream, status);
+            },
+            report_failure);
+    }
     co_return outcome;
 }
 
@@ -1025,34 +1081,6 @@
     }
 }
 
-void caller_session::note_crash(forward_job& job, caller_request const& request,
-                                chosen_upstream const& upstream, try_outcome const& outcome)
-{
-    auto const now = boot_now();
-    bool const answering = job.answer_began_at_ > millis{0};
-    bool const suspect = !answering || now - job.answer_began_at_ < crash_onset;
-    bool const head_only = !answering && outcome.status_ != 0;
-    node_.counters_.count("auburnchute_crashed_requests_total", answering ? "answering" : "before-answer");
-    log_failure("upstream-crashed",
-                {{"id", job.call_.request_id_},
-                 {"upstream", upstream.id_},
-                 {"workspace", job.workspace_ != nullptr ? std::string_view{job.workspace_->name_} : ""},
-                 {"route", job.route_->name_},
-                 {"model", job.call_.model_},
-                 {"shared_parts", shared_part_ids(job.call_)},
-                 {"status", outcome.status_},
-                 {"answered_ms", answering ? (now - job.answer_began_at_).count_ : -1},
-                 {"tries", job.used_.size()},
-                 {"suspect", suspect}});
-    if (suspect) {
-        book_crash(node_, {.traits_ = traits_of(job, request),
-                           .crash_ = short_hash_of(upstream.id_ + "/" + std::to_string(upstream.started_at_)),
-                           .workspace_ = evidence_workspace(job),
-                           .weight_ = head_only ? crash_weight::begun : crash_weight::waiting,
-                           .sent_at_ = job.sent_at_});
-    }
-}
-
 void caller_session::note_survival(forward_job& job, caller_request const& request)
 {
     if (!node_.evidence_.records_.empty()) {
--- a/tests/transport/entry/deadly_part_test.cpp
+++ b/tests/transport/entry/deadly_part_test.cpp
@@ -34,6 +34,22 @@
         return unfinished ? 0 : entry_world::status_of(answer);
     }
 
+    /// Sends a stream request with these prompt parts and leaves when the daemon has the head of the answer;
+    /// the upstream crashes right after.
+    void ask_and_leave(std::string const& parts)
+    {
+        auto const heads = world_->metric(world_->ip_, stray_answers);
+        auto const before = crashes();
+        {
+            auto const number = std::to_string(++asked_);
+            auto const connection =
+                world_->call("POST", "/watch/" + number, "leave " + number,
+                             "Api-Key: key\r\nX-Prompt-Prefix: " + parts + "," + number + "f:10\r\n");
+            CHECK(eventually(limit, [&] { return world_->metric(world_->ip_, stray_answers) > heads; }));
+        }
+        CHECK(eventually(limit, [&] { return crashes() > before; }));
+    }
+
     [[nodiscard]] int crashes() const { return crashes_; }
     void set_deadly(bool deadly) { armed_ = deadly; }
     entry_world& world() { return *world_; }
@@ -43,6 +59,17 @@
     {
         return after_probe([this, index](received_request const& request, owned_socket& connection) {
             auto const parts = request.field("X-Prompt-Prefix");
+            if (request.body_.starts_with("leave")) {
+                // The answer to another request shows in a metric that the daemon reads, and the head follows
+                // it.
+                connection.send("HTTP/1.1 200 X\r\nX-Request-Id: other\r\nContent-Length: 0\r\n\r\n" +
+                                stream_head(request));
+                while (!connection.receive().empty()) {
+                }
+                world_->upstreams_[index]->stop_listening();
+                ++crashes_;
+                return false;
+            }
             connection.send(stream_head(request));
             bool const names_only = parts.find("named:") != std::string::npos;
             bool const crash =
@@ -60,6 +87,8 @@
         });
     }
 
+    static constexpr auto stray_answers = "auburnchute_stray_answers_total";
+
     std::vector<std::string> deadly_;
     std::atomic<bool> armed_{true};
     std::atomic<int> crashes_{0};
@@ -182,6 +211,20 @@
     CHECK(fleet.crashes() == before);
 }
 
+// Guards against crashes that go unseen because the caller left after the head of the answer.
+TEST_CASE("a part that crashes upstreams as their callers leave is refused", "[entry][promise-3][promise-9]")
+{
+    crashing_fleet fleet{6, {"dead"}};
+    auto& world = fleet.world();
+    fleet.ask_and_leave("aa:100,dead:50,bb:20");
+    REQUIRE(eventually(limit, [&] { return world.metric(world.ip_, "auburnchute_crash_records") > 0; }));
+    CHECK(fleet.ask("aa:100,bb:20") == 200);
+    fleet.ask_and_leave("aa:100,dead:50,bb:20");
+    REQUIRE(eventually(limit, [&] { return world.metric(world.ip_, "auburnchute_blocked_traits") > 0; }));
+    CHECK(fleet.ask("aa:100,dead:50,bb:20") == 503);
+    CHECK(fleet.ask("aa:100,bb:20") == 200);
+}
+
 // Guards against a part that stays refused for good, and a store that keeps it.
 TEST_CASE("a part that is no longer deadly serves again", "[entry][promise-9]")
 {
