--- a/tests/transport/entry/deadly_part_test.cpp
+++ b/tests/transport/entry/deadly_part_test.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 /// Upstreams that crash when they begin to answer a request with a deadly part in its prompt: the head of the
-/// answer comes, then the connections break and nothing listens any more.
+/// answer comes, then the connections break and nothing listens any more. Requests that also name the part
+/// `named` only claim to hold a deadly one.
 class crashing_fleet {
 public:
     crashing_fleet(std::size_t upstreams, std::vector<std::string> deadly) : deadly_{std::move(deadly)}
@@ -33,6 +34,22 @@
         return unfinished ? 0 : entry_world::status_of(answer);
     }
 
+    /// Sends a stream request with these prompt parts and leaves when the daemon has the head of the answer;
+    /// the upstream crashes right after.
+    void ask_and_leave(std::string const& parts)
+    {
+        auto const heads = world_->metric(world_->ip_, stray_answers);
+        auto const before = crashes();
+        {
+            auto const number = std::to_string(++asked_);
+            auto const connection =
+                world_->call("POST", "/watch/" + number, "leave " + number,
+                             "Api-Key: key\r\nX-Prompt-Prefix: " + parts + "," + number + "f:10\r\n");
+            CHECK(eventually(limit, [&] { return world_->metric(world_->ip_, stray_answers) > heads; }));
+        }
+        CHECK(eventually(limit, [&] { return crashes() > before; }));
+    }
+
     [[nodiscard]] int crashes() const { return crashes_; }
     void set_deadly(bool deadly) { armed_ = deadly; }
     entry_world& world() { return *world_; }
@@ -42,10 +59,23 @@
     {
         return after_probe([this, index](received_request const& request, owned_socket& connection) {
             auto const parts = request.field("X-Prompt-Prefix");
+            if (request.body_.starts_with("leave")) {
+                // The answer to another request shows in a metric that the daemon reads, and the head follows
+                // it.
+                connection.send("HTTP/1.1 200 X\r\nX-Request-Id: other\r\nContent-Length: 0\r\n\r\n" +
+                                stream_head(request));
+                while (!connection.receive().empty()) {
+                }
+                world_->upstreams_[index]->stop_listening();
+                ++crashes_;
+                return false;
+            }
             connection.send(stream_head(request));
-            bool const crash = armed_ && std::any_of(deadly_.begin(), deadly_.end(), [&](auto const& part) {
-                                   return parts.find(part + ":") != std::string::npos;
-                               });
+            bool const names_only = parts.find("named:") != std::string::npos;
+            bool const crash =
+                armed_ && !names_only && std::any_of(deadly_.begin(), deadly_.end(), [&](auto const& part) {
+                    return parts.find(part + ":") != std::string::npos;
+                });
             if (crash) {
                 ++crashes_;
                 world_->upstreams_[index]->stop_listening();
@@ -57,6 +87,8 @@
         });
     }
 
+    static constexpr auto stray_answers = "auburnchute_stray_answers_total";
+
     std::vector<std::string> deadly_;
     std::atomic<bool> armed_{true};
     std::atomic<int> crashes_{0};
@@ -71,6 +103,8 @@
     return address.replace(address.find("127.77."), 7, "127.78.");
 }
 
+constexpr auto evidence_topic = "keyed.auburnchute-crashes";
+
 /// Crashes after which the users' rules bind.
 constexpr int crash_bound = 5;
 
@@ -131,6 +165,66 @@
     CHECK(fleet.ask("aa:100,bb:20") == 200);
 }
 
+// Guards against a store that keeps a block as it was at first, for the workspaces that crashed upstreams
+// then.
+TEST_CASE("a block that comes to hold for all workspaces does so after the restart of all VMs",
+          "[entry][promise-3][promise-9]")
+{
+    constexpr int most_crashes = 4; // for a workspace, if the reset overtakes the heads of the answers
+    crashing_fleet fleet{10, {"dead"}};
+    auto& world = fleet.world();
+    std::uint64_t stored = 0;
+    for (auto const* const key : {"key", "key-v"}) {
+        bool refused = false;
+        for (int crashes = 0; crashes <= most_crashes && !refused; ++crashes) {
+            refused = fleet.ask("aa:100,dead:50,bb:20", key) == 503;
+            CHECK(fleet.ask("aa:100,bb:20", key) == 200);
+        }
+        REQUIRE(refused);
+        CHECK(eventually(limit, [&] { return world.store_.end_offset(evidence_topic) > stored; }));
+        stored = world.store_.end_offset(evidence_topic);
+    }
+    auto const before = fleet.crashes();
+    world.daemons_.clear();
+    world.start_daemon(world.ip_, "front-a-1", "a");
+    REQUIRE(eventually(limit, [&] { return world.ready(); }));
+    CHECK(fleet.ask("aa:100,dead:50,bb:20", "key") == 503);
+    CHECK(fleet.ask("aa:100,dead:50,bb:20", "key-v") == 503);
+    CHECK(fleet.crashes() == before);
+}
+
+// Guards against callers who free what crashes upstreams under others by naming it in prompts without it.
+TEST_CASE("a workspace that names a deadly part does not free it for another",
+          "[entry][promise-3][promise-9]")
+{
+    crashing_fleet fleet{9, {"dead"}};
+    while (fleet.crashes() < crash_bound && fleet.ask("aa:100,dead:50,bb:20", "key") != 503) {
+        CHECK(fleet.ask("aa:100,bb:20", "key") == 200);
+    }
+    auto const before = fleet.crashes();
+    for (int i = 0; i < 5; ++i) {
+        CAPTURE(i);
+        CHECK(fleet.ask("aa:100,dead:50,named:10,bb:20", "key-v") == 200);
+        CHECK(fleet.ask("aa:100,dead:50,bb:20", "key") == 503);
+        CHECK(fleet.ask("aa:100,bb:20", "key") == 200);
+    }
+    CHECK(fleet.crashes() == before);
+}
+
+// Guards against crashes that go unseen because the caller left after the head of the answer.
+TEST_CASE("a part that crashes upstreams as their callers leave is refused", "[entry][promise-3][promise-9]")
+{
+    crashing_fleet fleet{6, {"dead"}};
+    auto& world = fleet.world();
+    fleet.ask_and_leave("aa:100,dead:50,bb:20");
+    REQUIRE(eventually(limit, [&] { return world.metric(world.ip_, "auburnchute_crash_records") > 0; }));
+    CHECK(fleet.ask("aa:100,bb:20") == 200);
+    fleet.ask_and_leave("aa:100,dead:50,bb:20");
+    REQUIRE(eventually(limit, [&] { return world.metric(world.ip_, "auburnchute_blocked_traits") > 0; }));
+    CHECK(fleet.ask("aa:100,dead:50,bb:20") == 503);
+    CHECK(fleet.ask("aa:100,bb:20") == 200);
+}
+
 // Guards against a part that stays refused for good, and a store that keeps it.
 TEST_CASE("a part that is no longer deadly serves again", "[entry][promise-9]")
 {
