End a planned stop in time although the process stood still in it

The logs ended with `stopped` or before it, and nothing told a late signal, a late last phase and a late end of the process apart.

Ruled out: what comes after `stopped` took 2 to 10 ms in 295 stops. By reading it was not bounded, though: up to 100 ms for the sessions (83 ms are left at 1 s), the join of the control thread, and the destructors. A page of 15 MB did not hold the control thread for long enough to show (3 trials).

Change: a signal that is taken by a loop which had not turned for over 60 ms counts from its last turn but one, 500 ms or G/4 earlier at most, as a pause need not have begun with the signal. The last phase ends before the kill if that is still to come. The sessions have a third of the time left, and the process ends after them without its control thread, which holds nothing that must be kept; so no signal meets a missing handler either. `stop` has `lag_ms`, and `ended` is the last line.

--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -19,6 +19,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <docopt/docopt.h>
 #include <iostream>
 #include <random>
@@ -44,6 +45,9 @@
 /// How long callers keep a directory answer; a VM that stops is forgotten within that time.
 constexpr millis directory_lifetime{2'000};
 
+/// Longest time between two notes that the loop turns.
+constexpr millis turn_interval{20};
+
 entry_settings_file load_settings(std::string const& name)
 {
     auto read = parse_entry_settings(name, read_file(name));
@@ -104,8 +108,22 @@
     }
 }
 
+/// When the loop last turned, as a signal that it takes late shows only so when it came.
+struct loop_turns {
+    millis last_{boot_now()};
+    millis before_{last_}; ///< The turn before; after a pause the first turn may come before the signal.
+};
+
+net::awaitable<void> note_turns(loop_turns& turns)
+{
+    while (true) {
+        turns.before_ = std::exchange(turns.last_, boot_now());
+        co_await pause_for(turn_interval);
+    }
+}
+
 net::awaitable<void> handle_signals(entry_node& node, boost::asio::signal_set& signals,
-                                    std::string settings_file)
+                                    std::string settings_file, loop_turns const& turns)
 {
     while (true) {
         error_code fault;
@@ -122,23 +140,14 @@
                 log_failure("settings-rejected", {{"fault", failure.what()}});
             }
         } else if (!node.stop_) {
-            node.stop_ = plan_shutdown(boot_now(), node.settings_.shutdown_grace_, directory_lifetime);
+            auto const grace = node.settings_.shutdown_grace_;
+            node.stop_ =
+                plan_shutdown(signal_time(boot_now(), turns.before_, grace), grace, directory_lifetime);
             net::co_spawn(node.loop_, stop_gracefully(node), report_failure);
         }
     }
 }
 
-/// Keeps the signals of stops and reloads from the process. \pre No other thread runs.
-void block_signals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    for (int const signal : {SIGTERM, SIGINT, SIGHUP}) {
-        sigaddset(&signals, signal);
-    }
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-}
-
 /// Hands what the VMs ask for to the placement, or to the VM that places.
 class demand_sender {
 public:
@@ -207,7 +216,8 @@
                                                                  : message_targets::all);
 }
 
-int run(entry_settings const& settings, std::string const& settings_file)
+/// Serves until a planned stop has ended.
+[[noreturn]] void run(entry_settings const& settings, std::string const& settings_file)
 {
     metrics counters;
     shared_view shared;
@@ -279,16 +289,18 @@
     serve_callers(node, settings.callers_listen_);
     serve_own_pages(node);
     exchange_with_peers(node);
-    run_forever(loop, "signals", [&] { return handle_signals(node, signals, settings_file); });
+    loop_turns turns;
+    run_forever(loop, "turns", [&] { return note_turns(turns); });
+    run_forever(loop, "signals", [&] { return handle_signals(node, signals, settings_file, turns); });
     run_forever(loop, "demand", [&demand] { return demand.send_regularly(); });
     start_reading(reader);
     start_keeping(keeper, node.exchange_.incarnation_);
     std::thread control{[&control_loop] { control_loop.run(); }};
     loop.run();
-    control_loop.stop();
-    control.join();
-    block_signals(); // their handlers end with the set, and the default action would end the process
-    return static_cast<int>(exit_code::done);
+    // The control thread may be busy for longer than the kill is away; it holds nothing that must be kept.
+    log_decision("ended", {{"connections", node.sessions_->size()},
+                           {"ms", (boot_now() - node.stop_->began_at_).count_}});
+    std::_Exit(static_cast<int>(exit_code::done));
 }
 
 } // namespace
@@ -308,7 +320,7 @@
             std::cout << "settings of " << settings.values_.vm_ << " are valid\n";
             return static_cast<int>(exit_code::done);
         }
-        return run(settings.values_, file);
+        run(settings.values_, file);
     } catch (std::exception const& failure) {
         log_failure("fatal", {{"fault", failure.what()}});
         std::cerr << "auburnchute-entry: " << failure.what() << '\n';
--- a/include/auburnchute/shutdown_plan.hpp
+++ b/include/auburnchute/shutdown_plan.hpp
@@ -10,9 +10,17 @@
     millis quiet_from_{};    ///< From here on, the process ends as soon as no request is open.
     millis answers_until_{}; ///< Here, what is still open is given up.
     millis ends_at_{};       ///< The process ends. Until then, last answers and refusals reach their callers.
+    millis unwinding_{};     ///< Longest time after `ends_at_` for the sessions to end.
+    millis killed_at_{};     ///< The end of the grace time.
     bool closing_{};         ///< Open requests have been given up, and nothing more is taken.
 };
 
+/// \returns When the stop signal that is taken now may have come, as the grace time counts from it: a process
+/// that was paused or busy takes it late.
+/// \param looked_at The last moment at which no signal had come; boot clock.
+/// Thread safety: pure.
+[[nodiscard]] millis signal_time(millis now, millis looked_at, millis grace) noexcept;
+
 /// \brief Divides the grace time of a planned stop.
 /// \param grace Time from the stop signal to the kill.
 /// \param directory_lifetime How long callers keep a directory answer that names this VM.
@@ -20,7 +28,7 @@
 [[nodiscard]] shutdown_plan plan_shutdown(millis now, millis grace, millis directory_lifetime) noexcept;
 
 /// \brief Begins the last phase: at the end of the answers' time, before it if no request is open, after it
-/// if the process was paused.
+/// if the process was paused. It has its whole time, but ends before the kill if that is still to come.
 void begin_closing(shutdown_plan& plan, millis now) noexcept;
 
 /// \returns Whether a request with this deadline is sure to end within the stop, so that it may be sent on.
--- a/src/coordination/shutdown_plan.cpp
+++ b/src/coordination/shutdown_plan.cpp
@@ -9,9 +9,21 @@
 /// Time for the last answers to reach their callers, at most.
 constexpr millis closing_time{500};
 
-/// Time between the end of the process and the kill, at most: log lines, the control thread.
+/// Time between the end of the process and the kill, at most: the sessions end, log lines.
 constexpr millis exit_margin{300};
 
+/// Time between two looks in which the process was neither paused nor busy.
+constexpr millis usual_lag{60};
+
+/// Longest time by which a signal counts as taken late.
+constexpr millis longest_lag{500};
+
+/// Largest part of the grace time for it.
+constexpr std::int64_t lag_parts = 4;
+
+/// Part of the time before the kill that the sessions have to end.
+constexpr std::int64_t unwinding_parts = 3;
+
 /// Largest part of the grace time for each of the two: answers have at least five sixths of it.
 constexpr std::int64_t margin_parts = 12;
 
@@ -27,24 +39,40 @@
 
 } // namespace
 
+millis signal_time(millis now, millis looked_at, millis grace) noexcept
+{
+    if (now - looked_at <= usual_lag) {
+        return now;
+    }
+    // A long pause need not have begun with the signal, and requests that can still end would be given up.
+    return std::max(looked_at, now - std::min(longest_lag, grace / lag_parts));
+}
+
 shutdown_plan plan_shutdown(millis now, millis grace, millis directory_lifetime) noexcept
 {
-    auto const ends_at = now + grace - std::min(exit_margin, grace / margin_parts);
+    auto const margin = std::min(exit_margin, grace / margin_parts);
+    auto const ends_at = now + grace - margin;
     auto const answers_until = ends_at - std::min(closing_time, grace / margin_parts);
     return {.began_at_ = now,
             .quiet_from_ =
                 std::min(answers_until, now + directory_lifetime * directory_answers + quiet_before_end),
             .answers_until_ = answers_until,
             .ends_at_ = ends_at,
+            .unwinding_ = margin / unwinding_parts,
+            .killed_at_ = now + grace,
             .closing_ = false};
 }
 
 void begin_closing(shutdown_plan& plan, millis now) noexcept
 {
     auto const closing = plan.ends_at_ - plan.answers_until_;
+    auto const latest_end = plan.killed_at_ - plan.unwinding_ * 2;
     plan.closing_ = true;
     plan.answers_until_ = now;
     plan.ends_at_ = now + closing;
+    if (now < latest_end) { // else the kill does not come on time
+        plan.ends_at_ = std::min(plan.ends_at_, latest_end);
+    }
 }
 
 bool can_end_in_time(shutdown_plan const& plan, millis deadline) noexcept
--- a/src/transport/entry/planned_stop.cpp
+++ b/src/transport/entry/planned_stop.cpp
@@ -14,9 +14,6 @@
 /// Least time of the last phase: what came while the process was paused or busy is read and refused.
 constexpr millis least_closing_time{50};
 
-/// Longest time for the sessions to end once their connections are closed.
-constexpr millis unwinding_time{100};
-
 bool all_idle(session_set const& sessions)
 {
     return std::all_of(sessions.begin(), sessions.end(),
@@ -44,6 +41,7 @@
     auto& plan = *node.stop_;
     log_decision("stop", {{"open", open_requests(*node.sessions_)},
                           {"connections", node.sessions_->size()},
+                          {"lag_ms", (boot_now() - plan.began_at_).count_},
                           {"answers_ms", (plan.answers_until_ - plan.began_at_).count_},
                           {"ends_ms", (plan.ends_at_ - plan.began_at_).count_}});
     node.stop_placing_();
@@ -54,7 +52,7 @@
     }
     while (boot_now() < plan.answers_until_ &&
            (boot_now() < plan.quiet_from_ || open_requests(*node.sessions_) > 0)) {
-        co_await pause_for(look_pause);
+        co_await pause_for(std::min(look_pause, plan.answers_until_ - boot_now()));
     }
     begin_closing(plan, boot_now());
     log_decision("stop-closing", {{"open", open_requests(*node.sessions_)},
@@ -66,7 +64,7 @@
         for (auto* const session : *node.sessions_) {
             session->end_request();
         }
-        co_await pause_for(look_pause);
+        co_await pause_for(std::min(look_pause, std::max(millis{1}, plan.ends_at_ - boot_now())));
     }
     auto const now = boot_now();
     log_unanswered(node, now);
@@ -76,8 +74,8 @@
     for (auto* const session : *node.sessions_) {
         session->abort();
     }
-    // What a session has booked at the node ends with it, so the node has to outlive it.
-    while (!node.sessions_->empty() && boot_now() < now + unwinding_time) {
+    // Each session names its request in the log.
+    while (!node.sessions_->empty() && boot_now() < now + plan.unwinding_) {
         co_await pause_for(millis{1});
     }
     node.loop_.stop();
--- a/tests/coordination/shutdown_plan_test.cpp
+++ b/tests/coordination/shutdown_plan_test.cpp
@@ -21,6 +21,8 @@
         if (grace >= 100) {
             CHECK(plan.answers_until_ < plan.ends_at_);
             CHECK(plan.ends_at_ < now + millis{grace});
+            CHECK(plan.unwinding_ > millis{0});
+            CHECK(plan.ends_at_ + plan.unwinding_ < now + millis{grace});
         }
     }
 }
@@ -68,6 +70,41 @@
     }
 }
 
+// Guards against a last phase that begins late and lasts beyond the kill.
+TEST_CASE("a last phase that begins late ends before the kill", "[shutdown][promise-12]")
+{
+    for (auto const grace : {1'000, 2'000, 3'000, 5'000, 8'000}) {
+        auto const plan = plan_shutdown(millis{0}, millis{grace}, millis{2'000});
+        for (auto at = plan.answers_until_; at < plan.ends_at_; at = at + millis{1}) {
+            CAPTURE(grace, at.count_);
+            auto closing = plan;
+            begin_closing(closing, at);
+            CHECK(closing.ends_at_ + closing.unwinding_ < millis{grace});
+            CHECK(closing.ends_at_ > at);
+        }
+    }
+}
+
+// Guards against a grace time that counts from when a paused process took the signal, and against giving up
+// requests for a pause that began long before it.
+TEST_CASE("the grace time counts from when the stop signal may have come", "[shutdown][promise-12]")
+{
+    struct row {
+        millis grace_;
+        millis looked_ago_;
+        millis lag_;
+    };
+    for (auto const& row :
+         {row{millis{2'000}, millis{0}, millis{0}}, row{millis{2'000}, millis{45}, millis{0}},
+          row{millis{2'000}, millis{300}, millis{300}}, row{millis{2'000}, millis{4'000}, millis{500}},
+          row{millis{8'000}, millis{4'000}, millis{500}}, row{millis{1'000}, millis{4'000}, millis{250}},
+          row{millis{0}, millis{4'000}, millis{0}}}) {
+        CAPTURE(row.grace_.count_, row.looked_ago_.count_);
+        auto const now = millis{100'000};
+        CHECK(now - signal_time(now, now - row.looked_ago_, row.grace_) == row.lag_);
+    }
+}
+
 // Guards against callers that are sent away for longer than they need to be, or back to a process that ends.
 TEST_CASE("a refused caller may come back at once if there is another VM, else after the restart",
           "[shutdown]")
--- a/tests/transport/entry/planned_stop_test.cpp
+++ b/tests/transport/entry/planned_stop_test.cpp
@@ -616,6 +616,45 @@
     }
 }
 
+// Guards against a process that stands still for a moment, and is killed as its steps then come late.
+TEST_CASE("a planned stop with a short pause in it ends in time", "[entry][promise-12]")
+{
+    constexpr auto short_grace = 2'000ms;
+    struct row {
+        char const* what_;
+        std::chrono::milliseconds from_; ///< Since the signal.
+        std::chrono::milliseconds to_;
+    };
+    auto const r =
+        GENERATE(row{"as the signal comes", 0ms, 400ms}, row{"as the answers' time ends", 1'600ms, 1'850ms});
+    CAPTURE(r.what_);
+    entry_world world{{after_probe([](received_request const&, owned_socket& connection) {
+                          (void)connection.receive(); // works until the daemon gives up
+                          return false;
+                      })},
+                      "shutdown_grace_s: 2\n"};
+    auto const caller = connect_to(world.ip_, callers_port); // does not close it
+    caller.send(request_text("POST", "/buy/1", "id-long", "an order", 4s));
+    REQUIRE(eventually(limit, [&] { return world.arrivals() == 1; }));
+    auto& daemon = world.daemon();
+    auto const began = std::chrono::steady_clock::now();
+    if (r.from_ == 0ms) {
+        daemon.freeze();
+        ::kill(daemon.pid(), SIGTERM);
+    } else {
+        ::kill(daemon.pid(), SIGTERM);
+        std::this_thread::sleep_until(began + r.from_); // the pause that the test is about
+        daemon.freeze();
+    }
+    std::this_thread::sleep_until(began + r.to_);
+    daemon.resume();
+    REQUIRE(eventually(limit, [&] { return daemon.has_ended(); }));
+    CHECK(std::chrono::steady_clock::now() - began < short_grace);
+    CHECK(daemon.wait_end() == 0);
+    CHECK(entry_world::status_of(receive_whole(caller)) == 502);
+    CHECK(daemon.read_to_end().find("\"event\":\"ended\"") != std::string::npos);
+}
+
 // Guards against a signal that meets no handler any more while the process ends.
 TEST_CASE("signals that come to the very end of a stop change nothing", "[entry][promise-12]")
 {
