Write this VM's record among the members again if it was overwritten or dropped

Callers saw: nothing at first; a VM that started after another writer had put an odd record over that of a running VM, or had deleted it, never knew that VM, since each VM writes its record once. Its messages counted as from an unknown sender, for which the store was asked again and again, and the two shared no limits. Found with fresh eyes on odd input.

Change: a VM that reads the members' topic and finds its own record unreadable or deleted writes it again. A readable record of that name is left alone: two VMs of one name must not overwrite each other again and again. Parsing is a function of its own now.

--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -484,16 +484,12 @@
         .dump();
 }
 
-bool take_member(entry_view& draft, std::string const& vm, std::optional<std::string> const& document)
+/// \returns None, with a line in the log, if the record names no member.
+std::optional<entry_member> parse_member(std::string const& vm, std::string const& document)
 {
-    auto const known = std::find_if(draft.members_.begin(), draft.members_.end(),
-                                    [&](entry_member const& member) { return member.vm_ == vm; });
-    if (!document) {
-        return false;
-    }
     entry_member member{.vm_ = vm};
     try {
-        auto const fields = platform::parse_document(*document);
+        auto const fields = platform::parse_document(document);
         constexpr platform::integer_range incarnations{0, std::numeric_limits<std::int64_t>::max()};
         member.incarnation_ =
             static_cast<std::uint64_t>(platform::integer_field(fields, "incarnation", 0, incarnations));
@@ -503,45 +499,67 @@
         member.strength_ = platform::integer_field(fields, "strength", 1, {1, max_strength});
         (void)parse_endpoint(member.peer_address_);    // a message is sent there
         (void)parse_endpoint(member.callers_address_); // callers are sent there
+        return member;
     } catch (std::exception const& failure) {
         log_failure("member-unreadable", {{"vm", vm}, {"fault", failure.what()}});
+        return std::nullopt;
+    }
+}
+
+/// How far the members were read, and whether this VM is among them.
+struct member_feed {
+    std::optional<std::uint64_t> next_; ///< Offset of the next read; none: all are read.
+    bool registered_{};
+};
+
+/// Takes a record of a member. One that names none leaves the member in force; if it is this VM's own, it is
+/// written again, since VMs that start later could not know this VM. \returns Whether the view changed.
+bool take_member(store_reader& reader, member_feed& feed, platform::keyed_record const& record)
+{
+    auto& members = reader.draft_.members_;
+    auto member = record.value_ ? parse_member(record.key_, *record.value_) : std::nullopt;
+    if (record.key_ == reader.settings_.vm_) {
+        feed.registered_ = member && (feed.registered_ || *record.value_ == member_document(reader));
+    }
+    if (!member) {
         return false;
     }
-    if (known != draft.members_.end()) {
-        bool const changed = !(*known == member);
-        *known = std::move(member);
+    auto const known = std::find_if(members.begin(), members.end(),
+                                    [&](entry_member const& other) { return other.vm_ == member->vm_; });
+    if (known != members.end()) {
+        bool const changed = !(*known == *member);
+        *known = std::move(*member);
         return changed;
     }
-    log_decision("member-seen", {{"vm", vm}, {"peer", member.peer_address_}});
-    draft.members_.push_back(std::move(member));
+    log_decision("member-seen", {{"vm", member->vm_}, {"peer", member->peer_address_}});
+    members.push_back(std::move(*member));
     return true;
 }
 
-/// Reads the members that are new since `next`, or all of them. \returns Whether the view changed.
-net::awaitable<bool> read_members(store_reader& reader, platform::store_client& store,
-                                  std::optional<std::uint64_t>& next)
+/// Reads the members that are new, or all of them. \returns Whether the view changed.
+net::awaitable<bool> read_members(store_reader& reader, platform::store_client& store, member_feed& feed)
 {
     bool changed = false;
-    while (next) {
-        auto const page = co_await store.read(platform::member_topic, *next, millis{0});
+    while (feed.next_) {
+        auto const page = co_await store.read(platform::member_topic, *feed.next_, millis{0});
         if (page.expired_) {
             break;
         }
         for (auto const& stored : page.records_) {
             if (auto const record = platform::parse_keyed_record(stored.bytes_)) {
-                changed = take_member(reader.draft_, record->key_, record->value_) || changed;
+                changed = take_member(reader, feed, *record) || changed;
             }
         }
-        next = page.next_offset_;
+        feed.next_ = page.next_offset_;
         if (page.records_.empty() || page.next_offset_ >= page.end_offset_) {
             co_return changed;
         }
     }
     auto const newest = co_await store.read_newest(platform::member_topic);
     for (auto const& record : newest.records_) {
-        changed = take_member(reader.draft_, record.key_, record.value_) || changed;
+        changed = take_member(reader, feed, record) || changed;
     }
-    next = newest.next_offset_;
+    feed.next_ = newest.next_offset_;
     co_return changed;
 }
 
@@ -584,9 +602,8 @@
 {
     platform::store_client store{reader.loop_, reader.settings_.store_address_, store_call_limit};
     growing_pause after_failure;
-    bool registered = false;
+    member_feed feed;
     bool evidence_read = false;
-    std::optional<std::uint64_t> next;
     millis read_at{};
     while (true) {
         std::string fault;
@@ -595,24 +612,24 @@
                 co_await read_evidence(reader, store); // before callers are taken
                 evidence_read = true;
             }
-            if (!next) {
-                (void)co_await read_members(reader, store, next);
+            if (!feed.next_) {
+                (void)co_await read_members(reader, store, feed);
                 reader.draft_.members_read_ = true;
                 publish(reader);
             }
-            if (!registered) {
+            if (!feed.registered_) {
                 auto const outcome = co_await store.append(
                     platform::member_topic,
                     platform::encode_keyed_record(reader.settings_.vm_, member_document(reader)),
                     std::nullopt);
-                registered = outcome.result_ == platform::append_result::stored;
+                feed.registered_ = outcome.result_ == platform::append_result::stored;
             }
             bool const unknown_sender_seen =
                 reader.shared_.unknown_sender_seen_.load(std::memory_order_acquire);
             if (unknown_sender_seen || boot_now() - read_at > member_refresh) {
                 reader.shared_.unknown_sender_seen_.store(false, std::memory_order_release);
                 read_at = boot_now();
-                if (co_await read_members(reader, store, next)) {
+                if (co_await read_members(reader, store, feed)) {
                     publish(reader);
                 }
             }
--- a/tests/transport/entry/store_reader_test.cpp
+++ b/tests/transport/entry/store_reader_test.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr auto* const topic = "keyed.servers";
+constexpr auto* const own_vm = "own";
 constexpr auto* const honest_vm = "honest";
 constexpr auto* const false_vm = "false";
 
@@ -23,6 +24,10 @@
 struct followed_reader {
     explicit followed_reader() : store_{own_address()}
     {
+        settings_.vm_ = own_vm;
+        settings_.ip_ = own_address();
+        settings_.callers_listen_ = own_address() + ":80";
+        settings_.peer_port_ = 7600;
         settings_.store_address_ = own_address() + ":" + std::to_string(store_.port());
         put("i-1", sound_entry());
         start_reading(reader_);
@@ -85,6 +90,20 @@
         return condition();
     }
 
+    /// \returns Whether the store names the VM among the members.
+    [[nodiscard]] bool is_registered() const
+    {
+        httplib::Client client{own_address(), store_.port()};
+        auto const answer = client.Get("/auburnchute/log-newest?topic=keyed.auburnchute-members&part=0");
+        REQUIRE(answer);
+        auto const items = nlohmann::json::parse(answer->body).at("items");
+        return std::any_of(items.begin(), items.end(), [](auto const& item) {
+            constexpr std::size_t least_size = 80; // of a sound record in base64
+            return item.at("key") == own_vm &&
+                   item.at("value").template get<std::string>().size() > least_size;
+        });
+    }
+
     void run_for(std::chrono::milliseconds time)
     {
         (void)run_until(time, [] { return false; });
@@ -126,3 +145,17 @@
     // Nor does it read all entries again for each such message.
     CHECK(world.store_.newest_reads(topic) <= 3);
 }
+
+// Guards against a VM that those which start later never know, since its record in the store is written once.
+TEST_CASE("a VM whose record among the members was overwritten or dropped writes it again", "[entry][odd]")
+{
+    auto const* const odd = GENERATE("{", "[]", R"({"peers":"10.0.0.1:0","callers":"10.0.0.1:80"})", "");
+    CAPTURE(odd);
+    followed_reader world;
+    std::chrono::seconds const limit{15};
+    REQUIRE(world.run_until(limit, [&] { return world.is_registered(); }));
+    world.store_.put("keyed.auburnchute-members", own_vm, odd);
+    REQUIRE_FALSE(world.is_registered());
+    world.shared_.unknown_sender_seen_ = true; // as when a VM that is new sends its first message
+    CHECK(world.run_until(limit, [&] { return world.is_registered(); }));
+}
