--- a/tests/platform/json_codec_test.cpp
+++ b/tests/platform/json_codec_test.cpp
@@ -220,6 +220,8 @@
                             row{"born", "-9223372036854775808"},
                             row{"born", "18446744073709551615"},
                             row{"born", "1e300"},
+                            row{"born", "1700000000123000"}, // microseconds
+                            row{"born", "1000000000000000"},
                             row{"models", R"([{"name":"m","version":1e300}])"},
                             row{"models", R"([{"name":"m","version":18446744073709551615}])"},
                             row{"address", R"("10.0.0.1:0")"},
@@ -279,10 +281,9 @@
 TEST_CASE("a registry entry whose id cannot be a header value is ignored", "[platform][odd]")
 {
     auto const document = entry_with("slots", "6");
-    for (auto const& id :
-         {std::string{}, std::string{"i\r\nX-Tenant: w"}, std::string{"i\0j", 3}, std::string{"i-\x01"},
-          std::string{"i-\x7f"}, std::string{"\xff\xfe"}, std::string{" i-1"}, std::string{"i-1\t"},
-          std::string{"i-\xef\xbf\xbd"}}) {
+    for (auto const& id : {std::string{}, std::string{"i\r\nX-Tenant: w"}, std::string{"i\0j", 3},
+                           std::string{"i-\x01"}, std::string{"i-\x7f"}, std::string{"\xff\xfe"},
+                           std::string{" i-1"}, std::string{"i-1\t"}, std::string{"i-\xef\xbf\xbd"}}) {
         CAPTURE(id);
         CHECK_FALSE(parse_upstream(id, document));
     }
