Read the entries anew ever more seldom while a peer differs for good

Callers saw: a VM read all entries again after every four messages of a peer whose digest of the upstreams differed from its own at the same offset. If the difference is for good, as with a peer of another release during a rolling update, it did so for ever; all reads are paid for.

Change: the first difference leads to a read at once, as before; the next reads come no sooner than 1 s, 2 s, 4 s and so on up to 60 s after the one before. After 60 s without a need it starts anew.

Measured: the new test (a false peer that differs in each message) counted more than 3 further reads in 4 s before, and failed; it passed after.

--- a/src/transport/entry/peer_exchange.cpp
+++ b/src/transport/entry/peer_exchange.cpp
@@ -30,6 +30,11 @@
 /// reads the entries anew: one may have been under way while this VM's own changed.
 constexpr int differing_messages = 4;
 
+/// Least time between two such reads, doubled after each one: a peer of another release may differ for good.
+/// After the longest time without one, the next starts anew.
+constexpr millis first_reread_pause{1'000};
+constexpr millis longest_reread_pause{60'000};
+
 /// Needs kept without requests are dropped below this rate, in requests a second.
 constexpr double forgotten_rate = min_need_rate / 10;
 
@@ -52,7 +57,9 @@
     wake_event wake_;
     urgent_targets urgent_{};
     millis urgent_sent_at_{};
-    int differing_{}; ///< Messages in a row whose digest of the upstreams differs.
+    int differing_{};      ///< Messages in a row whose digest of the upstreams differs.
+    millis next_reread_{}; ///< The entries are not read anew before.
+    millis reread_pause_{first_reread_pause};
     std::array<std::uint8_t, max_datagram> received_{};
 };
 
@@ -309,11 +316,18 @@
         own.differing_ = 0;
         return;
     }
-    if (++own.differing_ >= differing_messages) {
-        own.differing_ = 0;
-        log_failure("upstreams-differ", {{"vm", message.vm_}, {"offset", offset}});
-        node.reread_upstreams_();
+    auto const now = boot_now();
+    if (++own.differing_ < differing_messages || now < own.next_reread_) {
+        return;
+    }
+    if (now - own.next_reread_ > longest_reread_pause) {
+        own.reread_pause_ = first_reread_pause;
     }
+    own.differing_ = 0;
+    own.next_reread_ = now + own.reread_pause_;
+    own.reread_pause_ = std::min(own.reread_pause_ * 2, longest_reread_pause);
+    log_failure("upstreams-differ", {{"vm", message.vm_}, {"offset", offset}});
+    node.reread_upstreams_();
 }
 
 /// Hands what the message says of the upstreams' entries to the thread that keeps them.
--- a/tests/transport/entry/odd_entries_test.cpp
+++ b/tests/transport/entry/odd_entries_test.cpp
@@ -348,6 +348,38 @@
     check_follows(world, second, "third");
 }
 
+// Guards against a VM that reads all entries again and again because of a peer that differs for good, as one
+// of another release may.
+TEST_CASE("a peer whose upstreams differ for good has the entries read anew ever more seldom", "[entry][odd]")
+{
+    entry_world world{{answering("first")}};
+    false_peer const peer{world.ip_};
+    world.store_.put("keyed.auburnchute-members", "front-z-1",
+                     nlohmann::json{{"incarnation", 5},
+                                    {"peers", peer.address()},
+                                    {"callers", peer.address()},
+                                    {"zone", "z"},
+                                    {"strength", 1}}
+                         .dump());
+    fleet_message message;
+    message.vm_ = "front-z-1";
+    message.incarnation_ = 5;
+    message.kind_ = message_kind::mesh;
+    message.term_ = 1;
+    message.send_interval_ = millis{200};
+    message.seen_news_ = 1; // the one entry
+    message.registry_ = 1;  // the digest of none
+    auto const tell = [&] {
+        ++message.sent_at_;
+        peer.send(world.ip_, encode_message(message));
+        return world.store_.newest_reads("keyed.servers");
+    };
+    auto const reads = world.store_.newest_reads("keyed.servers");
+    CHECK(eventually(limit, [&] { return tell() > reads; })); // it may have missed a record
+    // At 1 s, 3 s and 7 s after the first.
+    CHECK_FALSE(eventually(std::chrono::seconds{4}, [&] { return tell() > reads + 3; }));
+}
+
 // Guards against a VM that ends because of a datagram.
 TEST_CASE("odd datagrams of a peer neither end a VM nor keep it from following the entries", "[entry][odd]")
 {
