--- a/tests/platform/json_codec_test.cpp
+++ b/tests/platform/json_codec_test.cpp
@@ -220,6 +220,8 @@
                             row{"born", "-9223372036854775808"},
                             row{"born", "18446744073709551615"},
                             row{"born", "1e300"},
+                            row{"born", "1700000000123000"}, // microseconds
+                            row{"born", "1000000000000000"},
                             row{"models", R"([{"name":"m","version":1e300}])"},
                             row{"models", R"([{"name":"m","version":18446744073709551615}])"},
                             row{"address", R"("10.0.0.1:0")"},
