Wait for conditions in the tests of leaving upstreams and of auburnchuted's stops

What was wrong: tests waited for fixed times; on a slow machine, too short a wait let the first test of leaves pass where it should fail.

What each waits for now: - first reads (3 s): each of the three VMs that read for all has read the upstreams' entries within 1.6 s, and none of the others; the links see the reads. A VM that must read itself does so after 1.3 s. - proxies (0.2 s): all open connections of all links have taken up the fault that was set last; a VM that is to pause has stopped, and one that is to be killed has ended. - the spread of a leave (2 s): still the bound itself; the second VM may not become unready within it. - the upstream that decides while others come (0.1 s): until all of a further crowd wait at the daemon or have answers, 0.2 s at most, since the next request may try after 0.3 s. That all come to one of these is a check. - auburnchuted, a request that is being read (2.6 s): still the bound itself; the daemon may not end within it. - auburnchuted, kept connections (0.3 s after SIGTERM): nothing; that the stop has begun is known before. Left as they are: rounds of requests at a pace, and the soak's timetables and callers' pauses, which stand for no condition.

--- a/tests/soak/loopback_proxy.hpp
+++ b/tests/soak/loopback_proxy.hpp
@@ -2,11 +2,16 @@
 
 #include "transport/entry/standin_platform.hpp"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -24,12 +29,15 @@
 
 /// \brief A TCP proxy on loopback that injects faults of a link between a daemon and what it speaks to.
 ///
-/// Thread safety: `set_fault` may be called from any thread.
+/// Thread safety: `set_fault` and `fault_in_force` may be called from any thread.
 class loopback_proxy {
 public:
-    loopback_proxy(std::string const& ip, std::string const& target_ip, int target_port)
-        : listener_{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)}, target_ip_{target_ip}, target_port_{
-                                                                                                  target_port}
+    /// Called with each piece that passes to the target, on a thread of its connection.
+    using observer = std::function<void(std::string_view)>;
+
+    loopback_proxy(std::string const& ip, std::string const& target_ip, int target_port, observer seen = {})
+        : listener_{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)}, target_ip_{target_ip},
+          target_port_{target_port}, seen_{std::move(seen)}
     {
         address_ = listen_at(listener_, ip);
         acceptor_ = std::thread{[this] { accept_all(); }};
@@ -47,7 +55,19 @@
     loopback_proxy& operator=(loopback_proxy const&) = delete;
 
     [[nodiscard]] std::string const& address() const noexcept { return address_; }
-    void set_fault(link_fault fault) { fault_ = fault; }
+    void set_fault(link_fault fault)
+    {
+        fault_ = fault;
+        ++faults_set_;
+    }
+
+    /// \returns Whether all open connections have taken up the fault that was set last.
+    [[nodiscard]] bool fault_in_force()
+    {
+        std::scoped_lock const lock{mutex_};
+        return std::all_of(fault_seen_.begin(), fault_seen_.end(),
+                           [this](auto const& seen) { return seen.second == faults_set_; });
+    }
 
 private:
     static constexpr int poll_ms = 20; ///< A change of the fault is seen within this time.
@@ -65,17 +85,35 @@
     }
 
     /// \returns False at the end of the connection.
-    static bool pass(owned_socket const& from, owned_socket const& to)
+    static bool pass(owned_socket const& from, owned_socket const& to, observer const& seen = {})
     {
         std::array<char, 8'192> buffer{};
         auto const got = ::recv(from.handle(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+        if (got > 0 && seen) {
+            seen({buffer.data(), static_cast<std::size_t>(got)});
+        }
         if (got > 0) {
             to.send({buffer.data(), static_cast<std::size_t>(got)});
         }
         return got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
     }
 
+    void note_fault_seen(int connection, int faults_set)
+    {
+        std::scoped_lock const lock{mutex_};
+        fault_seen_[connection] = faults_set;
+    }
+
     void pump(owned_socket client)
+    {
+        int const connection = client.handle();
+        note_fault_seen(connection, faults_set_);
+        pass_until_end(client, connection);
+        std::scoped_lock const lock{mutex_};
+        fault_seen_.erase(connection);
+    }
+
+    void pass_until_end(owned_socket& client, int connection)
     {
         if (fault_ == link_fault::reset) {
             client.reset();
@@ -89,6 +127,7 @@
         }
         bool silent = false;
         while (!ended_) {
+            int const faults_set = faults_set_; // before the fault
             auto const fault = fault_.load();
             if (fault == link_fault::reset) {
                 client.reset();
@@ -96,6 +135,7 @@
                 return;
             }
             silent = silent || fault == link_fault::silent;
+            note_fault_seen(connection, faults_set);
             bool const forward = !silent && fault != link_fault::cut_forward;
             bool const backward = !silent && fault != link_fault::cut_backward;
             std::array<pollfd, 2> ready{
@@ -108,7 +148,7 @@
                 std::unique_lock lock{mutex_};
                 delay_.wait_for(lock, added_delay, [this] { return ended_.load(); });
             }
-            bool const open = (!forward || ready[0].revents == 0 || pass(client, server)) &&
+            bool const open = (!forward || ready[0].revents == 0 || pass(client, server, seen_)) &&
                               (!backward || ready[1].revents == 0 || pass(server, client));
             bool const broken = ((ready[0].revents | ready[1].revents) & (POLLERR | POLLNVAL)) != 0 ||
                                 ((!forward && (ready[0].revents & POLLHUP) != 0)) ||
@@ -123,7 +163,10 @@
     std::string address_;
     std::string target_ip_;
     int target_port_;
+    observer seen_;
     std::atomic<link_fault> fault_{link_fault::none};
+    std::atomic<int> faults_set_{0};
+    std::map<int, int> fault_seen_; ///< Of each open connection, the value of `faults_set_` that it took up.
     std::atomic<bool> ended_{false};
     std::mutex mutex_;
     std::condition_variable delay_;
--- a/tests/transport/daemon_stop_test.cpp
+++ b/tests/transport/daemon_stop_test.cpp
@@ -329,7 +329,7 @@
     auto const began = begin_stop(f);
     connection.send(text.substr(0, text.size() - 5));
     auto const after_quiet = 2'600ms; // twice the lifetime of the entry list and a second, with slack
-    std::this_thread::sleep_for(after_quiet - since(began));
+    REQUIRE_FALSE(eventually(after_quiet - since(began), [&f] { return f.daemon(0).has_ended(); }));
     connection.send(text.substr(text.size() - 5));
     auto const answer = connection.receive_all(4s);
     CAPTURE(tls, answer.text_);
@@ -367,7 +367,6 @@
     fleet f{{.daemons_ = 1, .engines_ = 1, .tls_ = tls}};
     std::vector<caller_connection> idle;
     auto const began = begin_stop(f);
-    std::this_thread::sleep_for(300ms - since(began)); // within the lifetime of the entry list, 500 ms
     for (int i = 0; i < 3; ++i) {
         idle.push_back(connect_to_daemon(f));
     }
--- a/tests/transport/entry/leaving_upstream_test.cpp
+++ b/tests/transport/entry/leaving_upstream_test.cpp
@@ -4,6 +4,7 @@
 #include <auburnchute/relay_plan.hpp>
 
 #include <algorithm>
+#include <array>
 
 using namespace auburnchute::tests;
 using namespace std::chrono_literals;
@@ -45,7 +46,12 @@
     {
         for (std::size_t vm = 0; vm < vms; ++vm) {
             order_.push_back(vm);
-            links_.push_back(std::make_unique<loopback_proxy>(world_.ip_, world_.ip_, world_.store_.port()));
+            links_.push_back(std::make_unique<loopback_proxy>(
+                world_.ip_, world_.ip_, world_.store_.port(), [this, vm](std::string_view sent) {
+                    if (sent.find("topic=keyed.servers") != std::string_view::npos) {
+                        read_at_[vm] = steady::now();
+                    }
+                }));
             world_.start_daemon(address_of(vm), name_of(vm), "a", "", links_.back()->address());
         }
         world_.daemons_.erase(world_.ip_);
@@ -62,7 +68,9 @@
     ~leaving_world()
     {
         for (auto const& [ip, daemon] : world_.daemons_) {
-            ::kill(daemon->pid(), SIGCONT);
+            if (daemon->running()) {
+                ::kill(daemon->pid(), SIGCONT);
+            }
         }
     }
     leaving_world(leaving_world const&) = delete;
@@ -79,7 +87,7 @@
 
     void break_reader(std::size_t vm, reader_fault fault)
     {
-        auto const pid = world_.daemons_.at(address_of(vm))->pid();
+        auto& daemon = *world_.daemons_.at(address_of(vm));
         switch (fault) {
         case reader_fault::none:
             return;
@@ -90,14 +98,31 @@
             links_[vm]->set_fault(link_fault::reset);
             return;
         case reader_fault::paused:
-            ::kill(pid, SIGSTOP);
+            daemon.freeze();
             return;
         case reader_fault::killed:
-            ::kill(pid, SIGKILL);
+            daemon.kill();
             return;
         }
     }
 
+    /// \returns Whether the VMs that read for all read the entries, and the others need not.
+    [[nodiscard]] bool is_settled() const
+    {
+        std::size_t place = 0;
+        return std::all_of(order_.begin(), order_.end(), [&](auto vm) {
+            bool const reads = steady::now() - read_at_[vm].load() < no_read;
+            return reads == (place++ < readers);
+        });
+    }
+
+    /// \returns Whether the links have taken up the faults that were set.
+    [[nodiscard]] bool faults_in_force() const
+    {
+        return std::all_of(links_.begin(), links_.end(),
+                           [](auto const& link) { return link->fault_in_force(); });
+    }
+
     /// \returns The time from now to the last request that the first upstream gets from these VMs.
     [[nodiscard]] std::chrono::milliseconds last_arrival(std::vector<std::size_t> const& from)
     {
@@ -115,13 +140,17 @@
     }
 
     static constexpr std::size_t vms = 5;
-    static constexpr int pace_ms = 10;      ///< Time between rounds of requests.
-    static constexpr int settle_ms = 3'000; ///< Until then VMs that need not read end their first reads.
-    static constexpr int fault_ms = 200;    ///< Within this time the proxies have taken up a fault.
+    static constexpr int pace_ms = 10; ///< Time between rounds of requests.
+
+    /// A VM that reads itself does so after two thirds of the bound, see leave_budget; one that did not read
+    /// for this time is told.
+    static constexpr std::chrono::milliseconds no_read{1'600};
 
     std::vector<std::size_t> order_;         ///< VMs in the order in which they read for all.
     std::atomic<steady::time_point> last_{}; ///< When the first upstream last got a request.
 
+    std::array<std::atomic<steady::time_point>, vms> read_at_{}; ///< When each VM last read the entries.
+
 private:
     scripted_upstream::script script()
     {
@@ -157,7 +186,7 @@
                  row{reader_fault::killed, readers});
     CAPTURE(static_cast<int>(fault), broken);
     leaving_world world;
-    ::poll(nullptr, 0, leaving_world::settle_ms);
+    REQUIRE(eventually(limit, [&world] { return world.is_settled(); }));
     std::vector<std::size_t> sound;
     for (std::size_t place = 0; place < world.order_.size(); ++place) {
         if (place < broken) {
@@ -166,7 +195,7 @@
             sound.push_back(world.order_[place]);
         }
     }
-    ::poll(nullptr, 0, leaving_world::fault_ms);
+    REQUIRE(eventually(limit, [&world] { return world.faults_in_force(); }));
     world.world_.put_entry(0, "draining", 1);
     CHECK(world.last_arrival(sound) <= leave_bound);
 }
@@ -176,12 +205,12 @@
           "[entry][promise-11]")
 {
     leaving_world world;
-    ::poll(nullptr, 0, leaving_world::settle_ms);
+    REQUIRE(eventually(limit, [&world] { return world.is_settled(); }));
     std::vector<std::size_t> const sound{world.order_.begin() + readers, world.order_.end()};
     for (auto const vm : sound) {
         world.links_[vm]->set_fault(link_fault::silent);
     }
-    ::poll(nullptr, 0, leaving_world::fault_ms);
+    REQUIRE(eventually(limit, [&world] { return world.faults_in_force(); }));
     for (auto const vm : sound) {
         world.links_[vm]->set_fault(link_fault::none);
     }
@@ -278,7 +307,8 @@
     }
     CHECK(at_first == 1);
 
-    ::poll(nullptr, 0, static_cast<int>(leave_bound.count()));
+    // The bound itself: nothing but time shows that it is over.
+    REQUIRE_FALSE(eventually(leave_bound, [&] { return !world.ready(second); }));
     auto const before = at_second.load();
     for (int i = 0; i < 50; ++i) {
         CHECK(ask("second", second) == 200);
@@ -320,25 +350,43 @@
 TEST_CASE("after the time that an upstream asked for, one request goes first", "[entry]")
 {
     constexpr int crowd = 10;
-    constexpr int pause_ms = 50;
+    constexpr auto decides_within = 200ms; // below the time after which the next one may try
     std::atomic<int> tries{0};
+    std::atomic<bool> crowd_is_there{false};
     entry_world world{{after_probe([&](received_request const& request, owned_socket& connection) {
         bool const first = ++tries == 1;
-        std::this_thread::sleep_for(first ? 0ms : 100ms); // it decides while others come
+        if (!first) {
+            (void)eventually(decides_within, [&] { return crowd_is_there.load(); });
+        }
         return send_answer(answer_kind::refusal, request, connection,
                            first ? "Retry-After: 1\r\n" : "Retry-After: 30\r\n");
     })}};
     REQUIRE(entry_world::status_of(world.call("POST", "/buy/1", "x").receive_until("\r\n\r\n")) == 503);
     REQUIRE(tries == 1);
     std::vector<owned_socket> callers;
+    auto const call = [&] {
+        callers.push_back(world.call("POST", "/buy/1", "x", "Api-Key: key\r\n", "",
+                                     "id-" + std::to_string(callers.size() + 2)));
+    };
     REQUIRE(eventually(limit, [&] {
         for (int i = 0; i < crowd; ++i) {
-            callers.push_back(world.call("POST", "/buy/1", "x", "Api-Key: key\r\n", "",
-                                         "id-" + std::to_string(callers.size() + 2)));
+            call();
         }
-        ::poll(nullptr, 0, pause_ms);
         return tries > 1;
     }));
+    for (int i = 0; i < crowd; ++i) {
+        call();
+    }
+    // All have an answer or wait at the daemon.
+    CHECK(eventually(2s, [&] {
+        auto const answered = std::count_if(callers.begin(), callers.end(), [](owned_socket const& caller) {
+            pollfd readable{caller.handle(), POLLIN, 0};
+            return ::poll(&readable, 1, 0) > 0;
+        });
+        return static_cast<double>(answered) + world.metric(world.ip_, "auburnchute_open_requests") >=
+               static_cast<double>(callers.size());
+    }));
+    crowd_is_there = true;
     for (auto const& caller : callers) {
         CHECK(entry_world::status_of(caller.receive_until("\r\n\r\n")) == 503);
     }
