Let relays send to all relays that others list, so that none misses usage

Cause: a relay sends to the relays of its plan and to those from which it receives. Two relays of which neither plans the other never exchange messages, so each misses the usage of the other and of its leaves, and passes sums without it to its own leaves. Other relays list both as live, so the share of the fleet counts as whole. It happens while VMs know different members (one with 11 of 75 relayed for itself and spent 362,000 of 2,966,000 units in 8 s), after a backoff, and with VMs that must be relays.

Change: a relay sends also to the members that responsive relays list as relays, even in their backoff.

Test: "relays that others have not planned charge each other's usage" failed before (210 of 465 checks, such as 44,200 of 60,000 units known) and passes. All coordination tests pass (163).

--- a/src/coordination/fleet_exchange.cpp
+++ b/src/coordination/fleet_exchange.cpp
@@ -185,6 +185,29 @@
     return fleet;
 }
 
+/// Adds relays that are not in this VM's plan to its mesh: those that show it by their mesh messages, and
+/// those that other relays list. Without the latter, two relays of which neither plans the other would never
+/// exchange messages.
+void add_unplanned_relays(fleet_exchange& exchange, millis now)
+{
+    auto const add = [&](std::string const& vm) {
+        if (std::find(exchange.mesh_.begin(), exchange.mesh_.end(), vm) == exchange.mesh_.end()) {
+            exchange.mesh_.push_back(vm);
+        }
+    };
+    for (auto const& [vm, peer] : exchange.peers_) {
+        if (peer.last_.kind_ == message_kind::mesh && is_responsive(peer, now)) {
+            add(vm);
+        }
+    }
+    for (auto const& member : exchange.members_) {
+        // Also one in its backoff: others receive from it, and it cannot know that this VM is a relay.
+        if (member.vm_ != exchange.vm_ && exchange.indirect_relays_.contains(short_hash_of(member.vm_))) {
+            add(member.vm_);
+        }
+    }
+}
+
 /// Sets the peers to which this VM sends, and the start time of those that are new.
 void update_sending_since(fleet_exchange& exchange, std::vector<std::string> const& targets, millis now)
 {
@@ -556,14 +579,7 @@
         for (auto const index : plan.mesh_) {
             exchange.mesh_.emplace_back(fleet[index].vm_);
         }
-        // A VM that computed another plan and considers itself a relay shows this by its mesh messages.
-        for (auto const& [vm, peer] : exchange.peers_) {
-            bool const known =
-                std::find(exchange.mesh_.begin(), exchange.mesh_.end(), vm) != exchange.mesh_.end();
-            if (!known && peer.last_.kind_ == message_kind::mesh && is_responsive(peer, now)) {
-                exchange.mesh_.push_back(vm);
-            }
-        }
+        add_unplanned_relays(exchange, now);
         targets = exchange.mesh_;
     } else {
         exchange.relay_ = std::string{fleet[*plan.relay_].vm_};
--- a/tests/coordination/fleet_exchange_test.cpp
+++ b/tests/coordination/fleet_exchange_test.cpp
@@ -379,6 +379,52 @@
     }
 }
 
+// Guards against relays that never exchange messages because neither plans the other: each missed the usage
+// of the other and of its leaves, and for half a minute after a start of all VMs, levels were full on some
+// and empty on others (seen on psm-frota-grown, scale-1, seed 12633884444).
+TEST_CASE("relays that others have not planned charge each other's usage", "[exchange][promise-7]")
+{
+    struct row {
+        int zones_;
+        int vms_in_zone_;
+        std::size_t more_relays_;   ///< VMs that must be relays and come late in the order of preference.
+        std::size_t known_members_; ///< What these VMs have read of the members so far; 0: all.
+        unsigned seed_;
+    };
+    for (auto const& row : {row{4, 16, 2, 0, 1}, row{3, 25, 3, 0, 2}, row{3, 25, 4, 0, 3},
+                            row{3, 25, 2, 11, 4}, row{3, 25, 4, 11, 5}, row{5, 19, 3, 12, 6}}) {
+        CAPTURE(row.zones_, row.vms_in_zone_, row.more_relays_, row.known_members_, row.seed_);
+        exchange_simulation simulation{row.zones_, row.vms_in_zone_, row.seed_};
+        simulation.run(millis{4'000});
+        std::vector<std::string> more;
+        for (auto const& member : simulation.members_) {
+            auto& vm = *simulation.vms_.at(member.vm_);
+            if (more.size() < row.more_relays_ && vm.exchange_.term_ == 0) {
+                more.push_back(member.vm_);
+                vm.exchange_.must_relay_ = true;
+                if (row.known_members_ > 0) {
+                    auto known = simulation.members_;
+                    known.resize(row.known_members_);
+                    set_members(vm.exchange_, known);
+                }
+            }
+        }
+        simulation.run(millis{3'000});
+        REQUIRE(current_relays(simulation).size() > more.size());
+        for (int round = 0; round < 300; ++round) {
+            simulation.spend_at(simulation.members_[simulation.rng_() % simulation.members_.size()].vm_, 100);
+            simulation.spend_at(more[static_cast<std::size_t>(round) % more.size()], 100);
+            simulation.run(millis{10});
+        }
+        simulation.run(millis{2'000});
+        auto const used = total_used(simulation);
+        for (auto const& [name, vm] : simulation.vms_) {
+            CAPTURE(name);
+            CHECK(known_used(simulation, name) == used);
+        }
+    }
+}
+
 // Guards against VMs that use withdrawn keys or old configurations because relays report a later confirmation
 // time than that of the VM that reads the store.
 TEST_CASE("relays never report a later confirmation of the configuration than the store reader", "[exchange]")
