Write the leave before the new upstream in the check that VMs follow the entries

What was seen: 5 of the 11 checks of one check_follows failed (case "before the first read", 1 of 6 runs of "[odd]" at a load of 22): the first answer came from the new upstream, five later ones from the one that leaves. The daemon's log was not kept, so this is explained by reading and not traced.

Cause, as read: the check wrote the new upstream first and the leave after it. The check took the first answer as a sign that the leave was known.

Change: the leave is written first. A VM takes the records in order, so one that answers from the new upstream knows the leave. The bound of 2 s and the number of checks are the same, and the ten requests after the first answer are now a proof that the leave holds.

--- a/tests/transport/entry/odd_entries_test.cpp
+++ b/tests/transport/entry/odd_entries_test.cpp
@@ -127,8 +127,9 @@
 {
     CAPTURE(ip, name);
     auto const leaving = world.upstreams_.size() - 1;
-    world.add_upstream(answering(name));
+    // The leave comes first, so that a VM which knows the new upstream knows of the leave.
     world.put_entry(leaving, "draining", 1);
+    world.add_upstream(answering(name));
     CHECK(eventually(in_force, [&] { return ask(world, ip) == name; }));
     for (int i = 0; i < 10; ++i) {
         CHECK(ask(world, ip) == name);
