Test that a stream lasts until its end or its time limit

Operators reported slow but sound streams that were cut, and stalled ones that sent a byte now and then and never ended. Five rows, with nothing, parts of an event or comments every 100 ms, and with events every 500 ms: a stream without an end ends at its time limit of 1.5 s, and its upstream's connection with it; slow ones come whole.

--- a/tests/transport/entry/faulty_upstream_test.cpp
+++ b/tests/transport/entry/faulty_upstream_test.cpp
@@ -1,6 +1,7 @@
 #include "transport/entry/entry_world.hpp"
 
 #include <atomic>
+#include <future>
 
 using namespace auburnchute::tests;
 
@@ -152,3 +153,58 @@
     CHECK(next.starts_with("HTTP/1.1 200"));
     CHECK(next.find("X-Request-Id: id-next") != std::string::npos);
 }
+
+// Guards against a stream that goes on for ever as bytes without an event come now and then, and against
+// cutting one that is slow but sound.
+TEST_CASE("a stream lasts until its end or its time limit, whatever comes between its events",
+          "[entry][promise-8]")
+{
+    constexpr auto allowed = std::chrono::milliseconds{1'500};
+    constexpr auto slack = std::chrono::milliseconds{500};
+    struct row {
+        char const* what_;
+        std::string between_; ///< Sent every 100 ms; empty: nothing.
+        int events_after_;    ///< The stream ends after so many of them; 0: it does not end.
+    };
+    auto const r =
+        GENERATE(row{"nothing", "", 0}, row{"parts of an event", "d", 0}, row{"comments", ":\n\n", 0},
+                 row{"slow events", "", 10}, row{"comments and slow events", ":\n\n", 10});
+    CAPTURE(r.what_);
+    std::promise<void> left;
+    entry_world world{{after_probe([&](received_request const& request, owned_socket& connection) {
+        connection.send(stream_head(request) + chunk(event(1)));
+        for (int round = 1;; ++round) {
+            pollfd ended{connection.handle(), POLLIN, 0};
+            if (::poll(&ended, 1, 100) > 0) {
+                left.set_value();
+                return false;
+            }
+            if (!r.between_.empty()) {
+                connection.send(chunk(r.between_));
+            }
+            if (r.events_after_ > 0 && round % 5 == 0) {
+                connection.send(chunk(event(1 + round / 5)));
+            }
+            if (round == r.events_after_) {
+                connection.send("0\r\n\r\n");
+                return true;
+            }
+        }
+    })}};
+    auto const caller = connect_to(world.ip_, callers_port);
+    auto const began = std::chrono::steady_clock::now();
+    caller.send("POST /watch/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: id-slow\r\nApi-Key: key\r\n"
+                "X-Deadline-Ms: " +
+                std::to_string(allowed.count()) + "\r\nContent-Length: 1\r\n\r\nq");
+    auto const answer = caller.receive_until("0\r\n\r\n");
+    auto const took = std::chrono::steady_clock::now() - began;
+    CHECK(entry_world::status_of(answer) == 200);
+    CHECK(answer.ends_with("0\r\n\r\n") == (r.events_after_ > 0));
+    CHECK(took < allowed + slack);
+    if (r.events_after_ > 0) {
+        CHECK(answer.find("id: 3\ndata: piece") != std::string::npos);
+    } else {
+        CHECK(took >= allowed - slack / 10);
+        CHECK(left.get_future().wait_for(std::chrono::seconds{2}) == std::future_status::ready);
+    }
+}
