Keep the answers' time of a stop whose signal was taken late

Cause: counts a signal from the last turn but one of a loop that had stood still, as the kill may.

Change: the kill counts from the earliest moment, the answers' time from now. The last phase gets the shorter for it, down to 50 ms, and only then the answers' time: at 2 s from a lag of 173 ms on.

Result: "a signal that may have come before takes time from the last phase first" passes (grace times of 2 to 8 s, lags of 0 to 500 ms); before, the answers' time was shorter by the whole lag. "a planned stop with a short pause in it ends in time" and five more of the stops' tests pass on it (302 checks).

--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -141,8 +141,9 @@
             }
         } else if (!node.stop_) {
             auto const grace = node.settings_.shutdown_grace_;
+            auto const now = boot_now();
             node.stop_ =
-                plan_shutdown(signal_time(boot_now(), turns.before_, grace), grace, directory_lifetime);
+                plan_shutdown(now, signal_time(now, turns.before_, grace), grace, directory_lifetime);
             net::co_spawn(node.loop_, stop_gracefully(node), report_failure);
         }
     }
--- a/include/auburnchute/shutdown_plan.hpp
+++ b/include/auburnchute/shutdown_plan.hpp
@@ -11,7 +11,7 @@
     millis answers_until_{}; ///< Here, what is still open is given up.
     millis ends_at_{};       ///< The process ends. Until then, last answers and refusals reach their callers.
     millis unwinding_{};     ///< Longest time after `ends_at_` for the sessions to end.
-    millis killed_at_{};     ///< The end of the grace time.
+    millis killed_at_{};     ///< The end of the grace time, at the earliest.
     bool closing_{};         ///< Open requests have been given up, and nothing more is taken.
 };
 
@@ -21,11 +21,19 @@
 /// Thread safety: pure.
 [[nodiscard]] millis signal_time(millis now, millis looked_at, millis grace) noexcept;
 
-/// \brief Divides the grace time of a planned stop.
-/// \param grace Time from the stop signal to the kill.
-/// \param directory_lifetime How long callers keep a directory answer that names this VM.
-/// Thread safety: pure.
-[[nodiscard]] shutdown_plan plan_shutdown(millis now, millis grace, millis directory_lifetime) noexcept;
+/// \brief Divides the grace time of a planned stop. The answers have the same part of it from now on,
+/// wherever between the two moments the signal came, as far as the last phase keeps some time before the
+/// kill. \param signal_at When the signal came at the earliest; at most `now`. See `signal_time`. \param
+/// grace Time from the stop signal to the kill. \param directory_lifetime How long callers keep a directory
+/// answer that names this VM. Thread safety: pure.
+[[nodiscard]] shutdown_plan plan_shutdown(millis now, millis signal_at, millis grace,
+                                          millis directory_lifetime) noexcept;
+
+/// \brief The same for a signal that is taken at once.
+[[nodiscard]] inline shutdown_plan plan_shutdown(millis now, millis grace, millis directory_lifetime) noexcept
+{
+    return plan_shutdown(now, now, grace, directory_lifetime);
+}
 
 /// \brief Begins the last phase: at the end of the answers' time, before it if no request is open, after it
 /// if the process was paused. It has its whole time, but ends before the kill if that is still to come.
--- a/src/coordination/shutdown_plan.cpp
+++ b/src/coordination/shutdown_plan.cpp
@@ -12,6 +12,9 @@
 /// Time between the end of the process and the kill, at most: the sessions end, log lines.
 constexpr millis exit_margin{300};
 
+/// Least time of the last phase of a stop whose signal was taken late.
+constexpr millis least_closing_time{50};
+
 /// Time between two looks in which the process was neither paused nor busy.
 constexpr millis usual_lag{60};
 
@@ -37,6 +40,12 @@
 /// Until a new process serves: it starts, and reads the configuration.
 constexpr millis restart_time{1'000};
 
+/// Time before the kill in which the process ends at the latest.
+millis least_margin(shutdown_plan const& plan) noexcept
+{
+    return plan.unwinding_ * 2;
+}
+
 } // namespace
 
 millis signal_time(millis now, millis looked_at, millis grace) noexcept
@@ -48,25 +57,25 @@
     return std::max(looked_at, now - std::min(longest_lag, grace / lag_parts));
 }
 
-shutdown_plan plan_shutdown(millis now, millis grace, millis directory_lifetime) noexcept
+shutdown_plan plan_shutdown(millis now, millis signal_at, millis grace, millis directory_lifetime) noexcept
 {
     auto const margin = std::min(exit_margin, grace / margin_parts);
-    auto const ends_at = now + grace - margin;
-    auto const answers_until = ends_at - std::min(closing_time, grace / margin_parts);
-    return {.began_at_ = now,
-            .quiet_from_ =
-                std::min(answers_until, now + directory_lifetime * directory_answers + quiet_before_end),
-            .answers_until_ = answers_until,
-            .ends_at_ = ends_at,
-            .unwinding_ = margin / unwinding_parts,
-            .killed_at_ = now + grace,
-            .closing_ = false};
+    auto const closing = std::min(closing_time, grace / margin_parts);
+    shutdown_plan plan{
+        .began_at_ = now, .unwinding_ = margin / unwinding_parts, .killed_at_ = signal_at + grace};
+    auto const latest_end = plan.killed_at_ - least_margin(plan);
+    plan.ends_at_ = std::min(now + grace - margin, latest_end);
+    plan.answers_until_ = std::max(
+        now, std::min(now + grace - margin - closing, latest_end - std::min(closing, least_closing_time)));
+    plan.quiet_from_ =
+        std::min(plan.answers_until_, now + directory_lifetime * directory_answers + quiet_before_end);
+    return plan;
 }
 
 void begin_closing(shutdown_plan& plan, millis now) noexcept
 {
     auto const closing = plan.ends_at_ - plan.answers_until_;
-    auto const latest_end = plan.killed_at_ - plan.unwinding_ * 2;
+    auto const latest_end = plan.killed_at_ - least_margin(plan);
     plan.closing_ = true;
     plan.answers_until_ = now;
     plan.ends_at_ = now + closing;
--- a/src/transport/entry/planned_stop.cpp
+++ b/src/transport/entry/planned_stop.cpp
@@ -39,11 +39,12 @@
 net::awaitable<void> stop_gracefully(entry_node& node)
 {
     auto& plan = *node.stop_;
-    log_decision("stop", {{"open", open_requests(*node.sessions_)},
-                          {"connections", node.sessions_->size()},
-                          {"lag_ms", (boot_now() - plan.began_at_).count_},
-                          {"answers_ms", (plan.answers_until_ - plan.began_at_).count_},
-                          {"ends_ms", (plan.ends_at_ - plan.began_at_).count_}});
+    log_decision("stop",
+                 {{"open", open_requests(*node.sessions_)},
+                  {"connections", node.sessions_->size()},
+                  {"lag_ms", (plan.began_at_ + node.settings_.shutdown_grace_ - plan.killed_at_).count_},
+                  {"answers_ms", (plan.answers_until_ - plan.began_at_).count_},
+                  {"ends_ms", (plan.ends_at_ - plan.began_at_).count_}});
     node.stop_placing_();
     node.send_state_(message_targets::all);
     wake_waiting(node);
--- a/tests/coordination/shutdown_plan_test.cpp
+++ b/tests/coordination/shutdown_plan_test.cpp
@@ -1,5 +1,6 @@
 #include <auburnchute/shutdown_plan.hpp>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace auburnchute;
@@ -105,6 +106,26 @@
     }
 }
 
+// Guards against a stop whose signal was taken late and that is killed, or gives up requests that can still
+// end.
+TEST_CASE("a signal that may have come before takes time from the last phase first", "[shutdown][promise-12]")
+{
+    auto const now = millis{100'000};
+    for (auto const grace : {millis{2'000}, millis{3'000}, millis{5'000}, millis{8'000}}) {
+        auto const at_once = plan_shutdown(now, grace, millis{2'000});
+        for (auto lag = millis{0}; lag <= std::min(millis{500}, grace / 4); lag = lag + millis{10}) {
+            CAPTURE(grace.count_, lag.count_);
+            auto const plan = plan_shutdown(now, now - lag, grace, millis{2'000});
+            CHECK(plan.ends_at_ + plan.unwinding_ < now - lag + grace);
+            CHECK(plan.answers_until_ < plan.ends_at_);
+            CHECK((plan.answers_until_ - (now - lag)) * 6 >= grace * 5);
+            if (lag <= grace / 12) {
+                CHECK(plan.answers_until_ == at_once.answers_until_);
+            }
+        }
+    }
+}
+
 // Guards against callers that are sent away for longer than they need to be, or back to a process that ends.
 TEST_CASE("a refused caller may come back at once if there is another VM, else after the restart",
           "[shutdown]")
