Ignore SIGHUP in auburnchuted

Cause: only the signals to stop were blocked and waited for. Change: SIGHUP is waited for, too, and named in the log; before that it is ignored.

Test: "SIGHUP neither ends a daemon nor a planned stop".

--- a/apps/auburnchuted.cpp
+++ b/apps/auburnchuted.cpp
@@ -40,7 +40,7 @@
 
 SIGTERM or SIGINT begins a planned stop: the VM leaves the entry list, running
 requests are finished, and the daemon exits, within `stop_grace_ms` of the
-settings. A second signal gives up the running requests.
+settings. A second signal gives up the running requests. SIGHUP changes nothing.
 
 Exit codes: 0 ended as planned, 1 failed, 2 the settings have a fault.
 )";
@@ -61,21 +61,26 @@
 /// Pause between two looks at what is still open.
 constexpr millis look_pause{10};
 
-/// Waits for a signal to stop; all threads inherit the blocked mask.
+/// Keeps the signals for `wait_for_stop`; all threads inherit the blocked mask.
 void block_signals(sigset_t& signals)
 {
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-/// \returns True if a signal arrived within the time.
-bool wait_for_signal(sigset_t const& signals, millis time)
+/// \returns True if a signal to stop arrived within the time.
+bool wait_for_stop(sigset_t const& signals, millis time)
 {
     timespec const limit{time.count_ / 1'000, (time.count_ % 1'000) * 1'000'000};
-    return sigtimedwait(&signals, nullptr, &limit) > 0;
+    auto const signal = sigtimedwait(&signals, nullptr, &limit);
+    if (signal == SIGHUP) {
+        log_change("reload", {}, "SIGHUP changes nothing: settings are read at the start only");
+    }
+    return signal > 0 && signal != SIGHUP;
 }
 
 /// Ends the process at the end of the grace time, whatever it waits for.
@@ -115,7 +120,7 @@
     bool hurried = false;
     while (!hurried && now(clk) < plan.answers_until_ &&
            (now(clk) < plan.quiet_from_ || callers.open_requests() > 0)) {
-        hurried = wait_for_signal(signals, look_pause);
+        hurried = wait_for_stop(signals, look_pause);
     }
     auto const closing = stop.close();
     queue.refuse_waiting();
@@ -129,14 +134,14 @@
             callers.end_idle();
             ended = true;
         }
-        hurried = wait_for_signal(signals, look_pause) || hurried;
+        hurried = wait_for_stop(signals, look_pause) || hurried;
     }
     callers.end_idle();
     // A paused process has this time too.
     auto const last_until = std::max(closing.ends_at_, now(clk) + closing_time / last_parts);
     callers.take_last((last_until - now(clk)) / 2);
     while (now(clk) < last_until && callers.has_connections()) {
-        hurried = wait_for_signal(signals, look_pause) || hurried;
+        hurried = wait_for_stop(signals, look_pause) || hurried;
     }
     stop.log_unanswered();
     callers.cut();
@@ -165,7 +170,7 @@
     log_change("start", config.vm_,
                "listens for callers at " + config.callers_.ip_ + ":" + std::to_string(callers_port));
 
-    while (!wait_for_signal(signals, {500}) && !control.is_stopping()) {
+    while (!wait_for_stop(signals, {500}) && !control.is_stopping()) {
     }
     auto const began = now(clk);
     auto const whole = plan_shutdown(began, config.stop_grace_, config.entry_ttl_);
@@ -193,6 +198,7 @@
 
 int main(int argc, char** argv)
 {
+    std::signal(SIGHUP, SIG_IGN); // until it is blocked; its default action would end the process
     auto const arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true, "auburnchuted 0.1.0");
     auto const file = arguments.at("--settings").asString();
     settings config;
--- a/tests/transport/daemon_stop_test.cpp
+++ b/tests/transport/daemon_stop_test.cpp
@@ -303,6 +303,19 @@
     CHECK(output.find(" outlasts the stop") != std::string::npos);
 }
 
+// Guards against a reload signal, which other daemons take, that ends this one with all its requests.
+TEST_CASE("SIGHUP neither ends a daemon nor a planned stop", "[promise-12][process]")
+{
+    fleet f{{.daemons_ = 1, .engines_ = 1, .daemon_settings_ = short_grace}};
+    ::kill(f.daemon(0).pid(), SIGHUP);
+    CHECK_FALSE(eventually(500ms, [&f] { return f.daemon(0).has_ended(); }));
+    CHECK(read_stock(f, "reloaded").status_ == 200);
+    begin_stop(f);
+    ::kill(f.daemon(0).pid(), SIGHUP);
+    CHECK(read_stock(f, "late").status_ == 503);
+    CHECK(f.daemon(0).wait_end() == 0);
+}
+
 // Guards against a second signal that waits for open streams and kept connections.
 TEST_CASE("a second signal ends a stop at once", "[promise-12][process]")
 {
