Give the last answers of a paused auburnchuted their time

What callers saw: a process that was paused across the end of its grace time and went on was ended by its own watch before the last answers: open requests had no answer and no line, and the exit code was 1 (found by the review).

Cause: the watch knew the planned end only, while the last phase begins when the process goes on. Change: a watch that wakes up over 100 ms late gives the last phases their time once more.

Test: "a daemon that was paused across the end of its stop gives its last answers" failed before and passes now.

--- a/apps/auburnchuted.cpp
+++ b/apps/auburnchuted.cpp
@@ -61,6 +61,9 @@
 /// Pause between two looks at what is still open.
 constexpr millis look_pause{10};
 
+/// A thread that wakes up later than this was paused with its process.
+constexpr millis usual_lag{100};
+
 /// Keeps the signals for `wait_for_stop`; all threads inherit the blocked mask.
 void block_signals(sigset_t& signals)
 {
@@ -83,15 +86,21 @@
     return signal > 0 && signal != SIGHUP;
 }
 
-/// Ends the process at the end of the grace time, whatever it waits for.
+/// Ends the process at the end of the grace time, whatever it waits for. One that was paused across that end
+/// has the time of the last answers and the exit all the same.
 class exit_watch {
 public:
-    exit_watch(auburnchute::clock const& clk, millis ends_at, std::string vm)
-        : thread_{[this, &clk, ends_at, vm = std::move(vm)](std::stop_token const& stop) {
+    exit_watch(auburnchute::clock const& clk, millis ends_at, millis last_phases, std::string vm)
+        : thread_{[this, &clk, ends_at, last_phases, vm = std::move(vm)](std::stop_token const& stop) {
               std::unique_lock lock{mutex_};
-              while (!stop.stop_requested() && now(clk) < ends_at) {
-                  wake_.wait_for(lock, stop, std::chrono::milliseconds{(ends_at - now(clk)).count_},
+              auto end = ends_at;
+              while (!stop.stop_requested() && now(clk) < end) {
+                  wake_.wait_for(lock, stop, std::chrono::milliseconds{(end - now(clk)).count_},
                                  [] { return false; });
+                  bool const was_paused = now(clk) - end > usual_lag;
+                  if (was_paused && end == ends_at) {
+                      end = now(clk) + last_phases;
+                  }
               }
               if (!stop.stop_requested()) {
                   log_fault("stop", vm,
@@ -174,9 +183,9 @@
     }
     auto const began = now(clk);
     auto const whole = plan_shutdown(began, config.stop_grace_, config.entry_ttl_);
-    exit_watch watch{clk, whole.ends_at_, config.vm_};
     auto const leave_time = std::min(leave_limit, config.stop_grace_ / leave_parts);
     auto const plan = plan_shutdown(began, config.stop_grace_ - leave_time, config.entry_ttl_);
+    exit_watch watch{clk, whole.ends_at_, whole.ends_at_ - plan.answers_until_, config.vm_};
     // Callers may keep the entry list that still names this VM for its lifetime.
     stop.begin(plan, began + config.entry_ttl_);
     queue.refuse_waiting();
--- a/tests/transport/daemon_stop_test.cpp
+++ b/tests/transport/daemon_stop_test.cpp
@@ -316,6 +316,28 @@
     CHECK(f.daemon(0).wait_end() == 0);
 }
 
+// Guards against a process that is paused across the end of its grace time and then ends without its last
+// answers.
+TEST_CASE("a daemon that was paused across the end of its stop gives its last answers",
+          "[promise-12][process]")
+{
+    fleet f{{.daemons_ = 1, .engines_ = 1, .daemon_settings_ = short_grace, .show_errors_ = true}};
+    fleet::fault(f.service_address(0), {{"delay_ms", 20'000}});
+    auto call = std::async(std::launch::async, [&f] { return read_stock(f, "slow"); });
+    REQUIRE(eventually(10s, [&f] { return service_calls(f, "/stock/slow") == 1; }));
+    auto const began = begin_stop(f);
+    f.daemon(0).freeze();
+    std::this_thread::sleep_until(began + grace + scheduling_slack); // the pause that the test is about
+    f.daemon(0).resume();
+    auto const answer = call.get();
+    auto const output = f.daemon(0).read_to_end();
+    CAPTURE(answer.body_, output);
+    CHECK(answer.status_ == 503);
+    CHECK(answer.json().value("execution", "") == "unknown");
+    CHECK(output.find(" outlasts the stop") != std::string::npos);
+    CHECK(f.daemon(0).wait_end() == 0);
+}
+
 // Guards against a second signal that waits for open streams and kept connections.
 TEST_CASE("a second signal ends a stop at once", "[promise-12][process]")
 {
