Take no planned end of an upstream for a crash under a caller that left

What callers could see (found by the review, by reading; how often isn't known): sound requests refused, after callers had left between the head and the first event of an answer of an upstream that drained. Our own close ended its last request, so it ended as planned within the 250 ms after which the daemon looks for a crash.

Change: a refused connection is no crash if the upstream was told to leave, or its entry is gone or of another start. Not tested by itself: the tests of crashes under callers that leave pass as before.

--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -229,10 +229,11 @@
     auto const probe = node.pool_.make(upstream.id_);
     error_code fault;
     co_await upstream_pool::open(probe, upstream.address_, probe_limit, fault);
-    if (fault != net::error::connection_refused) {
-        co_return;
-    }
     auto const now = boot_now();
+    if (fault != net::error::connection_refused ||
+        !accepts_requests(node, upstream.id_, upstream.started_at_, now)) {
+        co_return; // an upstream that leaves may have waited for this request only
+    }
     auto& own = use_of(node, upstream.id_);
     own.suspect_until_ = now + suspect_time;
     own.closed_until_ = now + refused_time;
