Allow for rounded times when a proof contradicts what a peer told

A proof's time is a difference of times in whole milliseconds, so it may seem 1 ms later than it is; two honest VMs on one machine could contradict each other within it and would not be heeded for a minute (found by the review; not seen). A proof counts against what was told if it is over 1 ms later.

--- a/src/coordination/entry_feed.cpp
+++ b/src/coordination/entry_feed.cpp
@@ -22,6 +22,9 @@
 /// Rounds after which a VM that does not tell helps one that still lacks changes.
 constexpr std::int64_t catch_up_rounds = 2;
 
+/// By how much a proof may seem later than it is, as it is worked out from rounded times.
+constexpr millis proof_rounding{1};
+
 std::size_t size_of(upstream_entry_update const& update) noexcept
 {
     constexpr std::size_t fields = 12; // offset and lengths
@@ -62,7 +65,8 @@
 
 bool contradicts(end_claim const& claim, told_offset const& told) noexcept
 {
-    return !told.vm_.empty() && claim.proof_at_ && *claim.proof_at_ >= told.at_ && claim.seen_ < told.to_;
+    return !told.vm_.empty() && claim.proof_at_ && *claim.proof_at_ > told.at_ + clock_rounding &&
+           claim.seen_ < told.to_;
 }
 
 std::vector<std::string> doubtful_vms(std::optional<end_claim> const& claim, told_offset const& told,
