Compare the answered workspaces of a block in one order

They were listed in the order of the answers, which differs between VMs and changes with each answer, so the same block was logged and stored again (found by the review, by reading). Not tested by itself.

--- a/src/coordination/crash_evidence.cpp
+++ b/src/coordination/crash_evidence.cpp
@@ -122,6 +122,7 @@
             found.answered_.push_back(workspace);
         }
     }
+    std::sort(found.answered_.begin(), found.answered_.end()); // the order of answers differs between VMs
     if (found.everywhere_ || !found.workspaces_.empty()) {
         found.retry_at_ = record.changed_at_ + trial_pause(record);
         blocked.push_back(std::move(found));
