End the process if an exception ends a planned stop

The stop's task was gone then, further signals were ignored, and the process refused everything until the kill (found by the review, by reading; no exception was seen there). It is logged, and the process ends. Not tested by itself.

--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -144,7 +144,12 @@
             auto const now = boot_now();
             node.stop_ =
                 plan_shutdown(now, signal_time(now, turns.before_, grace), grace, directory_lifetime);
-            net::co_spawn(node.loop_, stop_gracefully(node), report_failure);
+            net::co_spawn(node.loop_, stop_gracefully(node), [&node](std::exception_ptr const& failure) {
+                report_failure(failure);
+                if (failure) {
+                    node.loop_.stop(); // nothing else would end the process before the kill
+                }
+            });
         }
     }
 }
