--- a/src/coordination/entry_feed.cpp
+++ b/src/coordination/entry_feed.cpp
@@ -65,7 +65,7 @@
 
 bool contradicts(end_claim const& claim, told_offset const& told) noexcept
 {
-    return !told.vm_.empty() && claim.proof_at_ && *claim.proof_at_ > told.at_ + clock_rounding &&
+    return !told.vm_.empty() && claim.proof_at_ && *claim.proof_at_ > told.at_ + proof_rounding &&
            claim.seen_ < told.to_;
 }
 
