--- a/review/standins/world.hpp
+++ b/review/standins/world.hpp
@@ -23,6 +23,7 @@
 #include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <poll.h>
 #include <sstream>
 #include <stdexcept>
@@ -200,6 +201,18 @@
         std::thread{[this] { accept_all(); }}.detach();
     }
     [[nodiscard]] std::string address() const { return ip_ + ":" + std::to_string(port_); }
+    [[nodiscard]] int port() const { return port_; }
+
+    /// Refuses new connections and closes the others, as the end of the process does.
+    void crash()
+    {
+        ::shutdown(listener_.get(), SHUT_RDWR);
+        std::scoped_lock const lock{mutex_};
+        crashed_ = true;
+        for (int const fd : connections_) {
+            ::shutdown(fd, SHUT_RDWR);
+        }
+    }
 
 private:
     void accept_all()
@@ -209,17 +222,30 @@
             if (fd >= 0) {
                 int const on = 1;
                 ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-                std::thread{[this, fd] { serve(owned_fd{fd}); }}.detach();
+                std::scoped_lock const lock{mutex_};
+                if (crashed_) {
+                    ::close(fd);
+                    continue;
+                }
+                connections_.insert(fd);
+                std::thread{[this, fd] { serve_one(fd); }}.detach();
             } else if (errno != EINTR && errno != ECONNABORTED) {
                 return;
             }
         }
     }
-    void serve(owned_fd connection)
+    void serve_one(int fd)
+    {
+        serve(fd);
+        std::scoped_lock const lock{mutex_};
+        connections_.erase(fd);
+        ::close(fd);
+    }
+    void serve(int connection)
     {
         std::string unread;
         auto const more = [&] {
-            auto const bytes = receive_some(connection.get(), 60s);
+            auto const bytes = receive_some(connection, 60s);
             if (!bytes || bytes->empty()) {
                 return false;
             }
@@ -251,7 +277,7 @@
             }
             request.body_ = unread.substr(0, size);
             unread.erase(0, size);
-            if (!answer_(request, connection.get())) {
+            if (!answer_(request, connection)) {
                 return;
             }
         }
@@ -261,6 +287,9 @@
     handler answer_;
     owned_fd listener_;
     int port_{};
+    std::mutex mutex_;
+    std::set<int> connections_;
+    bool crashed_{};
 };
 
 inline bool send_answer(int fd, int status, std::string const& body, std::string const& more_fields = "",
