--- a/review/standins/endless_chunk.cpp
+++ b/review/standins/endless_chunk.cpp
@@ -216,6 +216,9 @@
                 }
                 std::this_thread::sleep_for(500ms);
                 front.start(false);
+                while (!done) {
+                    std::this_thread::sleep_for(20ms); // the process ends with the thread that started it
+                }
                 return;
             }
             std::this_thread::sleep_for(5ms);
--- a/review/standins/world.hpp
+++ b/review/standins/world.hpp
@@ -29,6 +29,7 @@
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -446,8 +447,13 @@
         auto const file = where_.folder_ + "/" + name_ + ".yaml";
         write_settings(file, bootstrap);
         auto const log = where_.folder_ + "/" + name_ + ".log";
+        auto const parent = ::getpid();
         pid_ = ::fork();
         if (pid_ == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL); // the process ends with its script
+            if (::getppid() != parent) {
+                ::_exit(127);
+            }
             int const out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
             ::dup2(out, STDOUT_FILENO);
             ::dup2(out, STDERR_FILENO);
