--- a/review/standins/deadly_stream.cpp
+++ b/review/standins/deadly_stream.cpp
@@ -1,5 +1,7 @@
-// Case: a request crashes each model server that runs it, half a second after its first event. It comes again, with
-// the same path, caller and body, at any of three front machines. The servers count how often it reaches them.
+// Cases: a request crashes each model server that runs it. It comes again, with the same path, caller and body, at any
+// of three front machines. The servers count how often it reaches them.
+// Mode `mid-stream`: a server crashes half a second after its first event.
+// Mode `restart`: a server crashes 50 ms after its first event; once the third has, all front machines are killed.
 
 #include "world.hpp"
 
@@ -7,8 +9,10 @@
 
 namespace {
 
+bool restart_mode = false;
 /// After the first event; CRASH_AFTER_MS compares with a crash at once.
-std::chrono::milliseconds const crash_after{std::getenv("CRASH_AFTER_MS") != nullptr ? std::atoi(std::getenv("CRASH_AFTER_MS")) : 500};
+std::chrono::milliseconds crash_after{500};
+constexpr auto machines_down = 1'000ms;       // as in the site's days: herd_kill, share = 1.0, for_s = 1.0
 constexpr auto server_back_after = 2'500ms; // "the server is back after some seconds"
 constexpr auto entry_lapses_after = 3'600ms; // three status report intervals (heartbeat_ms = 1,200)
 constexpr std::int64_t contact_ms = 3'000;
@@ -94,7 +98,7 @@
         if (!send_all(fd, chunk.str()) || peer_leaves_within(fd, 50ms)) {
             return false;
         }
-        if (deadly && with_trouble() && steady::now() - began >= crash_after) {
+        if (deadly && (restart_mode || with_trouble()) && steady::now() - began >= crash_after) {
             crash_server(place, shared);
             return false;
         }
@@ -133,6 +137,9 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     std::string const folder = argv[1];
+    restart_mode = std::string_view{argv[2]} == "restart";
+    char const* const other_time = std::getenv("CRASH_AFTER_MS");
+    crash_after = std::chrono::milliseconds{other_time != nullptr ? std::atoi(other_time) : restart_mode ? 0 : 500};
     auto const network = own_network();
     shared_state shared{network + "1"};
     nlohmann::json const config{
@@ -192,6 +199,7 @@
             }
         });
     }
+    bool killed = false;
     for (int n = 0; n < repeats; ++n) {
         auto const& front = *fronts[static_cast<std::size_t>(n) % fronts.size()];
         auto const id = "again" + std::to_string(n);
@@ -205,6 +213,27 @@
                           std::to_string(answer.took_ms_) + " ms");
         }
         std::this_thread::sleep_until(began + repeat_every);
+        std::size_t crashes = 0;
+        {
+            std::scoped_lock const lock{shared.mutex_};
+            crashes = shared.crashes_.size();
+        }
+        if (restart_mode && with_trouble() && !killed && crashes == 3) {
+            killed = true;
+            for (auto const& each : fronts) {
+                each->end();
+            }
+            record().line("all front machines are killed");
+            std::this_thread::sleep_for(machines_down);
+            for (auto const& each : fronts) {
+                each->start(false);
+            }
+            if (!wait_until(all_ready, 20s)) {
+                record().line("the machines did not become ready");
+                return could_not_run;
+            }
+            std::this_thread::sleep_for(4s); // longer than contact_ms: the machines are in touch
+        }
     }
     done = true;
     for (auto& thread : others) {
