--- a/src/protocol/metrics.cpp
+++ b/src/protocol/metrics.cpp
@@ -58,6 +58,8 @@
                 "Answers of the system's own in place of an upstream's."},
     description{"auburnchute_stray_answers_total", "",
                 "Answers of upstreams to other requests that were skipped."},
+    description{"auburnchute_answers_given_up_total", "",
+                "Unfinished answers that were given up as all answers together took too much memory."},
     description{"auburnchute_unreadable_entries_total", "", "Entries of upstreams that could not be read."},
     description{"auburnchute_store_changes_total", "state",
                 "Times that the platform's store was lost or regained."},
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -65,9 +65,6 @@
 /// Answers to other requests that are skipped on one connection before it is given up.
 constexpr int max_stray_answers = 3;
 
-/// Largest answer of a plain service that is taken.
-constexpr std::uint64_t max_answer_bytes = 16 * 1024 * 1024;
-
 /// Largest event of a stream that is taken; an upstream in trouble may send bytes without end.
 constexpr std::size_t max_event_bytes = 1024 * 1024;
 
@@ -103,6 +100,7 @@
 
 using body_parser = http::request_parser<http::string_body>;
 using answer_parser = http::response_parser<http::buffer_body>;
+using whole_answer_parser = http::response_parser<http::string_body>;
 
 /// \returns Whether the body of a stream consists of events; one that does not is passed on as it is.
 bool holds_events(http::fields const& head)
@@ -156,10 +154,11 @@
 /// How one try at an upstream ended.
 struct try_outcome {
     try_result result_{try_result::not_sent};
-    std::optional<upstream_answer> answer_; ///< A whole answer, if it is not a stream.
-    bool streamed_{};                       ///< The whole stream has gone to the caller.
-    int status_{};                          ///< Of the upstream's answer; 0: none.
-    bool upstream_gone_{};                  ///< The upstream stopped listening, before or after the try.
+    std::optional<upstream_answer> answer_;      ///< A whole answer, if it is not a stream.
+    std::unique_ptr<answer_ledger::entry> held_; ///< What the answer takes until the caller has it.
+    bool streamed_{};                            ///< The whole stream has gone to the caller.
+    int status_{};                               ///< Of the upstream's answer; 0: none.
+    bool upstream_gone_{};                       ///< The upstream stopped listening, before or after the try.
     bool withdrawn_{}; ///< It was not sent, as the upstream wanted no more requests by then.
     std::string fault_;
 };
@@ -270,6 +269,11 @@
                                      millis& keep_alive);
     net::awaitable<void> relay_stream(forward_job& job, upstream_connection& connection,
                                       answer_parser& parser, try_outcome& outcome);
+    /// Reads the rest of an answer that is held until it is whole.
+    net::awaitable<void> read_whole(upstream_connection& connection, whole_answer_parser& parser,
+                                    answer_ledger::entry& held, error_code& fault);
+    /// \returns An entry for an answer on the connection, which is closed if the answer is given up.
+    std::unique_ptr<answer_ledger::entry> hold_answer(upstream_connection& connection);
     net::awaitable<bool> pass_events(forward_job& job, answer_parser& parser, std::string_view events,
                                      bool& in_order);
     net::awaitable<bool> write_caller(std::string bytes);
@@ -406,6 +410,7 @@
     enter(session_state::reading);
     auto const came_at = std::exchange(next_began_at_, millis{0});
     began_at_ = came_at > millis{0} ? came_at : state_since();
+    buffer_.max_size(std::max<std::size_t>(buffer_.size(), limits.header_bytes_ + max_unparsed_bytes));
     body_parser parser;
     parser.header_limit(limits.header_bytes_);
     parser.body_limit(limits.body_bytes_);
@@ -495,6 +500,10 @@
         co_await refuse_unread({unavailable, "deadline", least_retry_after}, request_id_);
         co_return false;
     }
+    if (fault == http::error::buffer_overflow) {
+        co_await refuse_unread({400, "malformed-request", millis{-1}}, request_id_);
+        co_return false;
+    }
     if (fault == http::error::body_limit) {
         co_await refuse_unread({413, "body-too-large", millis{-1}}, request_id_);
         co_return false;
@@ -890,6 +899,7 @@
 {
     outcome.result_ = try_result::cut_before_answer;
     error_code fault;
+    int interim = 0;
     for (int stray = 0; stray <= max_stray_answers; ++stray) {
         auto head = std::make_unique<http::response_parser<http::empty_body>>();
         co_await http::async_read_header(connection.stream_, connection.buffer_, *head, outcome_in(fault));
@@ -902,15 +912,20 @@
         }
         auto const status = static_cast<int>(head->get().result_int());
         if (status < 200) {
+            if (++interim > max_interim_answers) {
+                outcome.fault_ = "too many interim answers";
+                outcome.result_ = try_result::wrong_answer;
+                co_return;
+            }
             --stray;
             continue;
         }
         auto const reply = platform::parse_response_attributes(head->get().base());
         take_signals(node_, upstream.id_, upstream.started_at_, reply.signals_);
         if (!reply.request_id_.empty() && reply.request_id_ != job.call_.request_id_) {
-            http::response_parser<http::string_body> skipped{std::move(*head)};
-            skipped.body_limit(max_answer_bytes);
-            co_await http::async_read(connection.stream_, connection.buffer_, skipped, outcome_in(fault));
+            whole_answer_parser skipped{std::move(*head)};
+            auto const held = hold_answer(connection);
+            co_await read_whole(connection, skipped, *held, fault);
             node_.counters_.count("auburnchute_stray_answers_total");
             if (fault || !skipped.keep_alive()) {
                 outcome.fault_ = "only an answer to another request came";
@@ -951,11 +966,12 @@
             // the connection isn't used again.
             answer.base() = std::move(head->get().base());
         } else {
-            http::response_parser<http::string_body> parser{std::move(*head)};
-            parser.body_limit(max_answer_bytes);
+            whole_answer_parser parser{std::move(*head)};
             outcome.result_ = try_result::cut_in_answer;
-            co_await http::async_read(connection.stream_, connection.buffer_, parser, outcome_in(fault));
+            outcome.held_ = hold_answer(connection);
+            co_await read_whole(connection, parser, *outcome.held_, fault);
             if (fault) {
+                outcome.held_.reset(); // it refers to the connection
                 outcome.fault_ = "answer: " + fault.message();
                 co_return;
             }
@@ -978,6 +994,30 @@
     outcome.result_ = try_result::wrong_answer;
 }
 
+std::unique_ptr<answer_ledger::entry> caller_session::hold_answer(upstream_connection& connection)
+{
+    return std::make_unique<answer_ledger::entry>(node_.answers_, [this, &connection] {
+        node_.counters_.count("auburnchute_answers_given_up_total");
+        log_failure("answer-given-up", {{"id", request_id_}, {"upstream", connection.upstream_id_}});
+        error_code ignored; // its reader notices
+        connection.stream_.socket().close(ignored);
+    });
+}
+
+net::awaitable<void> caller_session::read_whole(upstream_connection& connection, whole_answer_parser& parser,
+                                                answer_ledger::entry& held, error_code& fault)
+{
+    parser.body_limit(max_answer_bytes);
+    parser.eager(true);
+    while (!parser.is_done() && !fault) {
+        co_await http::async_read_some(connection.stream_, connection.buffer_, parser, outcome_in(fault));
+        held.hold(parser.get().body().capacity());
+    }
+    if (!held.finish()) {
+        fault = net::error::no_buffer_space;
+    }
+}
+
 net::awaitable<void> caller_session::relay_stream(forward_job& job, upstream_connection& connection,
                                                   answer_parser& parser, try_outcome& outcome)
 {
@@ -985,6 +1025,7 @@
     bool const continues = job.head_sent_;
     auto const last_before = job.last_event_;
     event_cutter cutter;
+    auto const held = hold_answer(connection);
     std::array<char, 8'192> chunk{};
     error_code fault;
     bool in_order = true;
@@ -998,6 +1039,7 @@
         }
         auto const size = chunk.size() - body.size;
         auto events = feed_events(cutter, {chunk.data(), size});
+        held->hold(cutter.pending_.capacity());
         if (parser.is_done() && !fault && !holds_events(parser.get())) {
             events += std::exchange(cutter.pending_, {}); // has no events that could be cut short
         }
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -7,6 +7,7 @@
 #include "transport/entry/open_session.hpp"
 #include "transport/entry/upstream_pool.hpp"
 
+#include <auburnchute/answer_ledger.hpp>
 #include <auburnchute/crash_evidence.hpp>
 #include <auburnchute/fleet_exchange.hpp>
 #include <auburnchute/model_need.hpp>
@@ -86,6 +87,7 @@
     shared_view& shared_;
     metrics& counters_;
     upstream_pool pool_;
+    answer_ledger answers_; ///< What the answers of upstreams take.
     fleet_exchange exchange_;
     std::map<std::string, net::ip::udp::endpoint, std::less<>> endpoints_; ///< Of the members, by VM.
     std::uint64_t announced_config_{};  ///< `config_next_` of the newest configuration that was announced to
--- a/src/transport/entry/http_peer.cpp
+++ b/src/transport/entry/http_peer.cpp
@@ -14,16 +14,13 @@
 
 namespace {
 
-/// Largest answer taken: a page of the newest records holds up to 1 MB and base64 adds a third.
-constexpr std::uint64_t max_answer_bytes = 16 * 1024 * 1024;
-
 /// Silence after which a connection counts as lost.
 constexpr millis connection_silence{2'000};
 
 } // namespace
 
-net::awaitable<plain_response> http_peer::exchange(plain_request const& request, millis limit,
-                                                   error_code& fault)
+net::awaitable<plain_response> http_peer::exchange(plain_request const& request, call_terms const& terms,
+                                                   millis limit, error_code& fault)
 {
     if (!stream_) {
         stream_ = std::make_unique<boost::beast::tcp_stream>(*loop_);
@@ -41,7 +38,7 @@
         co_return plain_response{};
     }
     http::response_parser<http::string_body> parser;
-    parser.body_limit(max_answer_bytes);
+    parser.body_limit(terms.largest_answer_);
     co_await http::async_read(*stream_, buffer_, parser, outcome_in(fault));
     if (fault) {
         co_return plain_response{};
@@ -63,11 +60,11 @@
     auto const first_limit =
         may_repeat ? std::min(terms.limit_, terms.wait_ + kept_connection_limit) : terms.limit_;
     error_code fault;
-    auto answer = co_await exchange(request, first_limit, fault);
+    auto answer = co_await exchange(request, terms, first_limit, fault);
     if (fault && may_repeat) {
         stream_.reset();
         fault = {};
-        answer = co_await exchange(request, terms.limit_, fault);
+        answer = co_await exchange(request, terms, terms.limit_, fault);
     }
     if (fault) {
         if (stream_) {
--- a/src/transport/entry/plain_server.cpp
+++ b/src/transport/entry/plain_server.cpp
@@ -2,6 +2,8 @@
 
 #include "transport/entry/listen.hpp"
 
+#include <auburnchute/answer_ledger.hpp>
+
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -17,7 +19,7 @@
 net::awaitable<void> serve_connection(tcp::socket socket, page_handler handler)
 {
     boost::beast::tcp_stream stream{std::move(socket)};
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{max_unparsed_bytes};
     error_code fault;
     while (!fault) {
         plain_request request;
--- a/src/transport/entry/upstream_pool.hpp
+++ b/src/transport/entry/upstream_pool.hpp
@@ -2,6 +2,7 @@
 
 #include "transport/entry/async.hpp"
 
+#include <auburnchute/answer_ledger.hpp>
 #include <auburnchute/clock.hpp>
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -18,7 +19,7 @@
     explicit upstream_connection(net::io_context& loop) : stream_{loop} {}
 
     boost::beast::tcp_stream stream_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_{max_unparsed_bytes};
     std::string upstream_id_;
     bool idle_{};
     bool reused_{};
--- a/tests/transport/entry/http_peer_test.cpp
+++ b/tests/transport/entry/http_peer_test.cpp
@@ -1,5 +1,7 @@
 #include "transport/entry/http_peer.hpp"
 
+#include "transport/endless_service.hpp"
+
 #include <auburnchute/error.hpp>
 
 #include <boost/asio/detached.hpp>
@@ -89,3 +91,36 @@
         CHECK(fault.empty() == row.answered_);
     }
 }
+
+// Guards against a call for a report, an order or a read of the store that fills the memory with an answer
+// without end.
+TEST_CASE("a call ends when its answer is larger than its bounds", "[entry]")
+{
+    constexpr std::uint64_t largest_answer = std::uint64_t{1024} * 1024;
+    struct row {
+        char const* what_;
+        std::string start_;
+    };
+    auto const r = GENERATE(row{"a status line", ""}, row{"a field", "HTTP/1.1 200 OK\r\nA: "},
+                            row{"a chunk's length", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"},
+                            row{"a body", "HTTP/1.1 200 OK\r\n\r\n"});
+    CAPTURE(r.what_);
+    auburnchute::tests::endless_service service{r.start_};
+    net::io_context loop;
+    std::string fault;
+    net::co_spawn(
+        loop,
+        [&]() -> net::awaitable<void> {
+            http_peer peer{loop, service.address()};
+            try {
+                (void)co_await peer.call({boost::beast::http::verb::get, "/", 11},
+                                         {.limit_ = millis{10'000}, .largest_answer_ = largest_answer});
+            } catch (error const& failure) {
+                fault = failure.what();
+            }
+        },
+        net::detached);
+    loop.run();
+    CHECK_FALSE(fault.empty());
+    CHECK(service.taken() < auburnchute::tests::endless_service::most_taken);
+}
