--- a/apps/auburnchuted.cpp
+++ b/apps/auburnchuted.cpp
@@ -168,7 +168,8 @@
     fleet_control control{config, clk, counters, trails};
     stop_gate stop{clk};
     request_queue queue{control, counters, stop};
-    request_services const services{config, control, queue, counters, trails, spans, stop};
+    answer_ledger answers;
+    request_services const services{config, control, queue, counters, trails, spans, stop, answers};
     http_front callers{services};
     admin_front operators{services};
     auto const callers_port = callers.start();
--- a/src/transport/engine_client.cpp
+++ b/src/transport/engine_client.cpp
@@ -3,7 +3,6 @@
 #include "transport/http_client.hpp"
 
 #include <array>
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 #include <openssl/hmac.h>
 
@@ -11,6 +10,9 @@
 
 namespace {
 
+/// Largest answer of an engine to a call, in bytes: a report names its replicas and cached models.
+constexpr std::size_t max_engine_answer_bytes = std::size_t{1024} * 1024;
+
 load_source parse_source(std::string const& text)
 {
     if (text == "memory_cache") {
@@ -55,18 +57,17 @@
 order_result send_order(std::string const& address, std::string const& path, std::string const& body,
                         std::string const& order_key, millis limit)
 {
-    httplib::Headers headers;
+    httplib::Headers headers{{"Content-Type", "application/json"}};
     if (!order_key.empty()) {
         headers.emplace("X-Order-Signature", sign_order(order_key, body));
     }
-    auto const client = make_http_client(address, {{1'000}, limit, {2'000}});
-    auto const result = client->Post(path, headers, body, "application/json");
+    http_client client{address, {{1'000}, limit, {2'000}, max_engine_answer_bytes}};
+    auto const result =
+        client.call({.method_ = "POST", .target_ = path, .headers_ = std::move(headers), .body_ = body});
     if (result) {
-        return result->status == 200 ? order_result::done : order_result::refused;
+        return result.status_ == 200 ? order_result::done : order_result::refused;
     }
-    bool const never_connected =
-        result.error() == httplib::Error::Connection || result.error() == httplib::Error::ConnectionTimeout;
-    return never_connected ? order_result::not_sent : order_result::unknown;
+    return result.fault_ == call_fault::not_connected ? order_result::not_sent : order_result::unknown;
 }
 
 } // namespace
@@ -82,12 +83,12 @@
 
 std::optional<upstream_report> read_report(std::string const& address)
 {
-    auto const client = make_http_client(address, {{300}, {1'000}, {500}});
-    auto const result = client->Get("/report");
-    if (!result || result->status != 200) {
+    http_client client{address, {{300}, {1'000}, {500}, max_engine_answer_bytes}};
+    auto const result = client.call({.target_ = "/report"});
+    if (!result || result.status_ != 200) {
         return std::nullopt;
     }
-    auto const json = nlohmann::json::parse(result->body, nullptr, false);
+    auto const json = nlohmann::json::parse(result.body_, nullptr, false);
     if (!json.is_object()) {
         return std::nullopt;
     }
--- a/src/transport/log_client.cpp
+++ b/src/transport/log_client.cpp
@@ -2,7 +2,6 @@
 
 #include "transport/http_client.hpp"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 #include <utility>
@@ -11,6 +10,9 @@
 
 namespace {
 
+/// Largest page of records, in bytes.
+constexpr std::size_t max_page_bytes = std::size_t{64} * 1024 * 1024;
+
 /// \returns None if the text is not Base64.
 std::optional<std::string> base64_decode(std::string const& text)
 {
@@ -59,21 +61,24 @@
 
 bool log_client::append(std::string_view data) const
 {
-    auto const client = make_http_client(address_, {{500}, {2'000}, {2'000}});
-    auto const result = client->Post("/v1/records", data.data(), data.size(), "application/octet-stream");
-    return result && result->status == 200;
+    http_client client{address_, {{500}, {2'000}, {2'000}}};
+    auto const result = client.call({.method_ = "POST",
+                                     .target_ = "/v1/records",
+                                     .headers_ = {{"Content-Type", "application/octet-stream"}},
+                                     .body_ = data});
+    return result && result.status_ == 200;
 }
 
 std::optional<log_page> log_client::read(std::uint64_t from, std::size_t max, millis wait) const
 {
-    auto const client = make_http_client(address_, {{500}, wait + millis{1'500}, {1'000}});
+    http_client client{address_, {{500}, wait + millis{1'500}, {1'000}, max_page_bytes}};
     auto const path = "/v1/records?from=" + std::to_string(from) + "&max=" + std::to_string(max) +
                       "&wait_ms=" + std::to_string(wait.count_);
-    auto const result = client->Get(path);
-    if (!result || result->status != 200) {
+    auto const result = client.call({.target_ = path});
+    if (!result || result.status_ != 200) {
         return std::nullopt;
     }
-    return parse_page(result->body);
+    return parse_page(result.body_);
 }
 
 } // namespace auburnchute
--- a/src/transport/model_call.cpp
+++ b/src/transport/model_call.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <httplib.h>
 #include <utility>
 
 namespace auburnchute {
@@ -26,11 +25,8 @@
 /// Events buffered for a slow caller; a full buffer stops reading the upstream.
 constexpr std::size_t max_buffered = 256;
 
-bool connection_failed(httplib::Error fault)
-{
-    return fault == httplib::Error::Connection || fault == httplib::Error::ConnectionTimeout ||
-           fault == httplib::Error::BindIPAddress;
-}
+/// Bytes of an answer with an error that are kept for its caller.
+constexpr std::size_t max_error_bytes = std::size_t{64} * 1024;
 
 } // namespace
 
@@ -82,7 +78,7 @@
     std::deque<item> items_;
     bool given_up_{};
     std::atomic<bool> closed_{};
-    httplib::Client* client_{};
+    http_client* client_{};
 };
 
 model_call::model_call(request_services& services, retry_budgets& budgets, request_context context,
@@ -143,13 +139,13 @@
                                std::string body)
 {
     auto const left = context_.deadline_ - now(services_.control_.time_source());
-    auto const client = make_http_client(grant.address_, {{1'000}, std::max(left, stream_silence), {5'000}});
+    http_client client{grant.address_, {{1'000}, std::max(left, stream_silence), {5'000}}};
     {
         std::lock_guard const lock{out->mutex_};
         if (out->closed_) {
             return;
         }
-        out->client_ = client.get();
+        out->client_ = &client;
     }
     sse_parser parser;
     bool whole = false;
@@ -158,31 +154,31 @@
     bool malformed = false;
     int status = 0;
     std::string error_body;
-    httplib::Request request;
-    request.method = "POST";
-    request.path = path_;
-    request.headers.emplace("Content-Type", "application/json");
-    request.headers.emplace("Accept", "text/event-stream");
-    request.headers.emplace("X-Request-Id", context_.id_);
-    request.headers.emplace("traceparent", to_traceparent(child_of(context_.trace_)));
-    request.body = std::move(body);
-    request.response_handler = [&](httplib::Response const& response) {
-        status = response.status;
-        auto const echoed = response.get_header_value("X-Request-Id");
+    call_request const request{.method_ = "POST",
+                               .target_ = path_,
+                               .headers_ = {{"Content-Type", "application/json"},
+                                            {"Accept", "text/event-stream"},
+                                            {"X-Request-Id", context_.id_},
+                                            {"traceparent", to_traceparent(child_of(context_.trace_))}},
+                               .body_ = body};
+    call_receiver receiver;
+    receiver.head_ = [&](call_answer const& head) {
+        status = head.status_;
+        auto const echoed = head.header("X-Request-Id");
         crossed = status == 200 && !echoed.empty() && echoed != context_.id_;
         return !crossed;
     };
-    request.content_receiver = [&](char const* data, std::size_t size, std::uint64_t, std::uint64_t) {
+    receiver.body_ = [&](std::string_view bytes) {
         if (stop.stop_requested() || out->closed_) {
             return false;
         }
         if (status != 200) {
-            error_body.append(data, std::min<std::size_t>(size, 4'096));
-            return error_body.size() < 65'536;
+            error_body.append(bytes.substr(0, 4'096));
+            return error_body.size() < max_error_bytes;
         }
         std::vector<std::string> events;
         try {
-            events = feed(parser, {data, size});
+            events = feed(parser, bytes);
         } catch (error const&) {
             malformed = true;
             return false;
@@ -206,9 +202,7 @@
         }
         return true;
     };
-    httplib::Response response;
-    httplib::Error fault = httplib::Error::Success;
-    bool const sent = client->send(request, response, fault);
+    auto const answer = client.call(request, receiver);
     {
         std::lock_guard const lock{out->mutex_};
         out->client_ = nullptr;
@@ -216,10 +210,10 @@
     channel::item end;
     end.end_ = true;
     end.status_ = status;
-    if (crossed || malformed) {
+    if (crossed || malformed || answer.fault_ == call_fault::wrong_answer) {
         end.result_ = try_result::wrong_answer;
         end.detail_ = crossed ? "the answer belongs to another request" : "the answer is malformed";
-    } else if (sent && status == 200) {
+    } else if (answer && status == 200) {
         end.result_ = whole ? try_result::answered
                       : any ? try_result::cut_in_answer
                             : try_result::cut_before_answer;
@@ -230,7 +224,7 @@
     } else if (status >= 400 && status < 500) {
         end.result_ = try_result::answered;
         end.detail_ = error_body;
-    } else if (!sent && connection_failed(fault)) {
+    } else if (answer.fault_ == call_fault::not_connected) {
         end.result_ = try_result::not_sent;
         end.detail_ = "the upstream does not accept connections";
     } else {
--- a/src/transport/request_context.hpp
+++ b/src/transport/request_context.hpp
@@ -8,6 +8,7 @@
 #include "transport/request_queue.hpp"
 #include "transport/stop_gate.hpp"
 
+#include <auburnchute/answer_ledger.hpp>
 #include <auburnchute/clock.hpp>
 
 #include <cstdint>
@@ -27,6 +28,7 @@
     trail_store& trails_;
     span_sink& spans_;
     stop_gate& stop_;
+    answer_ledger& answers_; ///< What the answers of services take.
 };
 
 /// \brief Ends of requests whose whole time has no limit.
--- a/src/transport/service_call.cpp
+++ b/src/transport/service_call.cpp
@@ -1,5 +1,6 @@
 #include "transport/service_call.hpp"
 
+#include "protocol/logging.hpp"
 #include "transport/http_client.hpp"
 
 #include <algorithm>
@@ -57,37 +58,38 @@
                             slot_grant const& grant, httplib::Request const& request)
 {
     auto const started = wall_now();
-    auto const client = make_http_client(grant.address_, {connect_limit, answer_limit, send_limit});
-    httplib::Request forwarded;
-    forwarded.method = request.method;
-    forwarded.path = request.target;
-    forwarded.body = request.body;
+    http_client client{grant.address_, {connect_limit, answer_limit, send_limit}};
+    call_request forwarded{.method_ = request.method, .target_ = request.target, .body_ = request.body};
     for (auto const& [name, value] : request.headers) {
         if (!is_dropped(name)) {
-            forwarded.headers.emplace(name, value);
+            forwarded.headers_.emplace(name, value);
         }
     }
-    forwarded.headers.emplace("X-Request-Id", context.id_);
-    forwarded.headers.emplace("traceparent", to_traceparent(child_of(context.trace_)));
-    httplib::Response response;
-    httplib::Error fault = httplib::Error::Success;
+    forwarded.headers_.emplace("X-Request-Id", context.id_);
+    forwarded.headers_.emplace("traceparent", to_traceparent(child_of(context.trace_)));
     service_result result;
-    if (!context.open_->on_give_up([&client] { client->stop(); })) {
+    if (!context.open_->on_give_up([&client] { client.stop(); })) {
         result.given_up_ = true;
         return result;
     }
-    bool const answered = client->send(forwarded, response, fault);
+    answer_ledger::entry held{services.answers_, [&client] { client.stop(); }};
+    auto answer = client.call(forwarded, {.held_ = [&held](std::size_t bytes) { held.hold(bytes); }});
     (void)context.open_->on_give_up({});
-    if (answered) {
-        auto const echoed = response.get_header_value("X-Request-Id");
+    bool const kept = held.finish();
+    if (!kept || answer.fault_ == call_fault::wrong_answer) {
+        log_fault("relay", grant.upstream_,
+                  kept ? "the answer is malformed or too large" : "the answers take too much memory");
+        result.result_ = try_result::wrong_answer;
+    } else if (answer) {
+        auto const echoed = answer.header("X-Request-Id");
         bool const crossed = !echoed.empty() && echoed != context.id_;
         result.result_ = crossed ? try_result::wrong_answer : try_result::answered;
-        result.status_ = response.status;
-        result.content_type_ = response.get_header_value("Content-Type");
-        result.body_ = std::move(response.body);
-        result.headers_ = std::move(response.headers);
+        result.status_ = answer.status_;
+        result.content_type_ = answer.header("Content-Type");
+        result.body_ = std::move(answer.body_);
+        result.headers_ = std::move(answer.headers_);
     } else {
-        bool const never = fault == httplib::Error::Connection || fault == httplib::Error::ConnectionTimeout;
+        bool const never = answer.fault_ == call_fault::not_connected;
         result.result_ = never ? try_result::not_sent : try_result::cut_before_answer;
         result.given_up_ = services.stop_.is_closing();
     }
--- a/src/transport/vm_list_client.cpp
+++ b/src/transport/vm_list_client.cpp
@@ -2,20 +2,26 @@
 
 #include "transport/http_client.hpp"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 namespace auburnchute {
 
+namespace {
+
+/// Largest list of VMs: 10,000 servers of less than 1 KiB each, with room.
+constexpr std::size_t max_vm_list_bytes = std::size_t{16} * 1024 * 1024;
+
+} // namespace
+
 std::optional<std::vector<listed_vm>> read_vm_list(std::string const& address)
 {
-    auto const client = make_http_client(address, {{500}, {2'000}, {1'000}});
-    auto const result = client->Get("/v1/vms");
-    if (!result || result->status != 200) {
+    http_client client{address, {{500}, {2'000}, {1'000}, max_vm_list_bytes}};
+    auto const result = client.call({.target_ = "/v1/vms"});
+    if (!result || result.status_ != 200) {
         return std::nullopt;
     }
-    auto const json = nlohmann::json::parse(result->body, nullptr, false);
+    auto const json = nlohmann::json::parse(result.body_, nullptr, false);
     if (!json.is_object()) {
         return std::nullopt;
     }
