Pass on answers and streams of over 8 MiB

Callers saw: 502 for a sound answer of 8 to 16 MiB that announces its length, and a stream cut once its events were 8 MiB together.

Cause: the HTTP library's limit of 8 MiB on bodies applies to the parser of the head, before max_answer_bytes is set, and stays in force for a stream.

Change: the head's parser has no limit on the body; an announced length is compared with max_answer_bytes, and what is read is counted as before.

--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -17,6 +17,7 @@
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
+#include <limits>
 #include <sstream>
 
 namespace auburnchute {
@@ -98,6 +99,9 @@
 constexpr int timed_out = 504;
 constexpr int unavailable = 503;
 
+/// The library's own limit on bodies, 8 MiB, would count the events of a stream together.
+constexpr std::uint64_t unlimited_body = std::numeric_limits<std::uint64_t>::max();
+
 using body_parser = http::request_parser<http::string_body>;
 using answer_parser = http::response_parser<http::buffer_body>;
 using whole_answer_parser = http::response_parser<http::string_body>;
@@ -902,6 +906,7 @@
     int interim = 0;
     for (int stray = 0; stray <= max_stray_answers; ++stray) {
         auto head = std::make_unique<http::response_parser<http::empty_body>>();
+        head->body_limit(unlimited_body); // what is read of the body decides
         co_await http::async_read_header(connection.stream_, connection.buffer_, *head, outcome_in(fault));
         if (fault) {
             outcome.fault_ = "answer: " + fault.message();
@@ -1007,6 +1012,11 @@
 net::awaitable<void> caller_session::read_whole(upstream_connection& connection, whole_answer_parser& parser,
                                                 answer_ledger::entry& held, error_code& fault)
 {
+    // A length that was announced is not compared with a limit set after the head was read.
+    if (parser.content_length().value_or(0) > max_answer_bytes) {
+        fault = http::error::body_limit;
+        co_return;
+    }
     parser.body_limit(max_answer_bytes);
     parser.eager(true);
     while (!parser.is_done() && !fault) {
--- a/tests/transport/entry/endless_bytes_test.cpp
+++ b/tests/transport/entry/endless_bytes_test.cpp
@@ -150,7 +150,8 @@
     CHECK_FALSE(world.daemon().has_ended());
 }
 
-// Guards against a sound answer that a bound refuses: large bodies, events and heads were served before.
+// Guards against a sound answer that a bound refuses: the library counts 8 MiB of an answer that says its
+// length, and of all events of a stream together.
 TEST_CASE("large sound answers are passed on whole", "[entry][promise-8]")
 {
     struct row {
@@ -159,8 +160,14 @@
         std::string body_;
         std::size_t size_; ///< Of what the caller gets after the head, at least.
     };
-    constexpr std::size_t large_body = std::size_t{7} * 1024 * 1024;
+    constexpr std::size_t large_body = std::size_t{15} * 1024 * 1024;
     constexpr std::size_t large_event = std::size_t{1000} * 1000;
+    constexpr int events = 12;
+    std::string long_stream;
+    for (int i = 1; i <= events; ++i) {
+        long_stream +=
+            chunk("id: " + std::to_string(i) + "\ndata: " + std::string(large_event, 's') + "\n\n");
+    }
     auto const r = GENERATE_COPY(
         row{"/buy/1", "Content-Length: " + std::to_string(large_body) + "\r\n", std::string(large_body, 's'),
             large_body},
@@ -169,6 +176,8 @@
         row{"/buy/1", "A: " + std::string(7'000, 'h') + "\r\nContent-Length: 4\r\n", "last", 4},
         row{"/buy/1", "Transfer-Encoding: chunked\r\n",
             "4;a=" + std::string(30'000, 'e') + "\r\nlast\r\n0\r\n\r\n", 4},
+        row{"/watch/1", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
+            long_stream + "0\r\n\r\n", events * large_event},
         row{"/watch/1", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
             chunk("id: 1\ndata: " + std::string(large_event, 's') + "\n\n") + "0\r\n\r\n", large_event});
     CAPTURE(r.path_, r.size_, r.fields_.substr(0, 40));
