--- a/include/auburnchute/crash_evidence.hpp
+++ b/include/auburnchute/crash_evidence.hpp
@@ -138,8 +138,13 @@
 /// they are tried again after a short pause; records of live VMs go before them. \returns As `merge_records`.
 bool restore_records(crash_evidence& evidence, std::vector<trait_record> records, millis now);
 
-/// \brief Drops records that are out of date.
-void expire_records(crash_evidence& evidence, millis now);
+/// \returns Whether a record is kept in the store, so that the loss of all VMs does not forget it. The record
+/// of a whole request is kept from its first crash on, as the request may come again as it is; that of a
+/// prompt part from its second, since each crash marks the parts of all requests that waited.
+[[nodiscard]] bool is_worth_keeping(trait_record const& record);
+
+/// \brief Drops records that are out of date. \returns Whether there were any.
+bool expire_records(crash_evidence& evidence, millis now);
 
 /// \returns The records that changed after a version that a peer of this VM has seen; all if that version is
 /// of another process.
--- a/src/coordination/crash_evidence.cpp
+++ b/src/coordination/crash_evidence.cpp
@@ -418,7 +418,14 @@
     return merge_records(evidence, records, now);
 }
 
-void expire_records(crash_evidence& evidence, millis now)
+bool is_worth_keeping(trait_record const& record)
+{
+    constexpr std::size_t part_crashes = 2;
+    auto const crashes = weights_of(record.marks_, {}).size();
+    return crashes >= (record.trait_.depth_ == whole_request_depth ? 1 : part_crashes);
+}
+
+bool expire_records(crash_evidence& evidence, millis now)
 {
     auto const dropped = std::erase_if(evidence.records_, [now](auto const& entry) {
         auto const& record = entry.second;
@@ -427,6 +434,7 @@
     if (dropped > 0) {
         choose_blocked(evidence);
     }
+    return dropped > 0;
 }
 
 std::vector<trait_record> records_after(crash_evidence const& evidence, std::uint64_t version)
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -6,7 +6,9 @@
 #include <auburnchute/order_lease.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <map>
+#include <set>
 
 namespace auburnchute {
 
@@ -132,15 +134,24 @@
 /// Least time between the rounds in which further VMs may try a blocked trait.
 constexpr millis least_trial_round{500};
 
-using blocked_traits = std::map<trait_hash, blocked_trait>;
+/// What was blocked and what was worth keeping before a change of the evidence.
+struct evidence_before {
+    std::map<trait_hash, blocked_trait> blocked_;
+    std::set<trait_hash> worth_keeping_;
+};
 
-blocked_traits blocked_now(entry_node const& node)
+evidence_before evidence_now(entry_node const& node)
 {
-    blocked_traits traits;
+    evidence_before before;
     for (auto const& blocked : node.evidence_.blocked_) {
-        traits.emplace(blocked.hash_, blocked);
+        before.blocked_.emplace(blocked.hash_, blocked);
     }
-    return traits;
+    for (auto const& [hash, record] : node.evidence_.records_) {
+        if (is_worth_keeping(record)) {
+            before.worth_keeping_.insert(hash);
+        }
+    }
+    return before;
 }
 
 bool holds_for_same(blocked_trait const& a, blocked_trait const& b)
@@ -148,33 +159,24 @@
     return a.everywhere_ == b.everywhere_ && a.workspaces_ == b.workspaces_ && a.answered_ == b.answered_;
 }
 
-/// Logs which traits became blocked, for whom, or free, and keeps in the store what this VM's own requests
-/// took part in.
-void note_blocked(entry_node& node, blocked_traits const& before)
+/// Logs which traits became blocked, for whom, or free.
+void note_blocked(entry_node& node, evidence_before const& before)
 {
     for (auto const& blocked : node.evidence_.blocked_) {
-        auto const& record = node.evidence_.records_.at(blocked.hash_);
-        auto const known = before.find(blocked.hash_);
-        if (known != before.end() && holds_for_same(known->second, blocked)) {
+        auto const known = before.blocked_.find(blocked.hash_);
+        if (known != before.blocked_.end() && holds_for_same(known->second, blocked)) {
             continue;
         }
         log_failure("trait-blocked", {{"trait", trait_name(blocked.hash_)},
-                                      {"depth", record.trait_.depth_},
+                                      {"depth", node.evidence_.records_.at(blocked.hash_).trait_.depth_},
                                       {"crashes", blocked.crashes_},
                                       {"everywhere", blocked.everywhere_},
                                       {"workspaces", blocked.workspaces_.size()},
                                       {"retry_ms", (blocked.retry_at_ - boot_now()).count_}});
-        if (record.observed_ && node.keep_evidence_) {
-            node.keep_evidence_(blocked.hash_, record);
-        }
     }
-    for (auto const& [hash, blocked] : before) {
+    for (auto const& [hash, blocked] : before.blocked_) {
         if (find_blocked(node.evidence_, hash) == nullptr) {
             log_decision("trait-free", {{"trait", trait_name(hash)}});
-            auto const record = node.evidence_.records_.find(hash);
-            if (record != node.evidence_.records_.end() && record->second.observed_ && node.keep_evidence_) {
-                node.keep_evidence_(hash, std::nullopt);
-            }
         }
     }
     node.counters_.gauge("auburnchute_blocked_traits", "",
@@ -183,6 +185,70 @@
                          static_cast<double>(node.evidence_.records_.size()));
 }
 
+/// \returns Whether this VM is the one of all that it knows which deletes a record that none of them wrote.
+bool is_chosen(entry_node const& node, trait_hash trait)
+{
+    auto const rank = [trait](short_hash vm) {
+        return stable_hash({reinterpret_cast<char const*>(&vm), sizeof vm}, trait);
+    };
+    auto const own = rank(short_hash_of(node.settings_.vm_));
+    return std::all_of(node.exchange_.known_vms_.begin(), node.exchange_.known_vms_.end(),
+                       [&](auto const& other) { return rank(other.first) >= own; });
+}
+
+bool has_marks(entry_node const& node, trait_hash trait)
+{
+    auto const record = node.evidence_.records_.find(trait);
+    return record != node.evidence_.records_.end() && !record->second.marks_.empty();
+}
+
+/// Keeps in the store what this VM's own requests took part in, and deletes there what was answered or is out
+/// of date.
+void keep_changes(entry_node& node, evidence_before const& before)
+{
+    if (!node.keep_evidence_) {
+        return;
+    }
+    std::set<trait_hash> ended;
+    std::copy_if(before.worth_keeping_.begin(), before.worth_keeping_.end(),
+                 std::inserter(ended, ended.end()),
+                 [&](trait_hash trait) { return !has_marks(node, trait); });
+    for (auto const& [trait, kept] : node.kept_evidence_) {
+        if (!has_marks(node, trait)) {
+            ended.insert(trait);
+        }
+    }
+    for (auto const trait : ended) {
+        auto const record = node.evidence_.records_.find(trait);
+        auto const kept = node.kept_evidence_.find(trait);
+        bool const observed = record != node.evidence_.records_.end() && record->second.observed_;
+        bool const looked_after =
+            kept != node.kept_evidence_.end() && (kept->second.own_ || is_chosen(node, trait));
+        if (observed || looked_after) {
+            node.keep_evidence_(trait, std::nullopt);
+        }
+        node.kept_evidence_.erase(trait);
+    }
+    for (auto const& [trait, record] : node.evidence_.records_) {
+        auto const kept = node.kept_evidence_.find(trait);
+        bool const known = kept != node.kept_evidence_.end();
+        if (!record.observed_ || record.marks_.empty() || !(known || is_worth_keeping(record))) {
+            continue;
+        }
+        kept_evidence now_kept{record.round_, record.marks_, record.answers_, true};
+        if (!known || kept->second != now_kept) {
+            node.keep_evidence_(trait, record);
+            node.kept_evidence_.insert_or_assign(trait, std::move(now_kept));
+        }
+    }
+}
+
+void note_change(entry_node& node, evidence_before const& before)
+{
+    note_blocked(node, before);
+    keep_changes(node, before);
+}
+
 void tell_evidence(entry_node& node)
 {
     if (node.send_state_) {
@@ -194,39 +260,51 @@
 
 void book_crash(entry_node& node, crashed_request const& request)
 {
-    auto const before = blocked_now(node);
+    auto const before = evidence_now(node);
     record_crash(node.evidence_, request, boot_now());
-    note_blocked(node, before);
+    note_change(node, before);
     tell_evidence(node);
 }
 
 void book_answer(entry_node& node, std::span<request_trait const> traits, std::uint32_t workspace,
                  millis began_at)
 {
-    auto const before = blocked_now(node);
+    auto const before = evidence_now(node);
     auto const version = node.evidence_.version_;
     record_answer(node.evidence_, traits, workspace, began_at, boot_now());
     if (node.evidence_.version_ != version) {
-        note_blocked(node, before);
+        note_change(node, before);
         tell_evidence(node);
     }
 }
 
 bool take_evidence(entry_node& node, std::span<trait_record const> records)
 {
-    auto const before = blocked_now(node);
+    auto const before = evidence_now(node);
     bool const changed = merge_records(node.evidence_, records, boot_now());
     if (changed) {
-        note_blocked(node, before);
+        note_change(node, before);
     }
     return changed;
 }
 
 void take_stored_evidence(entry_node& node, std::vector<trait_record> records)
 {
-    auto const before = blocked_now(node);
+    auto const before = evidence_now(node);
+    for (auto const& record : records) {
+        node.kept_evidence_.try_emplace(record.trait_.hash_,
+                                        kept_evidence{record.round_, record.marks_, record.answers_, false});
+    }
     if (restore_records(node.evidence_, std::move(records), boot_now())) {
-        note_blocked(node, before);
+        note_change(node, before);
+    }
+}
+
+void expire_evidence(entry_node& node, millis now)
+{
+    auto const before = evidence_now(node);
+    if (expire_records(node.evidence_, now)) {
+        note_change(node, before);
     }
 }
 
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -71,6 +71,16 @@
 /// \brief Models and adapters by the hashes that messages carry.
 using need_names = std::unordered_map<name_hash, need_key>;
 
+/// \brief What the store holds of a trait.
+struct kept_evidence {
+    std::uint32_t round_{};
+    std::vector<crash_mark> marks_;
+    std::vector<workspace_answers> answers_;
+    bool own_{}; ///< This VM wrote it; else it was read at the start.
+
+    friend bool operator==(kept_evidence const&, kept_evidence const&) = default;
+};
+
 /// \brief Everything that the thread that serves requests owns.
 ///
 /// Thread safety: used by that thread alone, but for `shared_`, `settings_` and `counters_`.
@@ -102,6 +112,7 @@
     std::uint64_t need_names_version_{}; ///< Configuration version of `need_names_`.
     std::list<waiting_call*> waiting_;
     crash_evidence evidence_;
+    std::map<trait_hash, kept_evidence> kept_evidence_; ///< Records in the store that this VM looks after.
     std::map<std::string, retry_budget, std::less<>> retries_; ///< By service; this VM's parts.
     placement_table placements_;
     std::uint64_t own_lease_epoch_{};    ///< Of the lease while this VM holds it; 0: it does not.
@@ -117,7 +128,7 @@
     std::function<void(leave_notice)> leave_noticed_; ///< Called when an upstream says that it leaves.
     std::function<void()> reread_upstreams_;          ///< Called when a record of the upstreams was missed.
     std::function<void()> stop_placing_;              ///< Gives up the order lease for good.
-    /// Keeps the record of a blocked trait in the store, or deletes it there if there is none.
+    /// Keeps the record of a trait in the store, or deletes it there if there is none.
     std::function<void(trait_hash, std::optional<trait_record>)> keep_evidence_;
 };
 
@@ -182,8 +193,7 @@
 /// \returns Whether callers may be sent here.
 [[nodiscard]] bool is_ready(entry_node const& node, millis now);
 
-/// \brief Books a request whose upstream crashed, tells the other VMs, and keeps in the store what is
-/// blocked.
+/// \brief Books a request whose upstream crashed, tells the other VMs, and keeps the evidence in the store.
 void book_crash(entry_node& node, crashed_request const& request);
 
 /// \brief Books that a request was answered. \param workspace As in `crash_mark`.
@@ -198,6 +208,9 @@
 /// \brief Takes over the evidence that the store held when this VM started.
 void take_stored_evidence(entry_node& node, std::vector<trait_record> records);
 
+/// \brief Drops evidence that is out of date, also from the store.
+void expire_evidence(entry_node& node, millis now);
+
 /// \brief Judges a request by the crash evidence of all VMs.
 [[nodiscard]] request_verdict judge_request(entry_node const& node, std::span<request_trait const> traits,
                                             std::uint32_t workspace);
--- a/src/transport/entry/peer_exchange.cpp
+++ b/src/transport/entry/peer_exchange.cpp
@@ -487,7 +487,7 @@
     refresh_peers(node.exchange_, own_spending(node), now);
     note_round(node, relay_before, relay_of_before);
     forget_needs(node, now);
-    expire_records(node.evidence_, now);
+    expire_evidence(node, now);
     for (auto& [name, use] : node.workspaces_) {
         refill(use.bucket_, peer_visibility_of(node.exchange_, now), now); // its level is sent
     }
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -39,6 +39,9 @@
 /// Largest strength of a member, in hundredths of a core.
 constexpr std::int64_t max_strength = 1'000'000;
 
+/// Pause between looks at whether crash evidence is to be written: what is answered meanwhile costs no call.
+constexpr millis evidence_pause{100};
+
 /// The members are read this often even if no message from an unknown VM arrived.
 constexpr millis member_refresh{30'000};
 
@@ -567,7 +570,12 @@
 {
     auto const newest = co_await store.read_newest(platform::evidence_topic);
     std::vector<trait_record> records;
-    for (auto const& stored : newest.records_) {
+    auto stored_records = newest.records_;
+    // What was left behind by VMs that are gone must not displace what is new.
+    std::sort(stored_records.begin(), stored_records.end(),
+              [](auto const& a, auto const& b) { return a.offset_ > b.offset_; });
+    stored_records.resize(std::min(stored_records.size(), max_trait_records));
+    for (auto const& stored : stored_records) {
         if (auto record = stored.value_ ? decode_evidence(*stored.value_) : std::nullopt) {
             records.push_back(std::move(*record));
         } else {
@@ -580,21 +588,49 @@
     }
 }
 
-net::awaitable<void> write_evidence(store_reader& reader, platform::store_client& store)
+/// Writes the crash evidence that is due. \returns Whether the store took all of it.
+net::awaitable<bool> write_evidence(store_reader& reader, platform::store_client& store)
 {
     while (!reader.evidence_due_.empty()) {
         auto const [trait, record] = *reader.evidence_due_.begin();
+        reader.evidence_written_.insert(trait); // also if the answer is lost
         auto const outcome = co_await store.append(
             platform::evidence_topic, platform::encode_keyed_record(trait_name(trait), record.value_or("")),
             std::nullopt);
         if (outcome.result_ != platform::append_result::stored) {
             log_failure("crash-record-unwritten", {{"trait", trait_name(trait)}});
-            co_return; // written with the next round
+            co_return false;
         }
         auto const due = reader.evidence_due_.find(trait);
         if (due != reader.evidence_due_.end() && due->second == record) {
             reader.evidence_due_.erase(due); // else it changed meanwhile
         }
+        if (!record && !reader.evidence_due_.contains(trait)) {
+            reader.evidence_written_.erase(trait);
+        }
+    }
+    co_return true;
+}
+
+/// Evidence has a connection of its own: a crash may be the last thing that a VM learns before it is lost.
+net::awaitable<void> follow_evidence(store_reader& reader)
+{
+    platform::store_client store{reader.loop_, reader.settings_.store_address_, store_call_limit};
+    growing_pause after_failure;
+    while (true) {
+        std::string fault;
+        try {
+            bool const written = co_await write_evidence(reader, store);
+            if (written) {
+                after_failure.reset();
+            }
+            co_await pause_for(written ? evidence_pause : after_failure.next());
+            continue;
+        } catch (std::exception const& failure) {
+            fault = failure.what();
+        }
+        log_failure("crash-records-unwritten", {{"fault", fault}, {"due", reader.evidence_due_.size()}});
+        co_await pause_for(after_failure.next());
     }
 }
 
@@ -633,7 +669,6 @@
                     publish(reader);
                 }
             }
-            co_await write_evidence(reader, store);
             after_failure.reset();
             co_await pause_for(member_pause);
             continue;
@@ -697,6 +732,10 @@
 
 void keep_evidence(store_reader& reader, trait_hash trait, std::optional<trait_record> const& record)
 {
+    if (!record && reader.evidence_due_.contains(trait) && !reader.evidence_written_.contains(trait)) {
+        reader.evidence_due_.erase(trait); // the store has none
+        return;
+    }
     reader.evidence_due_[trait] = record ? std::optional{encode_evidence(*record)} : std::nullopt;
 }
 
@@ -713,6 +752,7 @@
 {
     run_forever(reader.loop_, "follow-config", [&reader] { return follow_config(reader); });
     run_forever(reader.loop_, "follow-upstreams", [&reader] { return follow_upstreams(reader); });
+    run_forever(reader.loop_, "follow-evidence", [&reader] { return follow_evidence(reader); });
     run_forever(reader.loop_, "follow-members", [&reader] { return follow_members(reader); });
 }
 
--- a/src/transport/entry/store_reader.hpp
+++ b/src/transport/entry/store_reader.hpp
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 
 namespace auburnchute {
 
@@ -39,6 +40,7 @@
     std::function<void(std::vector<trait_record>)>
         evidence_read_{}; ///< Called once with the crash evidence that the store holds.
     std::map<trait_hash, std::optional<std::string>> evidence_due_{}; ///< Records to write; none: to delete.
+    std::set<trait_hash> evidence_written_{}; ///< Records that this VM wrote and the store may hold.
 };
 
 /// \brief Starts reading until the loop stops. \pre `reader` outlives the loop's work.
--- a/tests/coordination/crash_evidence_test.cpp
+++ b/tests/coordination/crash_evidence_test.cpp
@@ -440,3 +440,29 @@
     CHECK(judge_request(restarted, vm.traits({50}), 1, {}, millis{500}).refused_);
     CHECK_FALSE(judge_request(restarted, vm.traits({50}), 1, {}, millis{3'500}).refused_);
 }
+
+// Guards against crash evidence below the limit that the loss of all VMs forgets, and against a write to the
+// store for each part of each request that waited at a crashed upstream.
+TEST_CASE("a whole request is kept from its first crash on and a part from its second", "[crash-evidence]")
+{
+    evidence_player vm;
+    auto const again = vm.traits({50, 60});
+    auto const other = vm.traits({50, 70});
+    auto const kept = [&](request_trait const& trait) {
+        auto const found = vm.evidence_.records_.find(trait.hash_);
+        return found != vm.evidence_.records_.end() && is_worth_keeping(found->second);
+    };
+    vm.crash({again, other}, 1, crash_weight::waiting);
+    CHECK(kept(again[0]));
+    CHECK(kept(other[0]));
+    CHECK_FALSE(kept(again[1]));
+    CHECK_FALSE(kept(again[2]));
+    vm.crash({again}, 1, crash_weight::waiting);
+    CHECK(kept(again[1]));
+    CHECK(kept(again[2]));
+    CHECK_FALSE(kept(other[2]));
+    vm.answer(again);
+    CHECK_FALSE(kept(again[0]));
+    CHECK_FALSE(kept(again[1]));
+    CHECK(kept(other[0]));
+}
--- a/tests/transport/entry/deadly_part_test.cpp
+++ b/tests/transport/entry/deadly_part_test.cpp
@@ -1,3 +1,4 @@
+#include "protocol/fleet_codec.hpp"
 #include "transport/entry/entry_world.hpp"
 
 #include <atomic>
@@ -105,6 +106,33 @@
 
 constexpr auto evidence_topic = "keyed.auburnchute-crashes";
 
+/// \returns The most workspaces for which one trait's stored marks are enough to block it.
+int stored_blocks(standin_store& store)
+{
+    constexpr int blocking_weight = 4;
+    int most = 0;
+    for (auto const& value : store.values(evidence_topic)) {
+        std::map<std::uint32_t, int> weights;
+        for (auto const& mark : auburnchute::decode_evidence(value).value().marks_) {
+            weights[mark.workspace_] += static_cast<int>(mark.weight_);
+        }
+        most = std::max(most,
+                        static_cast<int>(std::count_if(weights.begin(), weights.end(), [](auto const& sum) {
+                            return sum.second >= blocking_weight;
+                        })));
+    }
+    return most;
+}
+
+/// \returns Whether the store holds evidence against a prompt part.
+bool holds_part(standin_store& store)
+{
+    auto const values = store.values(evidence_topic);
+    return std::any_of(values.begin(), values.end(), [](auto const& value) {
+        return auburnchute::decode_evidence(value).value().trait_.depth_ != auburnchute::whole_request_depth;
+    });
+}
+
 /// Crashes after which the users' rules bind.
 constexpr int crash_bound = 5;
 
@@ -155,7 +183,7 @@
     }
     SECTION("all VMs are killed at once; the store knows")
     {
-        REQUIRE(eventually(limit, [&] { return world.store_.holds("keyed.auburnchute-crashes"); }));
+        REQUIRE(eventually(limit, [&] { return stored_blocks(world.store_) > 0; }));
         world.daemons_.clear();
         world.start_daemon(world.ip_, "front-a-1", "a");
         REQUIRE(eventually(limit, [&] { return world.ready(); }));
@@ -173,7 +201,7 @@
     constexpr int most_crashes = 4; // for a workspace, if the reset overtakes the heads of the answers
     crashing_fleet fleet{10, {"dead"}};
     auto& world = fleet.world();
-    std::uint64_t stored = 0;
+    int blocked = 0;
     for (auto const* const key : {"key", "key-v"}) {
         bool refused = false;
         for (int crashes = 0; crashes <= most_crashes && !refused; ++crashes) {
@@ -181,8 +209,8 @@
             CHECK(fleet.ask("aa:100,bb:20", key) == 200);
         }
         REQUIRE(refused);
-        CHECK(eventually(limit, [&] { return world.store_.end_offset(evidence_topic) > stored; }));
-        stored = world.store_.end_offset(evidence_topic);
+        ++blocked;
+        CHECK(eventually(limit, [&] { return stored_blocks(world.store_) == blocked; }));
     }
     auto const before = fleet.crashes();
     world.daemons_.clear();
@@ -233,9 +261,53 @@
     }
     REQUIRE(fleet.ask("aa:100,dead:50,bb:20") == 503);
     auto& store = fleet.world().store_;
-    REQUIRE(eventually(limit, [&] { return store.holds("keyed.auburnchute-crashes"); }));
+    REQUIRE(eventually(limit, [&] { return holds_part(store); }));
     fleet.set_deadly(false);
     REQUIRE(eventually(90s, [&] { return fleet.ask("aa:100,dead:50,bb:20") == 200; }));
     CHECK(fleet.ask("aa:100,dead:50,bb:20") == 200);
-    CHECK(eventually(limit, [&] { return !store.holds("keyed.auburnchute-crashes"); }));
+    // The requests that crashed upstreams did not come again, and are kept as such until they are out of
+    // date.
+    CHECK(eventually(limit, [&] { return !holds_part(store); }));
+}
+
+// Guards against a request that crashes upstreams further and further as all VMs are lost before it is
+// refused.
+TEST_CASE("crashes below the limit count after the loss of all VMs", "[entry][promise-3][promise-9]")
+{
+    constexpr int blocking_crashes = 4; // of requests that wait for their answer
+    auto const lost_after = GENERATE(1, 2, 3);
+    CAPTURE(lost_after);
+    std::atomic<int> crashes{0};
+    std::optional<entry_world> world;
+    std::vector<scripted_upstream::script> scripts;
+    for (std::size_t i = 0; i < 6; ++i) {
+        scripts.push_back(after_probe([&, i](received_request const&, owned_socket& connection) {
+            ++crashes;
+            world->upstreams_[i]->stop_listening();
+            connection.reset();
+            return false;
+        }));
+    }
+    world.emplace(scripts);
+    auto const ask = [&] {
+        return entry_world::status_of(
+            world->call("POST", "/watch/1", "deadly", "Connection: close\r\nApi-Key: key\r\n")
+                .receive_until("\r\n\r\n"));
+    };
+    for (int i = 0; i < lost_after; ++i) {
+        auto const before = world->store_.end_offset(evidence_topic);
+        CHECK(ask() == 502);
+        REQUIRE(eventually(limit, [&] { return world->store_.end_offset(evidence_topic) > before; }));
+    }
+    REQUIRE(crashes == lost_after);
+    world->daemons_.clear();
+    world->start_daemon(world->ip_, "front-a-1", "a");
+    REQUIRE(eventually(limit, [&] { return world->ready(); }));
+    while (crashes < blocking_crashes) {
+        auto const before = crashes.load();
+        CHECK(ask() != 200);
+        REQUIRE(crashes > before);
+    }
+    CHECK(ask() == 503);
+    CHECK(crashes == blocking_crashes);
 }
--- a/tests/transport/entry/entry_node_test.cpp
+++ b/tests/transport/entry/entry_node_test.cpp
@@ -110,3 +110,120 @@
         CHECK(accepts_requests(node, "i-1", 5, boot_now()) == row.accepts_);
     }
 }
+
+namespace {
+
+/// A node whose writes to the store are noted.
+struct keeping_node {
+    explicit keeping_node(std::string vm = "vm-own") : made_{true, boot_now()}
+    {
+        made_.settings_.vm_ = std::move(vm);
+        made_.node_.keep_evidence_ = [this](trait_hash trait, std::optional<trait_record> const& record) {
+            ++writes_;
+            if (record) {
+                store_[trait] = *record;
+            } else {
+                store_.erase(trait);
+                ++deletions_;
+            }
+        };
+    }
+
+    void crash(std::uint32_t crash)
+    {
+        book_crash(made_.node_, {.traits_ = request_,
+                                 .crash_ = crash,
+                                 .workspace_ = 1,
+                                 .weight_ = crash_weight::waiting,
+                                 .sent_at_ = boot_now() + millis{1}}); // after the crash before
+    }
+    void answer() { book_answer(made_.node_, request_, 1, boot_now() + millis{1}); }
+
+    started_node made_;
+    std::vector<request_trait> request_{traits_of(std::vector<std::uint64_t>{5}, 7, 1, 256)};
+    std::map<trait_hash, trait_record> store_;
+    int writes_{};
+    int deletions_{};
+};
+
+} // namespace
+
+// Guards against crash evidence that is known to the VMs alone, and against a store that keeps what was
+// answered.
+TEST_CASE("crash evidence below the limit is in the store until it is answered", "[entry][promise-3]")
+{
+    keeping_node vm;
+    for (std::uint32_t crash = 1; crash <= 3; ++crash) {
+        vm.crash(crash);
+        REQUIRE(vm.store_.contains(vm.request_.front().hash_));
+        CHECK(vm.store_.at(vm.request_.front().hash_).marks_.size() == crash);
+    }
+    CHECK(vm.store_.size() == vm.request_.size());
+    auto const writes = vm.writes_;
+    vm.crash(3); // the same process, in another try
+    CHECK(vm.writes_ == writes);
+
+    SECTION("an answer here deletes it")
+    {
+        vm.answer();
+        CHECK(vm.store_.empty());
+    }
+    SECTION("an answer at another VM deletes it")
+    {
+        keeping_node other;
+        (void)take_evidence(other.made_.node_, records_after(vm.made_.node_.evidence_, 0));
+        CHECK(other.writes_ == 0); // not its own requests
+        other.answer();
+        (void)take_evidence(vm.made_.node_, records_after(other.made_.node_.evidence_, 0));
+        CHECK(vm.store_.empty());
+    }
+    SECTION("evidence that is out of date is deleted")
+    {
+        constexpr millis day{24 * 3'600'000};
+        expire_evidence(vm.made_.node_, boot_now() + day);
+        CHECK(vm.store_.empty());
+    }
+    SECTION("a VM that was started anew counts on and deletes it")
+    {
+        keeping_node restarted;
+        restarted.store_ = vm.store_;
+        std::vector<trait_record> stored;
+        for (auto const& [trait, record] : vm.store_) {
+            stored.push_back(record);
+        }
+        take_stored_evidence(restarted.made_.node_, stored);
+        CHECK(restarted.writes_ == 0);
+        CHECK(restarted.made_.node_.evidence_.blocked_.empty());
+        restarted.crash(4);
+        CHECK_FALSE(restarted.made_.node_.evidence_.blocked_.empty());
+        restarted.answer();
+        CHECK(restarted.store_.empty());
+    }
+}
+
+// Guards against a record of a VM that is gone, which stays in the store for good, or which all VMs delete.
+TEST_CASE("one of the VMs that were started anew deletes what none of them wrote", "[entry][promise-3]")
+{
+    constexpr int vms = 5;
+    constexpr millis day{24 * 3'600'000};
+    keeping_node lost;
+    lost.crash(1);
+    std::vector<trait_record> stored;
+    for (auto const& [trait, record] : lost.store_) {
+        stored.push_back(record);
+    }
+    int deletions = 0;
+    for (int own = 0; own < vms; ++own) {
+        keeping_node vm{"vm-" + std::to_string(own)};
+        for (int other = 0; other < vms; ++other) {
+            if (other != own) {
+                vm.made_.node_.exchange_.known_vms_[short_hash_of("vm-" + std::to_string(other))] = {
+                    .live_ = true};
+            }
+        }
+        take_stored_evidence(vm.made_.node_, stored);
+        expire_evidence(vm.made_.node_, boot_now() + day);
+        deletions += vm.deletions_;
+    }
+    CHECK(deletions == static_cast<int>(stored.size()));
+}
--- a/tests/transport/entry/standin_platform.hpp
+++ b/tests/transport/entry/standin_platform.hpp
@@ -179,6 +179,17 @@
         changed_.notify_all();
     }
 
+    /// \returns The values of all keys of the keyed topic.
+    [[nodiscard]] std::vector<std::string> values(std::string const& topic)
+    {
+        std::scoped_lock const lock{mutex_};
+        std::vector<std::string> all;
+        for (auto const& [key, record] : topics_[topic].newest_) {
+            all.push_back(record.first);
+        }
+        return all;
+    }
+
     /// \returns Whether the keyed topic holds any key.
     [[nodiscard]] bool holds(std::string const& topic)
     {
