--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -257,6 +257,9 @@
     void abort() override;
 
 private:
+    [[nodiscard]] caller_limits limits_in_force() const;
+    /// Waits for a request on an idle connection. \returns False if none comes in the time that is in force.
+    net::awaitable<bool> read_first_bytes();
     net::awaitable<bool> read_request(caller_request& request);
     net::awaitable<void> refuse_unread(own_answer answer, std::string request_id);
     net::awaitable<void> close_connection();
@@ -395,29 +398,57 @@
     stream_.close();
 }
 
-net::awaitable<bool> caller_session::read_request(caller_request& request)
+caller_limits caller_session::limits_in_force() const
 {
     auto const config = current_view(node_).config_;
-    auto const limits = config ? config->limits_ : caller_limits{};
+    return config ? config->limits_ : caller_limits{};
+}
+
+net::awaitable<bool> caller_session::read_first_bytes()
+{
+    // A stream's own timer would close it by the limit of when the wait began.
+    stream_.expires_never();
+    auto const since = boot_now();
+    net::steady_timer look{node_.loop_};
+    auto ended = std::make_shared<bool>(false);
+    std::function<void()> look_again = [&] {
+        look.expires_after(to_chrono(since + limits_in_force().idle_timeout_ - boot_now()));
+        look.async_wait([&, ended](error_code const& stopped) {
+            if (stopped || *ended) {
+                return;
+            }
+            if (boot_now() - since >= limits_in_force().idle_timeout_) {
+                stream_.cancel();
+            } else {
+                look_again();
+            }
+        });
+    };
+    look_again();
+    error_code fault;
+    auto const size = co_await stream_.async_read_some(buffer_.prepare(4'096), outcome_in(fault));
+    *ended = true; // the handlers refer to this frame
+    buffer_.commit(size);
+    co_return !fault;
+}
+
+net::awaitable<bool> caller_session::read_request(caller_request& request)
+{
     request_id_.clear();
     last_upstream_.clear();
     head_only_ = false;
-    error_code fault;
-    if (buffer_.size() == 0) {
-        stream_.expires_after(to_chrono(limits.idle_timeout_));
-        auto const size = co_await stream_.async_read_some(buffer_.prepare(4'096), outcome_in(fault));
-        buffer_.commit(size);
-        if (fault) {
-            co_return false;
-        }
+    if (buffer_.size() == 0 && !co_await read_first_bytes()) {
+        co_return false;
     }
     enter(session_state::reading);
+    error_code fault;
+    auto const limits = limits_in_force(); // of now, not of when the connection became idle
     auto const came_at = std::exchange(next_began_at_, millis{0});
     began_at_ = came_at > millis{0} ? came_at : state_since();
     buffer_.max_size(std::max<std::size_t>(buffer_.size(), limits.header_bytes_ + max_unparsed_bytes));
     body_parser parser;
     parser.header_limit(limits.header_bytes_);
-    parser.body_limit(limits.body_bytes_);
+    parser.body_limit(unlimited_body); // judged below, by the limit in force once the head is read
     stream_.expires_after(to_chrono(limits.header_timeout_));
     co_await http::async_read_header(stream_, buffer_, parser, outcome_in(fault));
     if (fault == http::error::header_limit) {
@@ -445,7 +476,13 @@
         co_await refuse_unread({400, "malformed-request", millis{-1}}, request_id_);
         co_return false;
     }
-    if (!co_await read_body(parser, limits)) {
+    auto const limits_of_body = limits_in_force();
+    if (parser.content_length().value_or(0) > limits_of_body.body_bytes_) {
+        co_await refuse_unread({413, "body-too-large", millis{-1}}, request_id_);
+        co_return false;
+    }
+    parser.body_limit(limits_of_body.body_bytes_);
+    if (!co_await read_body(parser, limits_of_body)) {
         co_return false;
     }
     keep_ = parser.keep_alive();
