--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -171,18 +171,7 @@
             node_.send_state_(message_targets::holder);
             return;
         }
-        auto demand = std::make_shared<fleet_demand>();
-        demand->needs_ = fleet_needs(node_, names_of_needs(node_), now);
-        for (auto const& [id, entry] : *current_view(node_).upstreams_) {
-            auto const own = node_.upstreams_.find(id);
-            demand->running_[id] =
-                fleet_use(node_, id, own != node_.upstreams_.end() ? &own->second : nullptr).requests_;
-        }
-        for (auto const& [id, own] : node_.upstreams_) {
-            if (own.signals_.hold_until_ > now) {
-                demand->signals_.emplace(id, own.signals_);
-            }
-        }
+        auto demand = std::make_shared<fleet_demand const>(compose_demand(node_, now));
         net::post(keeper_.loop_, [&keeper = keeper_, demand] { take_demand(keeper, demand); });
     }
 
--- a/src/transport/entry/order_keeper.cpp
+++ b/src/transport/entry/order_keeper.cpp
@@ -5,6 +5,7 @@
 #include "platform/store_client.hpp"
 #include "protocol/decision_log.hpp"
 #include "transport/entry/entry_node.hpp"
+#include "transport/entry/peer_exchange.hpp"
 
 #include <auburnchute/error.hpp>
 
@@ -614,6 +615,25 @@
 
 } // namespace
 
+fleet_demand compose_demand(entry_node& node, millis now)
+{
+    fleet_demand demand;
+    demand.needs_ = fleet_needs(node, names_of_needs(node), now);
+    // Held while it is read: the control thread may publish other entries and free these.
+    auto const upstreams = current_view(node).upstreams_;
+    for (auto const& [id, entry] : *upstreams) {
+        auto const own = node.upstreams_.find(id);
+        demand.running_[id] =
+            fleet_use(node, id, own != node.upstreams_.end() ? &own->second : nullptr).requests_;
+    }
+    for (auto const& [id, own] : node.upstreams_) {
+        if (own.signals_.hold_until_ > now) {
+            demand.signals_.emplace(id, own.signals_);
+        }
+    }
+    return demand;
+}
+
 void start_keeping(order_keeper& keeper, std::uint64_t incarnation)
 {
     keeper.lease_.vm_ = keeper.settings_.vm_ + "@" + keeper.settings_.ip_;
--- a/src/transport/entry/order_keeper.hpp
+++ b/src/transport/entry/order_keeper.hpp
@@ -21,6 +21,8 @@
 
 namespace auburnchute {
 
+struct entry_node;
+
 /// \brief Model demand of all VMs, as known to one VM.
 struct fleet_demand {
     need_map needs_;
@@ -28,6 +30,9 @@
     std::map<std::string, upstream_signals, std::less<>> signals_; ///< Of upstreams that sent any, by id.
 };
 
+/// \returns What all VMs ask for, as this VM knows it. Thread safety: the thread that owns the node.
+[[nodiscard]] fleet_demand compose_demand(entry_node& node, millis now);
+
 /// \brief What the holder of the lease tells the daemons.
 struct placement_report {
     std::uint64_t epoch_{}; ///< 0: this VM does not hold the lease.
--- a/tests/transport/entry/entry_node_test.cpp
+++ b/tests/transport/entry/entry_node_test.cpp
@@ -1,7 +1,10 @@
 #include "transport/entry/entry_node.hpp"
+#include "transport/entry/order_keeper.hpp"
 #include "transport/entry/started_node.hpp"
 
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace auburnchute;
 using auburnchute::tests::started_node;
@@ -227,3 +230,38 @@
     }
     CHECK(deletions == static_cast<int>(stored.size()));
 }
+
+// Guards against a holder of the order lease that reads entries which the control thread frees at that
+// moment: it ended by a segmentation fault, the more often the more upstreams there are.
+TEST_CASE("the demand is composed while the upstreams' entries are replaced", "[entry]")
+{
+    constexpr int upstreams = 400; // more than the largest site has
+    constexpr int versions = 2'000;
+    started_node made{true, boot_now()};
+    auto const entries = [](int offset) {
+        auto map = std::make_shared<upstream_map>();
+        for (int i = 0; i < upstreams; ++i) {
+            // Too long for the string's own memory, so that a freed one is noticed.
+            auto const id = "upstream-with-a-long-name-" + std::to_string(offset) + "-" + std::to_string(i);
+            map->emplace(id, upstream{.id_ = id});
+        }
+        return map;
+    };
+    std::atomic<bool> ended{false};
+    std::thread control{[&] {
+        for (int offset = 0; offset < versions; ++offset) {
+            entry_view view;
+            view.upstreams_ = entries(offset);
+            made.shared_.cell_.publish(std::make_unique<entry_view const>(std::move(view)));
+        }
+        ended = true;
+    }};
+    int broken = 0;
+    while (!ended) {
+        auto const demand = compose_demand(made.node_, boot_now());
+        bool const whole = demand.running_.empty() || demand.running_.size() == upstreams;
+        broken += whole ? 0 : 1;
+    }
+    control.join();
+    CHECK(broken == 0);
+}
