--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -1,6 +1,7 @@
 #include "exit_code.hpp"
 #include "platform/json_codec.hpp"
 #include "platform/resolve_request.hpp"
+#include "protocol/crash_report.hpp"
 #include "protocol/decision_log.hpp"
 #include "protocol/entry_settings.hpp"
 #include "protocol/metrics.hpp"
@@ -25,6 +26,7 @@
 #include <random>
 #include <sys/random.h>
 #include <thread>
+#include <unistd.h>
 
 namespace {
 
@@ -290,7 +292,10 @@
     run_forever(loop, "demand", [&demand] { return demand.send_regularly(); });
     start_reading(reader);
     start_keeping(keeper, node.exchange_.incarnation_);
-    std::thread control{[&control_loop] { control_loop.run(); }};
+    std::thread control{[&control_loop] {
+        crash_stack const own_stack;
+        control_loop.run();
+    }};
     loop.run();
     // The control thread may be busy for longer than the kill is away; it holds nothing that must be kept.
     log_decision("ended", {{"connections", node.sessions_->size()},
@@ -308,6 +313,10 @@
         docopt::docopt(usage, {argv + 1, argv + argc}, true, "auburnchute-entry " AUBURNCHUTE_VERSION);
     std::signal(SIGPIPE, SIG_IGN);
     init_decision_log();
+    init_crash_report(STDOUT_FILENO, [](std::string_view what) {
+        log_failure("terminated", {{"fault", what}});
+    });
+    crash_stack const own_stack;
     try {
         auto const file = arguments.at("--settings").asString();
         auto const settings = load_settings(file);
--- a/apps/auburnchuted.cpp
+++ b/apps/auburnchuted.cpp
@@ -1,3 +1,4 @@
+#include "protocol/crash_report.hpp"
 #include "protocol/logging.hpp"
 #include "protocol/text_file.hpp"
 #include "transport/admin_front.hpp"
@@ -18,6 +19,7 @@
 #include <pthread.h>
 #include <string>
 #include <thread>
+#include <unistd.h>
 #include <utility>
 
 namespace {
@@ -230,6 +232,8 @@
     pthread_setattr_default_np(&attributes);
     pthread_attr_destroy(&attributes);
     init_logging(config.log_level_);
+    init_crash_report(STDERR_FILENO, [](std::string_view what) { log_fault("terminated", {}, what); });
+    crash_stack const own_stack;
     try {
         serve(config, signals);
     } catch (std::exception const& fault) {
