--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -13,7 +13,7 @@
 constexpr char const* usage = R"(Soak of the entry daemon.
 
 Usage:
-  soak [--seed N] [--seeds N] [--planned N] [--seconds N] [--grace N] [--vms N] [--callers N] [--trace] [--logs DIR]
+  soak [--seed N] [--seeds N] [--planned N] [--seconds N] [--grace N] [--vms N] [--engines N] [--callers N] [--trace] [--logs DIR]
   soak --help
 
 Options:
@@ -23,6 +23,7 @@
   --seconds N  Time with faults for each seed; some seconds before and after are calm [default: 20].
   --grace N    Seconds from SIGTERM to SIGKILL; 0: picked by the seed [default: 0].
   --vms N      Entry daemons [default: 4].
+  --engines N  Upstreams that hold models [default: 2].
   --callers N  Callers at the same time [default: 24].
   --trace      Prints each fault when it begins and ends, in milliseconds since 1970.
   --logs DIR   Appends the daemons' output to files there.
@@ -40,6 +41,7 @@
     std::chrono::seconds time_;
     std::chrono::seconds grace_;
     int vms_{};
+    int engines_{};
     int callers_{};
     bool trace_{};
     std::string logs_;
@@ -50,7 +52,7 @@
 {
     constexpr std::array graces{2s, 3s, 5s};
     oracle checks{options.grace_ > 0s ? options.grace_ : graces[seed % graces.size()]};
-    soak_world world{checks, options.vms_, seed};
+    soak_world world{checks, options.vms_, options.engines_, seed};
     caller_world shared{world, checks, seed};
     if (served_everywhere(shared, start_limit)) {
         std::vector<std::thread> threads;
@@ -80,13 +82,11 @@
     std::signal(SIGPIPE, SIG_IGN);
     auto const number = [&](char const* name) { return arguments.at(name).asLong(); };
     auto const& logs = arguments.at("--logs");
-    run_options const options{std::chrono::seconds{number("--planned")},
-                              std::chrono::seconds{number("--seconds")},
-                              std::chrono::seconds{number("--grace")},
-                              static_cast<int>(number("--vms")),
-                              static_cast<int>(number("--callers")),
-                              arguments.at("--trace").asBool(),
-                              logs.isString() ? logs.asString() : std::string{}};
+    run_options const options{
+        std::chrono::seconds{number("--planned")}, std::chrono::seconds{number("--seconds")},
+        std::chrono::seconds{number("--grace")},   static_cast<int>(number("--vms")),
+        static_cast<int>(number("--engines")),     static_cast<int>(number("--callers")),
+        arguments.at("--trace").asBool(),          logs.isString() ? logs.asString() : std::string{}};
     int broken = 0;
     for (long i = 0; i < number("--seeds"); ++i) {
         auto const failures = run_seed(static_cast<std::uint64_t>(number("--seed") + i), options);
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -138,6 +138,7 @@
     std::unique_ptr<soak_engine> engine_;
     std::unique_ptr<scripted_upstream> server_;
     std::unique_ptr<loopback_proxy> proxy_;
+    std::string state_; ///< As its entry says; empty: it has none.
     std::atomic<bool> loses_answers_{false};
     std::atomic<bool> leaving_{false};                  ///< Its answers say that it leaves.
     std::atomic<std::int64_t> born_{1'700'000'000'000}; ///< Start of its process.
@@ -159,22 +160,25 @@
 /// \brief All processes and stand-ins of one soak run.
 class soak_world {
 public:
-    soak_world(oracle& checks, int vms, std::uint64_t seed)
+    soak_world(oracle& checks, int vms, int engines, std::uint64_t seed)
         : checks_{checks}, prefix_{own_network()}, base_{prefix_ + "1"}, store_{base_}
     {
         put_config();
         for (int i = 0; i < 3; ++i) {
             add_upstream("desk");
         }
-        for (int i = 0; i < 2; ++i) {
+        for (int i = 0; i < engines; ++i) {
             add_upstream("llm");
         }
         for (int i = 0; i < vms; ++i) {
             add_vm(i, seed);
         }
+        heartbeats_ = std::jthread{[this](std::stop_token const& stop) { write_heartbeats(stop); }};
     }
     ~soak_world()
     {
+        heartbeats_.request_stop();
+        heartbeats_.join();
         for (auto& vm : vms_) {
             if (vm->process_ && vm->frozen_) {
                 vm->process_->resume();
@@ -239,7 +243,7 @@
               {{"name", "llm"},
                {"max_conns", 200},
                {"engine",
-                {{"slots", 16},
+                {{"slots", 16 + writes_ % 2},
                  {"kv_capacity", 100'000},
                  {"weights_mb", 100},
                  {"adapter_slots", 2},
@@ -294,16 +298,8 @@
     void put_entry(soak_upstream& upstream, std::string const& state)
     {
         std::scoped_lock const lock{mutex_};
-        store_.put("keyed.servers", upstream.id_,
-                   state.empty() ? std::string{}
-                                 : nlohmann::json{{"service", upstream.service_},
-                                                  {"address", upstream.proxy_->address()},
-                                                  {"zone", "a"},
-                                                  {"slots", 16},
-                                                  {"state", state},
-                                                  {"born", upstream.born_.load()},
-                                                  {"sequence", ++writes_}}
-                                       .dump());
+        upstream.state_ = state;
+        write_entry(upstream);
     }
 
     oracle& checks_;
@@ -314,6 +310,37 @@
     std::vector<std::unique_ptr<soak_vm>> vms_;
 
 private:
+    /// \pre The lock is held.
+    void write_entry(soak_upstream const& upstream)
+    {
+        store_.put("keyed.servers", upstream.id_,
+                   upstream.state_.empty() ? std::string{}
+                                           : nlohmann::json{{"service", upstream.service_},
+                                                            {"address", upstream.proxy_->address()},
+                                                            {"zone", "a"},
+                                                            {"slots", 16 + writes_ % 2},
+                                                            {"state", upstream.state_},
+                                                            {"born", upstream.born_.load()},
+                                                            {"sequence", ++writes_}}
+                                                 .dump());
+    }
+
+    /// Upstreams write their entries again and again, one after the other.
+    void write_heartbeats(std::stop_token const& stop)
+    {
+        for (std::size_t next = 0; !stop.stop_requested(); ++next) {
+            {
+                std::scoped_lock const lock{mutex_};
+                if (auto const& upstream = *upstreams_[next % upstreams_.size()]; !upstream.state_.empty()) {
+                    write_entry(upstream);
+                }
+            }
+            std::this_thread::sleep_for(heartbeat / upstreams_.size()); // the upstreams' own rhythm
+        }
+    }
+
+    static constexpr std::chrono::milliseconds heartbeat{1'000};
+
     void add_upstream(std::string const& service)
     {
         auto made = std::make_unique<soak_upstream>();
@@ -423,6 +450,7 @@
         return run_end::answered;
     }
 
+    std::jthread heartbeats_;
     std::mutex mutex_;
     int writes_{};
     int version_{};
