--- a/include/auburnchute/request_attributes.hpp
+++ b/include/auburnchute/request_attributes.hpp
@@ -31,6 +31,8 @@
     std::vector<prompt_part> prompt_parts_;          ///< In the order of the prompt.
     std::optional<std::int64_t> output_tokens_hint_; ///< The caller's estimate of the tokens generated.
     std::string resume_after_; ///< Id of the last event that the caller received; empty: from the start.
+    std::string stream_id_;    ///< Id of the request that brought the first event of the stream that this one
+                               ///< takes up; empty: it names none.
 };
 
 /// \brief What the headers of an upstream's response state.
--- a/include/auburnchute/upstream.hpp
+++ b/include/auburnchute/upstream.hpp
@@ -24,6 +24,8 @@
     std::string service_;
     std::string address_; ///< `IP:PORT`; another service may be given the address later.
     std::string availability_zone_;
+    /// Version of its software, not of weights. Empty if it states none.
+    std::string software_version_;
     std::int64_t slots_{1};     ///< Requests that the upstream runs at a time.
     bool leaving_{};            ///< Draining: takes no new requests.
     std::int64_t started_at_{}; ///< Unix milliseconds; distinguishes two starts under the same id.
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -858,6 +858,9 @@
     log_decision("forward",
                  {{"id", from.request_id_},
                   {"upstream", upstream.id_},
+                  {"software_version", upstream.software_version_},
+                  {"stream", from.stream_id_},
+                  {"after_event", job.last_event_},
                   {"running", upstream.known_running_},
                   {"unread_before", upstream.known_unread_},
                   {"left_ms", left.count_},
@@ -1147,6 +1150,9 @@
                 break;
             }
             job.last_event_ = *id;
+            if (job.first_event_.empty()) {
+                job.first_event_ = *id;
+            }
         } else if (job.head_sent_ && job.used_.size() > 1 && carries_data(event)) {
             in_order = false; // the caller may have it already
             break;
@@ -1282,6 +1288,10 @@
                       {"status", status},
                       {"reason", reason},
                       {"upstream", last_upstream_},
+                      {"stream", job.call_.stream_id_},
+                      {"after_event", job.call_.resume_after_},
+                      {"first_event", job.first_event_},
+                      {"last_event", job.last_event_},
                       {"tries", job.used_.size()},
                       {"first_ms", first.count_},
                       {"ms", (now - job.arrived_).count_},
--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -261,9 +261,9 @@
     }
     auto const& entry = *entries[best->index_];
     auto const& option = options[best->index_];
-    chosen.upstream_ = chosen_upstream{entry.id_,         entry.address_,        entry.started_at_,
-                                       option.running_,   option.unread_tokens_, best->unread_tokens_,
-                                       best->expected_ms_};
+    chosen.upstream_ =
+        chosen_upstream{entry.id_,       entry.address_,        entry.started_at_,    entry.software_version_,
+                        option.running_, option.unread_tokens_, best->unread_tokens_, best->expected_ms_};
     return chosen;
 }
 
--- a/src/transport/entry/forward_job.hpp
+++ b/src/transport/entry/forward_job.hpp
@@ -31,6 +31,7 @@
     execution execution_{execution::not_run};
     std::vector<std::string> used_; ///< Upstreams that it was sent to.
     std::string last_event_;        ///< Id of the last event passed on to the caller.
+    std::string first_event_;       ///< Id of the first event passed on to the caller in this answer.
     bool head_sent_{};              ///< The head of the answer has gone to the caller.
     millis first_event_at_{};
     millis sent_at_{};                  ///< Of the last try.
@@ -62,7 +63,8 @@
 struct chosen_upstream {
     std::string id_;
     std::string address_;
-    std::int64_t started_at_{}; ///< Of its process; see `upstream`.
+    std::int64_t started_at_{};    ///< Of its process; see `upstream`.
+    std::string software_version_; ///< See `upstream`.
     std::int64_t known_running_{};
     std::int64_t known_unread_{};  ///< Prompt tokens that it has to read before this request's.
     std::int64_t unread_tokens_{}; ///< Prompt tokens of this request that it has to read.
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -230,6 +230,7 @@
         log_decision("upstream-seen", {{"upstream", id},
                                        {"service", entry.service_},
                                        {"address", entry.address_},
+                                       {"software_version", entry.software_version_},
                                        {"models", entry.models_.size()}});
         break;
     }
--- a/tests/platform/headers_test.cpp
+++ b/tests/platform/headers_test.cpp
@@ -60,6 +60,17 @@
     CHECK(read.prompt_parts_.empty());
 }
 
+// Guards against a stream that is taken up as if its caller had not named it.
+TEST_CASE("a request names the stream that it takes up and the last event of it", "[platform][headers]")
+{
+    auto head = caller_head();
+    CHECK(parse_request_attributes(head).stream_id_.empty());
+    head.set("Resumes", " 9c41d07be2a35f68 ");
+    head.set("Last-Event-Id", "7");
+    CHECK(parse_request_attributes(head).stream_id_ == "9c41d07be2a35f68");
+    CHECK(parse_request_attributes(head).resume_after_ == "7");
+}
+
 // Guards against passing a caller's API key to an upstream, and against reserved fields forged by a caller.
 TEST_CASE("an upstream gets the caller's fields without its API key and without reserved fields",
           "[platform][headers][promise-5]")
--- a/tests/platform/json_codec_test.cpp
+++ b/tests/platform/json_codec_test.cpp
@@ -199,6 +199,34 @@
     }
 }
 
+// Guards against a stream that goes on at a version of which it is not known that it began it.
+TEST_CASE("the software version of a registry entry is parsed, and one that is no text is not guessed",
+          "[platform][discovery][odd]")
+{
+    struct row {
+        char const* value_;
+        char const* version_;
+    };
+    for (auto const& row : {row{R"("v1")", "v1"}, row{R"("")", ""}, row{R"("1.2-\u00e9")", "1.2-\xc3\xa9"}}) {
+        CAPTURE(row.value_);
+        auto const entry = parse_upstream("i-1", entry_with("version", row.value_));
+        REQUIRE(entry);
+        CHECK(entry->software_version_ == row.version_);
+    }
+    CHECK(parse_upstream("i-1", entry_with("slots", "6"))->software_version_.empty());
+    for (auto const* const value : {"7", "1.5", "null", "true", "[]", "{}", R"(["v1"])"}) {
+        CAPTURE(value);
+        CHECK_FALSE(parse_upstream("i-1", entry_with("version", value)));
+    }
+    auto const long_name = [](char end) { return "\"" + std::string(200, 'v') + end + "\""; };
+    auto const one = parse_upstream("i-1", entry_with("version", long_name('1')));
+    auto const other = parse_upstream("i-1", entry_with("version", long_name('2')));
+    REQUIRE(one);
+    REQUIRE(other);
+    CHECK(one->software_version_.size() < 64);
+    CHECK(one->software_version_ != other->software_version_);
+}
+
 // Guards against an entry whose numbers overflow when they are converted, and against ports that name none.
 TEST_CASE("a registry entry with a number out of range is ignored", "[platform][odd]")
 {
