--- a/tests/transport/entry/entry_world.hpp
+++ b/tests/transport/entry/entry_world.hpp
@@ -59,9 +59,11 @@
     entry_world& operator=(entry_world const&) = delete;
 
     /// \brief Registers one more upstream.
-    scripted_upstream& add_upstream(scripted_upstream::script const& script)
+    /// \param version Version of its software; empty: its entry states none.
+    scripted_upstream& add_upstream(scripted_upstream::script const& script, std::string const& version = "")
     {
         upstreams_.push_back(std::make_unique<scripted_upstream>(ip_, script));
+        versions_.push_back(version);
         put_entry(upstreams_.size() - 1, "ready", 1);
         return *upstreams_.back();
     }
@@ -69,17 +71,19 @@
     /// \brief Writes an upstream's entry, as the upstream does. \param born Start of its process.
     void put_entry(std::size_t index, std::string const& state, std::int64_t born)
     {
-        store_.put("keyed.servers", "i-" + std::to_string(index + 1),
-                   nlohmann::json{{"service", "desk"},
-                                  {"address", upstreams_[index]->address()},
-                                  {"zone", "a"},
-                                  {"slots", 8},
-                                  {"state", state},
-                                  {"born", born},
-                                  {"sequence", 1}}
-                       .dump());
+        nlohmann::json entry{{"service", "desk"}, {"address", upstreams_[index]->address()},
+                             {"zone", "a"},       {"slots", slots_},
+                             {"state", state},    {"born", born},
+                             {"sequence", 1}};
+        if (!versions_[index].empty()) {
+            entry["version"] = versions_[index];
+        }
+        store_.put("keyed.servers", "i-" + std::to_string(index + 1), entry.dump());
     }
 
+    /// \brief Drops an upstream's entry, as the store does when the upstream has left.
+    void drop_entry(std::size_t index) { store_.put("keyed.servers", "i-" + std::to_string(index + 1), ""); }
+
     /// \brief Starts a daemon at the address; one that ran there is killed.
     /// \param store_address Where it reaches the store; empty: at the store itself.
     void start_daemon(std::string const& ip, std::string const& vm, std::string const& zone,
@@ -162,6 +166,8 @@
     std::string ip_;
     standin_store store_;
     std::vector<std::unique_ptr<scripted_upstream>> upstreams_;
+    int slots_{8};                      ///< Of each upstream that is registered from now on.
+    std::vector<std::string> versions_; ///< Of the upstreams' software, in the same order.
     std::vector<std::filesystem::path> settings_;
     std::map<std::string, std::unique_ptr<child_process>> daemons_; ///< By address.
 
