--- a/tests/transport/entry/versioned_world.hpp
+++ b/tests/transport/entry/versioned_world.hpp
@@ -111,13 +111,48 @@
     stream.last_event_ = number;
 }
 
+/// \brief Reads the answer to an attempt with that id until it ends, or the caller leaves.
+inline attempt_end read_stream(resumable_stream& stream, owned_socket const& connection,
+                               std::string const& id, int leave_after)
+{
+    auto const sent = steady::now();
+    attempt_end end;
+    auto text = connection.receive_until("\r\n\r\n");
+    auto const head = text.find("\r\n\r\n");
+    if (head == std::string::npos) {
+        return end;
+    }
+    end.status_ = entry_world::status_of(text);
+    end.answered_after_ = std::chrono::duration_cast<std::chrono::milliseconds>(steady::now() - sent);
+    auto const retry_after = received_request{text.substr(0, head + 2), {}}.field("Retry-After");
+    end.retry_after_ = std::chrono::milliseconds{static_cast<int>(std::stod("0" + retry_after) * 1'000)};
+    if (end.status_ != 200) {
+        return end;
+    }
+    chunked_body body;
+    text.erase(0, head + 4);
+    for (bool open = true; open && !body.ended() && stream.last_event_ < leave_after;) {
+        for (auto const& event : body.feed(text)) {
+            if (!stream.begun()) {
+                stream.origin_ = id;
+            }
+            note_event(stream, event);
+            ++end.events_;
+        }
+        stream.whole_ = stream.whole_ || body.ended();
+        if (!body.ended() && stream.last_event_ < leave_after) {
+            text = connection.receive();
+            open = !text.empty();
+        }
+    }
+    return end;
+}
+
 /// \brief Sends a stream, or takes it up, with an id of its own for each attempt, and reads it to its end.
 /// \param leave_after The caller closes the connection after this event.
 inline attempt_end attempt(resumable_stream& stream, std::string const& ip, int leave_after = never_leaves)
 {
-    attempt_end end;
-    auto const number = stream.attempts_ + 1;
-    auto const id = stream.name_ + (number == 1 ? "" : "-" + std::to_string(number));
+    auto const id = stream.name_ + "-" + std::to_string(stream.attempts_ + 1);
     auto const left = std::chrono::duration_cast<std::chrono::milliseconds>(stream.deadline_ - steady::now());
     auto head = "POST " + stream.path_ +
                 " HTTP/1.1\r\nHost: h.example\r\nApi-Key: key\r\nConnection: close\r\nX-Request-Id: " + id +
@@ -127,49 +162,13 @@
         head += "Last-Event-Id: " + std::to_string(stream.last_event_) + "\r\n";
         head += stream.sends_resumes_ ? "Resumes: " + stream.resumes_.value_or(stream.origin_) + "\r\n" : "";
     }
-    auto const sent = steady::now();
+    attempt_end end;
     try {
         auto const connection = connect_to(ip, callers_port);
         connection.send(head + "Content-Length: " + std::to_string(stream.name_.size()) + "\r\n\r\n" +
                         stream.name_);
         ++stream.attempts_;
-        std::string answer;
-        chunked_body body;
-        while (end.status_ == 0 || (end.status_ == 200 && !body.ended())) {
-            auto const bytes = connection.receive();
-            if (bytes.empty()) {
-                break;
-            }
-            std::string_view read{bytes};
-            if (end.status_ == 0) {
-                answer += bytes;
-                auto const head_end = answer.find("\r\n\r\n");
-                if (head_end == std::string::npos) {
-                    continue;
-                }
-                end.status_ = entry_world::status_of(answer);
-                end.answered_after_ =
-                    std::chrono::duration_cast<std::chrono::milliseconds>(steady::now() - sent);
-                auto const retry_after = received_request{answer, {}}.field("Retry-After");
-                end.retry_after_ =
-                    std::chrono::milliseconds{static_cast<int>(std::stod("0" + retry_after) * 1'000)};
-                read = std::string_view{answer}.substr(head_end + 4);
-            }
-            if (end.status_ != 200) {
-                break;
-            }
-            for (auto const& event : body.feed(read)) {
-                if (!stream.begun()) {
-                    stream.origin_ = id;
-                }
-                note_event(stream, event);
-                ++end.events_;
-                if (stream.last_event_ >= leave_after) {
-                    return end;
-                }
-            }
-        }
-        stream.whole_ = stream.whole_ || body.ended();
+        end = read_stream(stream, connection, id, leave_after);
     } catch (std::runtime_error const&) {
         end.status_ = 0; // nobody listens
     }
@@ -243,7 +242,10 @@
         auto& state = upstreams_.emplace_back();
         state.version_ = version;
         world_.add_upstream(after_probe([&state](received_request const& request, owned_socket& connection) {
-                                return answer(state, request, connection);
+                                ++state.running_;
+                                bool const open = answer(state, request, connection);
+                                --state.running_;
+                                return open;
                             }),
                             version);
         return upstreams_.size() - 1;
@@ -261,6 +263,23 @@
         }
     }
 
+    /// \brief Makes the upstreams of that version leave: they end what they began, and are removed.
+    void release(std::string const& version)
+    {
+        constexpr std::chrono::seconds longest_drain{4}; // a stream and some more
+        for (std::size_t i = 0; i < upstreams_.size(); ++i) {
+            if (upstreams_[i].version_ == version && !upstreams_[i].gone_) {
+                world_.put_entry(i, "draining", 1);
+            }
+        }
+        (void)eventually(longest_drain, [&] {
+            return std::all_of(upstreams_.begin(), upstreams_.end(), [&](auto const& state) {
+                return state.version_ != version || state.running_ == 0;
+            });
+        });
+        remove_upstreams(version);
+    }
+
     /// \brief Makes upstreams break each new stream off inside the event after this one; 0: none.
     void set_break_after(int event)
     {
@@ -306,13 +325,14 @@
     /// A new version gets its first streams some seconds after its entries, and its share grows slowly.
     static constexpr std::chrono::seconds version_limit{30};
 
-    /// Shorter than in operation, so that the tests are brisk.
-    static constexpr auto const* settings = "leave_in_force_ms: 1000\n";
+    /// Shorter than in operation, so that the tests are brisk; retries are not what they are about.
+    static constexpr auto const* settings = "leave_in_force_ms: 1000\nretry_ratio: 1\nretry_extra: 100\n";
 
 private:
     struct upstream_state {
         std::string version_;
         std::atomic<bool> gone_{false};
+        std::atomic<int> running_{0}; ///< Streams.
         std::atomic<int> break_after_{0};
     };
 
