--- a/tests/soak/fault_driver.hpp
+++ b/tests/soak/fault_driver.hpp
@@ -23,12 +23,22 @@
     {
     }
 
-    /// \brief Stops, reloads and changes of the configuration only, so that nothing excuses a loss.
+    /// \brief Stops, reloads, releases and changes of the configuration only, so that nothing excuses a loss.
     void run_planned(std::chrono::seconds time)
     {
         run(time, 700ms, [this] { begin_planned(); });
     }
 
+    /// \brief Releases while half of the VMs are lost at a time, and nothing else.
+    void run_releases(std::chrono::milliseconds time)
+    {
+        if (time > 0ms) {
+            wait(loss_check::contact); // the versions that serve by now are in touch
+            kill_half();
+        }
+        run(time, 700ms, [this] { random_() % 3 == 0 ? change_versions() : kill_half(); });
+    }
+
     /// \brief Planned work and faults.
     void run_all(std::chrono::seconds time)
     {
@@ -52,13 +62,15 @@
     }
 
     template <typename begin_next>
-    void run(std::chrono::seconds time, std::chrono::milliseconds spread, begin_next begin)
+    void run(std::chrono::milliseconds time, std::chrono::milliseconds spread, begin_next begin)
     {
         auto const end = soak_clock::now() + time;
+        may_replace_ = true;
         while (soak_clock::now() < end) {
             begin();
             wait(150ms + some_of(spread));
         }
+        may_replace_ = false;
         while (!under_way_.empty()) {
             wait(50ms);
         }
@@ -180,12 +192,7 @@
         }
         switch (random_() % 4) {
         case 0:
-            losses_.begin_fault(vm.ip_);
-            vm.process_->kill();
-            schedule(&vm, "kill " + vm.name_, [this, &vm] {
-                start(vm);
-                losses_.end_fault(vm.ip_);
-            });
+            kill(vm);
             break;
         case 1:
             freeze(vm);
@@ -201,6 +208,27 @@
         }
     }
 
+    void kill(soak_vm& vm)
+    {
+        losses_.begin_fault(vm.ip_);
+        vm.process_->kill();
+        schedule(&vm, "kill " + vm.name_, [this, &vm] {
+            start(vm);
+            losses_.end_fault(vm.ip_);
+        });
+    }
+
+    /// Kills half of the VMs, if all of them are in touch, so that the others take up their streams.
+    void kill_half()
+    {
+        bool const calm = std::all_of(world_.vms_.begin(), world_.vms_.end(), [this](auto const& vm) {
+            return !is_busy(vm.get()) && losses_.is_calm(vm->ip_, soak_clock::now());
+        });
+        for (auto i = random_() % 2; calm && i < world_.vms_.size(); i += 2) {
+            kill(*world_.vms_[i]);
+        }
+    }
+
     void freeze(soak_vm& vm)
     {
         losses_.begin_fault(vm.ip_);
@@ -315,7 +343,7 @@
     void begin_planned()
     {
         auto const any_vm = [this]() -> soak_vm& { return *world_.vms_[random_() % world_.vms_.size()]; };
-        switch (random_() % 8) {
+        switch (random_() % 9) {
         case 0:
         case 1:
             (void)stop(any_vm());
@@ -350,6 +378,9 @@
         case 6:
             change_config();
             break;
+        case 7:
+            change_versions();
+            break;
         default:
             say("key withdrawn");
             losses_.note_planned("", "change");
@@ -394,12 +425,20 @@
         }
         switch (random_() % 3) {
         case 0:
+            losses_.begin_fault(loss_check::store);
             world_.store_.set_down(true);
-            schedule(&world_.store_, "store down", [this] { world_.store_.set_down(false); });
+            schedule(&world_.store_, "store down", [this] {
+                world_.store_.set_down(false);
+                losses_.end_fault(loss_check::store);
+            });
             break;
         case 1:
+            losses_.begin_fault(loss_check::store);
             world_.store_.set_slow(150ms);
-            schedule(&world_.store_, "store slow", [this] { world_.store_.set_slow(0ms); });
+            schedule(&world_.store_, "store slow", [this] {
+                world_.store_.set_slow(0ms);
+                losses_.end_fault(loss_check::store);
+            });
             break;
         default:
             world_.store_.forget_history();
@@ -413,10 +452,13 @@
         if (is_busy(&upstream)) {
             return;
         }
+        losses_.begin_fault(upstream.absence());
         if (random_() % 2 == 0) {
             upstream.loses_answers_ = true;
-            schedule(&upstream, upstream.id_ + " loses answers",
-                     [&upstream] { upstream.loses_answers_ = false; });
+            schedule(&upstream, upstream.id_ + " loses answers", [this, &upstream] {
+                upstream.loses_answers_ = false;
+                losses_.end_fault(upstream.absence());
+            });
         } else {
             // It says so in its entry, by the removal of its entry, or in its answers alone.
             upstream.leaving_ = random_() % 2 == 0;
@@ -427,13 +469,76 @@
                 upstream.leaving_ = false;
                 ++upstream.born_; // the next process under that id
                 world_.put_entry(upstream, "ready");
+                losses_.end_fault(upstream.absence());
+            });
+        }
+    }
+
+    /// A release or a rollback of some upstreams, one after the other; or all of a version leave at once.
+    void change_versions()
+    {
+        std::vector<soak_upstream*> desks;
+        for (auto const& upstream : world_.upstreams_) {
+            if (upstream->service_ == "desk") {
+                desks.push_back(upstream.get());
+            }
+        }
+        int const to =
+            random_() % 3 != 0 ? ++newest_version_ : 1 + static_cast<int>(random_() % newest_version_);
+        int const from = desks[random_() % desks.size()]->version_;
+        bool const ends = random_() % 3 == 0;
+        say("release of v" + std::to_string(to) + (ends ? " instead of v" + std::to_string(from) : ""));
+        auto in = 0ms;
+        for (auto* const upstream : desks) {
+            if (ends ? upstream->version_ == from : random_() % 3 != 0) {
+                later(in, "turn of " + upstream->id_, [this, upstream, to] { replace(*upstream, to); });
+                in += ends ? 0ms : some_of(2'000ms);
+            }
+        }
+    }
+
+    /// Another process takes the upstream's place once it has left. Two others serve meanwhile.
+    void replace(soak_upstream& upstream, int version)
+    {
+        if (!may_replace_) {
+            return;
+        }
+        auto const serving =
+            std::count_if(world_.upstreams_.begin(), world_.upstreams_.end(), [this](auto const& other) {
+                return other->service_ == "desk" && !is_busy(other.get());
             });
+        if (is_busy(&upstream) || serving < 3) {
+            later(200ms, "turn of " + upstream.id_,
+                  [this, &upstream, version] { replace(upstream, version); });
+            return;
         }
+        busy_.insert(&upstream);
+        losses_.begin_fault(upstream.absence());
+        upstream.leaving_ = random_() % 2 == 0;
+        world_.put_entry(upstream, random_() % 2 == 0 ? "draining" : "");
+        say("begin " + upstream.id_ + " leaves for v" + std::to_string(version));
+        later(drain_time + some_of(2'000ms), upstream.id_ + " leaves", [this, &upstream, version] {
+            soak_world::end_process(upstream);
+            start_after_exit(upstream, version);
+        });
+    }
+
+    void start_after_exit(soak_upstream& upstream, int version)
+    {
+        later(150ms, "next process of " + upstream.id_, [this, &upstream, version] {
+            if (!upstream.proxy_->fault_in_force()) {
+                start_after_exit(upstream, version);
+                return;
+            }
+            world_.start_process(upstream, version);
+            losses_.end_fault(upstream.absence());
+            busy_.erase(&upstream);
+        });
     }
 
     void begin_one()
     {
-        switch (random_() % 10) {
+        switch (random_() % 11) {
         case 0:
         case 1:
         case 2:
@@ -462,6 +567,9 @@
                 }
             }
             break;
+        case 9:
+            change_versions();
+            break;
         default:
             disturb_upstream();
         }
@@ -469,6 +577,9 @@
 
     /// Between two looks at what is due.
     static constexpr auto step = 5ms;
+    /// An upstream serves at least this long after it has said that it leaves: longer than a VM in touch goes
+    /// on sending.
+    static constexpr auto drain_time = oracle::leave_in_force + 500ms;
 
     soak_world& world_;
     oracle& checks_;
@@ -477,6 +588,8 @@
     bool trace_;
     std::string logs_;
     std::size_t next_look_{};
+    int newest_version_{1};
+    bool may_replace_{}; ///< Releases go on; false while what is under way ends.
     std::vector<ending> under_way_;
     std::set<void const*> busy_;
 };
--- a/tests/soak/loss_check.hpp
+++ b/tests/soak/loss_check.hpp
@@ -30,6 +30,8 @@
 /// Thread safety: all members may be called from any thread.
 class loss_check {
 public:
+    /// Name of the store as the target of a fault; it excuses no loss.
+    static constexpr char const* store = "store";
     /// A fault excuses what is sent up to this long after its end; the platform's sheets say 3 s.
     static constexpr std::chrono::milliseconds contact{3'000};
     /// A connection that crosses the daemon's close ends within this time.
@@ -70,6 +72,13 @@
         }
     }
 
+    /// \returns Whether the target has had no fault from `contact` before the moment until now.
+    [[nodiscard]] bool is_calm(std::string const& target, soak_clock::time_point since) const
+    {
+        std::scoped_lock const lock{mutex_};
+        return !has_fault(target, since - contact, soak_clock::now());
+    }
+
     void note_run(std::string const& id, std::string const& upstream)
     {
         std::scoped_lock const lock{mutex_};
--- a/tests/soak/oracle.hpp
+++ b/tests/soak/oracle.hpp
@@ -17,6 +17,26 @@
 /// \brief What may be repeated of a request, as its caller knows it.
 enum class soak_kind : std::uint8_t { purchase, lookup, stream, resumable_stream };
 
+/// \brief How many streams were asked for, and how many of them went on.
+struct stream_share {
+    std::int64_t asked_{};
+    std::int64_t go_on_{};
+
+    void add(bool goes_on)
+    {
+        ++asked_;
+        go_on_ += goes_on ? 1 : 0;
+    }
+    [[nodiscard]] double share() const
+    {
+        return static_cast<double>(go_on_) / static_cast<double>(std::max<std::int64_t>(asked_, 1));
+    }
+    [[nodiscard]] std::string text() const
+    {
+        return std::to_string(go_on_) + " of " + std::to_string(asked_);
+    }
+};
+
 /// \brief What callers and upstreams saw, checked against the promises.
 ///
 /// Thread safety: all members may be called from any thread.
@@ -116,6 +136,20 @@
         }
     }
 
+    /// \brief A new stream, or one that is taken up again, was asked for.
+    /// \param goes_on The answer's status is 200.
+    /// \param is_due Its VM and the store were in touch, and two servers of a taken-up stream's version
+    /// served.
+    void note_stream(bool taken_up, bool goes_on, bool is_due)
+    {
+        std::scoped_lock const lock{mutex_};
+        auto& shares = taken_up ? take_ups_ : new_streams_;
+        shares.first.add(goes_on);
+        if (is_due) {
+            shares.second.add(goes_on);
+        }
+    }
+
     void note_revoked(std::string const& key)
     {
         std::scoped_lock const lock{mutex_};
@@ -167,6 +201,11 @@
                 break;
             }
         }
+        auto const& due = take_ups_.second;
+        if (due.asked_ >= least_take_ups && due.share() < new_streams_.second.share() / 2) {
+            fail("LOST: of streams that are taken up again " + due.text() + " go on, of new ones " +
+                 new_streams_.second.text() + " begin");
+        }
         for (auto& lost : losses_.finish()) {
             fail(std::move(lost));
         }
@@ -181,7 +220,12 @@
         for (auto const& [status, count] : statuses_) {
             text << ' ' << status << ':' << count;
         }
-        text << "; " << losses_.summary();
+        for (auto const& [rule, count] : broken_) {
+            text << "; " << rule << ' ' << count << " times";
+        }
+        text << "; streams begun " << new_streams_.first.text() << " (due " << new_streams_.second.text()
+             << "), taken up " << take_ups_.first.text() << " (due " << take_ups_.second.text() << "); "
+             << losses_.summary();
         return text.str();
     }
 
@@ -221,12 +265,14 @@
     }
     void fail(std::string what)
     {
-        if (failures_.size() < most_failures) {
+        if (++broken_[what.substr(0, what.find(':'))] <= most_failures) {
             failures_.push_back(std::move(what));
         }
     }
 
-    static constexpr std::size_t most_failures = 20;
+    static constexpr int most_failures = 20; ///< That are told of each rule.
+    /// Fewer streams that are taken up prove nothing; the platform's sheets say so.
+    static constexpr std::int64_t least_take_ups = 12;
 
     mutable std::mutex mutex_;
     std::map<std::string, sent_request> requests_;
@@ -238,7 +284,10 @@
     std::map<int, std::int64_t> statuses_;
     std::vector<std::pair<soak_clock::time_point, soak_clock::time_point>> limited_runs_; ///< Sent, run.
     std::int64_t order_count_{};
+    std::pair<stream_share, stream_share> new_streams_; ///< All, and those that are due.
+    std::pair<stream_share, stream_share> take_ups_;
     std::vector<std::string> failures_;
+    std::map<std::string, int> broken_; ///< How often, by rule.
 };
 
 } // namespace auburnchute::tests
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -20,11 +20,12 @@
   --seed N     First seed [default: 1].
   --seeds N    Seeds to run, one after another [default: 1].
   --planned N  Seconds with planned work only, before the faults [default: 10].
-  --seconds N  Time with faults for each seed; some seconds before and after are calm [default: 20].
+  --seconds N  Time with faults for each seed, after half as long with releases and lost VMs only; some seconds
+               before and after are calm [default: 20].
   --grace N    Seconds from SIGTERM to SIGKILL; 0: picked by the seed [default: 0].
   --vms N      Entry daemons [default: 4].
   --engines N  Upstreams that hold models [default: 2].
-  --callers N  Callers at the same time [default: 24].
+  --callers N  Callers at the same time, beside as many that take streams up again [default: 24].
   --trace      Prints each fault when it begins and ends, in milliseconds since 1970.
   --logs DIR   Appends the daemons' output to files there.
 )";
@@ -59,8 +60,12 @@
         for (int i = 0; i < options.callers_; ++i) {
             threads.emplace_back([&shared, i] { run_caller(shared, i); });
         }
+        for (int i = 0; i < options.callers_; ++i) {
+            threads.emplace_back([&shared, i] { run_stream_caller(shared, i); });
+        }
         fault_driver driver{world, checks, seed, options.trace_, options.logs_};
         driver.run_planned(options.planned_);
+        driver.run_releases(options.time_ / 2);
         driver.run_all(options.time_);
         (void)served_everywhere(shared, recovery_limit);
         shared.ended_ = true;
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -3,6 +3,7 @@
 #include "soak/soak_world.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 
 namespace auburnchute::tests {
@@ -16,6 +17,13 @@
     std::atomic<std::int64_t> last_id_{0};
 };
 
+/// \brief What a caller has of a stream.
+struct stream_so_far {
+    int events_{};         ///< Whole ones.
+    std::string first_id_; ///< The request that brought the first one.
+    std::string version_;  ///< Software version of the servers that made them.
+};
+
 /// \brief A request that a caller may make.
 struct soak_request {
     soak_kind kind_{};
@@ -24,6 +32,7 @@
     soak_work work_;
     std::chrono::milliseconds limit_{4'000}; ///< The caller's time limit.
     std::chrono::milliseconds timeout_{route_timeout};
+    stream_so_far so_far_{}; ///< Of the stream that it takes up again.
 };
 
 /// Events of the streams that end soon, and the pause between two.
@@ -50,17 +59,39 @@
     return address.substr(0, address.rfind(':'));
 }
 
-/// Checks the events that came; `whole`: the stream ended as complete.
-inline void check_events(caller_world& shared, std::string const& id, std::string const& body, bool whole)
+/// \returns Whether the text is a software version as the soak's upstreams write it.
+inline bool is_version(std::string const& text)
 {
-    int expected = 1;
+    return text.size() > 1 && text[0] == 'v' && text.find_first_not_of("0123456789", 1) == std::string::npos;
+}
+
+/// Checks the events that came, and adds them to what the caller has. `whole`: the stream ended as complete.
+inline void check_events(caller_world& shared, std::string const& id, std::string const& vm,
+                         std::string const& body, bool whole, stream_so_far& so_far)
+{
+    int expected = so_far.events_ + 1;
+    auto version = so_far.version_;
     std::istringstream lines{body.substr(0, body.rfind('\n') + 1)}; // the last event may be cut in a line
     for (std::string line; std::getline(lines, line);) {
         if (line.starts_with("id: ") && std::stoi(line.substr(4)) != expected++) {
-            shared.checks_.fail_with("ORDER: " + id + " got event " + line.substr(4));
+            shared.checks_.fail_with("ORDER: " + id + " got event " + line.substr(4) + ", not " +
+                                     std::to_string(expected - 1));
+        }
+        if (line.starts_with("data: ")) {
+            auto const made_by = line.substr(std::min(line.size(), 6 + id.size() + 1));
+            if (line != "data: " + id + " " + made_by || !is_version(made_by)) {
+                shared.checks_.fail_with("MIXED: " + id + " got an event of " + line.substr(6));
+            } else if (!version.empty() && made_by != version) {
+                shared.checks_.fail_with(
+                    "ORDER: " + id + " at " + vm + " got event " + std::to_string(expected - 1) + " of " +
+                    made_by + " after " + version +
+                    (so_far.first_id_ == id || so_far.first_id_.empty() ? std::string{}
+                                                                        : ", taking up " + so_far.first_id_));
+            }
+            version = made_by;
         }
-        if (line.starts_with("data: ") && line.substr(6) != id) {
-            shared.checks_.fail_with("MIXED: " + id + " got an event of " + line.substr(6));
+        if (line.empty()) { // the event is whole
+            so_far = {expected - 1, so_far.first_id_.empty() ? id : so_far.first_id_, version};
         }
     }
     if (whole && expected != soak_work::of(id).events_ + 1) {
@@ -69,7 +100,7 @@
     }
 }
 
-/// A caller's request on its way.
+/// A caller's request on its way; the request gets what comes of its stream.
 struct sent_request {
     soak_request made_;
     std::string id_;
@@ -87,6 +118,10 @@
                 " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id + "\r\nApi-Key: " + key +
                 "\r\nX-Deadline-Ms: " + std::to_string(made.limit_.count()) +
                 "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+    if (made.so_far_.events_ > 0) {
+        text += "Last-Event-Id: " + std::to_string(made.so_far_.events_) +
+                "\r\nResumes: " + made.so_far_.first_id_ + "\r\n";
+    }
     if (!model.empty()) {
         text += "X-Model: " + model + "\r\nX-Token-Counts: 100,20\r\n";
     }
@@ -96,12 +131,12 @@
 
 /// Checks the answer to a request; and, if a stopping daemon refuses it, that its connection ends.
 /// \param is_last No further request was sent on the connection.
-inline caller_answer receive_one(caller_world& shared, caller_connection& connection,
-                                 sent_request const& sent, bool is_last = true)
+inline caller_answer receive_one(caller_world& shared, caller_connection& connection, sent_request& sent,
+                                 bool is_last = true)
 {
     /// A caller waits this much longer than its time limit.
     constexpr std::chrono::milliseconds patience{1'500};
-    auto const& [made, id, at] = sent;
+    auto& [made, id, at] = sent;
     auto const limit = std::min(made.limit_, made.timeout_);
     auto answer = connection.receive(at, limit + patience, shared.ended_);
     if (answer.status_ == 200 &&
@@ -109,7 +144,7 @@
         shared.checks_.fail_with("MIXED: " + id + " got an answer to " + answer.field("X-Request-Id"));
     }
     if (answer.status_ == 200 && made.work_.events_ > 0) {
-        check_events(shared, id, answer.body_, answer.is_whole());
+        check_events(shared, id, connection.vm(), answer.body_, answer.is_whole(), made.so_far_);
     } else if (answer.status_ == 200 && answer.is_whole() && answer.body_ != soak_work::body(id)) {
         shared.checks_.fail_with("MIXED: " + id + " got '" + answer.body_.substr(0, 100) + "'");
     }
@@ -128,10 +163,26 @@
     return answer;
 }
 
-inline caller_answer call_once(caller_world& shared, caller_connection& connection, soak_request const& made,
+/// Sends a request and waits for its answer. \param made Gets what comes of its stream.
+inline caller_answer call_once(caller_world& shared, caller_connection& connection, soak_request& made,
                                std::string const& key, std::string const& model)
 {
-    return receive_one(shared, connection, send_one(shared, connection, made, key, model));
+    constexpr int unauthorized = 401;
+    constexpr int too_many_requests = 429;
+    auto sent = send_one(shared, connection, made, key, model);
+    auto answer = receive_one(shared, connection, sent);
+    bool const is_owed = answer.end_ != answer_end::left && answer.status_ != unauthorized &&
+                         answer.status_ != too_many_requests;
+    if (made.kind_ == soak_kind::resumable_stream && is_owed) {
+        bool const taken_up = made.so_far_.events_ > 0;
+        auto const& losses = shared.checks_.losses_;
+        shared.checks_.note_stream(
+            taken_up, answer.status_ == 200,
+            losses.is_calm(connection.vm(), sent.at_) && losses.is_calm(loss_check::store, sent.at_) &&
+                (!taken_up || shared.world_.servers_of(made.so_far_.version_, sent.at_) >= 2));
+    }
+    made.so_far_ = sent.made_.so_far_;
+    return answer;
 }
 
 /// Sends two requests at once, reads late, and wants the answers one after the other.
@@ -141,7 +192,7 @@
     constexpr std::size_t large = 150'000;
     constexpr std::chrono::milliseconds reads_late{100};
     soak_request const made{soak_kind::lookup, "/look/1", false, {0, {}, large}};
-    auto const first = send_one(shared, connection, made, key, "");
+    auto first = send_one(shared, connection, made, key, "");
     auto second = send_one(shared, connection, made, key, "");
     std::this_thread::sleep_for(reads_late); // the daemon may close meanwhile
     auto const answer = receive_one(shared, connection, first, false);
@@ -149,6 +200,54 @@
     return answer.is_whole() ? receive_one(shared, connection, second) : answer;
 }
 
+/// \returns A connection to the VM; empty if nobody listens there.
+inline std::unique_ptr<caller_connection> try_connect(std::string const& vm, int window = 0)
+{
+    try {
+        return std::make_unique<caller_connection>(vm, soak_callers_port, window);
+    } catch (std::runtime_error const&) {
+        return nullptr; // a caller whose VM is gone asks the directory again
+    }
+}
+
+/// Sends a request, and takes its stream up again elsewhere if it breaks off and may be resumed.
+/// \returns The first answer.
+inline caller_answer call_through(caller_world& shared, caller_connection& connection, soak_request made,
+                                  std::string const& key, std::mt19937_64& random)
+{
+    using namespace std::chrono;
+    constexpr int most_take_ups = 3;
+    constexpr milliseconds least_left{100};
+    constexpr milliseconds look_again{100}; // while the directory names no VM
+    auto const end = soak_clock::now() + made.limit_;
+    auto const model = made.model_ ? "m" + std::to_string(1 + random() % 3) : std::string{};
+    auto const first = call_once(shared, connection, made, key, model);
+    auto last = first;
+    for (int taken_up = 0; made.kind_ == soak_kind::resumable_stream && taken_up < most_take_ups;) {
+        auto const left = duration_cast<milliseconds>(end - soak_clock::now());
+        bool const is_refusal = last.is_whole() && last.status_ >= 500 && made.so_far_.events_ > 0;
+        if ((last.is_whole() && !is_refusal) || left < least_left || shared.ended_) {
+            break;
+        }
+        if (is_refusal) {
+            milliseconds const told{std::lround(std::atof(last.field("Retry-After").c_str()) * 1'000)};
+            std::this_thread::sleep_for(std::min(told, left / 3)); // as the daemon asks
+        }
+        auto const vm = ask_directory(shared.world_, random);
+        auto const next = vm.empty() ? nullptr : try_connect(vm);
+        if (!next) {
+            std::this_thread::sleep_for(look_again);
+            continue;
+        }
+        made.limit_ = duration_cast<milliseconds>(end - soak_clock::now());
+        if (made.limit_ >= least_left) {
+            last = call_once(shared, *next, made, key, model);
+            ++taken_up;
+        }
+    }
+    return first;
+}
+
 /// \returns A request that its upstream answers soon.
 inline soak_request brisk_request(std::mt19937_64& random)
 {
@@ -193,21 +292,6 @@
     }
 }
 
-inline std::string pick_model(soak_request const& made, std::mt19937_64& random)
-{
-    return made.model_ ? "m" + std::to_string(1 + random() % 3) : std::string{};
-}
-
-/// \returns A connection to the VM; empty if nobody listens there.
-inline std::unique_ptr<caller_connection> try_connect(std::string const& vm, int window = 0)
-{
-    try {
-        return std::make_unique<caller_connection>(vm, soak_callers_port, window);
-    } catch (std::runtime_error const&) {
-        return nullptr; // a caller whose VM is gone asks the directory again
-    }
-}
-
 /// Uses one connection at a time as fast as it can, and connects again while the VM listens.
 inline void run_brisk_caller(caller_world& shared, int number)
 {
@@ -227,7 +311,7 @@
                                      : shared.world_.oldest_key();
         for (int i = 0; i < 40 && connection && !shared.ended_; ++i) {
             auto const made = brisk_request(random);
-            auto const answer = call_once(shared, *connection, made, key, pick_model(made, random));
+            auto const answer = call_through(shared, *connection, made, key, random);
             if (!answer.is_whole() || (answer.status_ == 401 && !withdrawn)) {
                 break;
             }
@@ -259,9 +343,8 @@
             auto const at = connections.begin() + static_cast<std::ptrdiff_t>(random() % connections.size());
             auto const made = any_request(random, grace);
             auto const key = shared.world_.oldest_key();
-            auto const answer = random() % 8 == 0
-                                    ? call_twice(shared, **at, key)
-                                    : call_once(shared, **at, made, key, pick_model(made, random));
+            auto const answer = random() % 8 == 0 ? call_twice(shared, **at, key)
+                                                  : call_through(shared, **at, made, key, random);
             if (!answer.is_whole()) {
                 connections.erase(at);
             }
@@ -276,6 +359,25 @@
     }
 }
 
+/// Asks for streams that last long enough for faults to cut them, each on a connection of its own.
+inline void run_stream_caller(caller_world& shared, int number)
+{
+    using std::chrono::milliseconds;
+    constexpr milliseconds pause{50};
+    constexpr milliseconds limit{10'000};
+    std::mt19937_64 random{shared.seed_ * 1'000 + 500 + static_cast<std::uint64_t>(number)};
+    while (!shared.ended_) {
+        auto const vm = ask_directory(shared.world_, random);
+        if (auto const connection = vm.empty() ? nullptr : try_connect(vm)) {
+            // 1 to 3 s
+            soak_work const work{20 + static_cast<int>(random() % 41), pause};
+            call_through(shared, *connection, {soak_kind::resumable_stream, "/resume/1", false, work, limit},
+                         shared.world_.oldest_key(), random);
+        }
+        std::this_thread::sleep_for(milliseconds{random() % 200}); // between two requests
+    }
+}
+
 inline void run_caller(caller_world& shared, int number)
 {
     number % 2 == 0 ? run_brisk_caller(shared, number) : run_patient_caller(shared, number);
@@ -290,7 +392,7 @@
         soak_request{soak_kind::purchase, "/buy/1", false, {}},
         soak_request{soak_kind::resumable_stream, "/resume/1", false, {least_events, event_pause}}};
     for (auto const& vm : shared.world_.vms_) {
-        for (auto const& made : all) {
+        for (auto made : all) {
             while (true) {
                 auto const connection = try_connect(vm->ip_);
                 if (connection &&
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -142,8 +142,13 @@
     std::atomic<bool> loses_answers_{false};
     std::atomic<bool> leaving_{false};                  ///< Its answers say that it leaves.
     std::atomic<std::int64_t> born_{1'700'000'000'000}; ///< Start of its process.
+    std::atomic<int> version_{1};                       ///< Of its software.
+    std::atomic<bool> exited_{false};                   ///< Its process ended, and the next one hasn't begun.
 
     [[nodiscard]] std::string process() const { return id_ + "/" + std::to_string(born_); }
+    [[nodiscard]] std::string version() const { return "v" + std::to_string(version_); }
+    /// \returns A name for `loss_check` of the times at which it doesn't serve, which excuse no loss.
+    [[nodiscard]] std::string absence() const { return id_ + " away"; }
 };
 
 /// \brief One entry VM: a real process with its own address, and a proxy on its way to the store.
@@ -164,7 +169,7 @@
         : checks_{checks}, prefix_{own_network()}, base_{prefix_ + "1"}, store_{base_}
     {
         put_config();
-        for (int i = 0; i < 3; ++i) {
+        for (int i = 0; i < 6; ++i) {
             add_upstream("desk");
         }
         for (int i = 0; i < engines; ++i) {
@@ -302,6 +307,37 @@
         write_entry(upstream);
     }
 
+    /// \brief The upstream's process ends, with its connections.
+    static void end_process(soak_upstream& upstream)
+    {
+        upstream.exited_ = true;
+        upstream.proxy_->set_fault(link_fault::reset);
+    }
+
+    /// \brief The next process starts under the upstream's id.
+    /// \pre `end_process`, and all connections have seen it.
+    void start_process(soak_upstream& upstream, int version)
+    {
+        std::scoped_lock const lock{mutex_};
+        upstream.version_ = version;
+        upstream.leaving_ = false;
+        ++upstream.born_;
+        upstream.exited_ = false;
+        upstream.proxy_->set_fault(link_fault::none);
+        upstream.state_ = "ready";
+        write_entry(upstream);
+    }
+
+    /// \returns How many servers of the version have served since `loss_check::contact` before the moment.
+    [[nodiscard]] std::ptrdiff_t servers_of(std::string const& version, soak_clock::time_point since) const
+    {
+        return std::count_if(upstreams_.begin(), upstreams_.end(), [&](auto const& upstream) {
+            return upstream->service_ == "desk" && upstream->version() == version &&
+                   checks_.losses_.is_calm(upstream->id_, since) &&
+                   checks_.losses_.is_calm(upstream->absence(), since);
+        });
+    }
+
     oracle& checks_;
     std::string prefix_; ///< Of the addresses of this process.
     std::string base_;
@@ -321,6 +357,7 @@
                                                             {"slots", 16 + writes_ % 2},
                                                             {"state", upstream.state_},
                                                             {"born", upstream.born_.load()},
+                                                            {"version", upstream.version()},
                                                             {"sequence", ++writes_}}
                                                  .dump());
     }
@@ -377,6 +414,9 @@
     /// Runs a request as an upstream does. \returns Whether the connection stays open.
     bool run(soak_upstream& upstream, received_request const& request, owned_socket& socket)
     {
+        if (upstream.exited_) {
+            return false;
+        }
         if (request.field("X-Target-Instance") != upstream.id_) {
             socket.send("HTTP/1.1 421 X\r\nX-Not-Executed: 1\r\nX-Request-Id: " +
                         request.field("X-Request-Id") + "\r\nContent-Length: 0\r\n\r\n");
@@ -411,6 +451,8 @@
     static run_end answer(soak_upstream const& upstream, received_request const& request,
                           owned_socket const& socket, std::string const& id, int first)
     {
+        auto const version = upstream.version();
+        auto const cut = [&] { return upstream.exited_ ? run_end::broke_off : run_end::was_left; };
         auto const goes_on = [&](std::chrono::milliseconds time) {
             pollfd gone{socket.handle(), POLLIN, 0};
             return ::poll(&gone, 1, static_cast<int>(time.count())) <= 0; // the work that the caller picked
@@ -422,7 +464,7 @@
         auto const work = soak_work::of(id);
         if (work.events_ == 0) {
             if (!goes_on(work.each_)) {
-                return run_end::was_left;
+                return cut();
             }
             if (lost) {
                 return run_end::broke_off;
@@ -435,7 +477,7 @@
                     "\r\nX-Response-Stamp: proof\r\nContent-Type: text/event-stream\r\n"
                     "Transfer-Encoding: chunked\r\n\r\n");
         for (int event = first; event <= work.events_; ++event) {
-            auto const text = "id: " + std::to_string(event) + "\ndata: " + id + "\n\n";
+            auto const text = "id: " + std::to_string(event) + "\ndata: " + id + " " + version + "\n\n";
             std::ostringstream chunk;
             chunk << std::hex << text.size() << "\r\n" << text << "\r\n";
             socket.send(chunk.str());
@@ -443,7 +485,7 @@
                 return run_end::broke_off;
             }
             if (!goes_on(work.each_)) {
-                return run_end::was_left;
+                return cut();
             }
         }
         socket.send("0\r\n\r\n");
