--- a/tests/soak/oracle.hpp
+++ b/tests/soak/oracle.hpp
@@ -137,12 +137,16 @@
     }
 
     /// \brief A new stream, or one that is taken up again, was asked for.
-    /// \param goes_on The answer's status is 200.
+    /// \param refusal What the answer says instead of status 200; empty: it goes on.
     /// \param is_due Its VM and the store were in touch, and two servers of a taken-up stream's version
     /// served.
-    void note_stream(bool taken_up, bool goes_on, bool is_due)
+    void note_stream(bool taken_up, std::string const& refusal, bool is_due)
     {
         std::scoped_lock const lock{mutex_};
+        bool const goes_on = refusal.empty();
+        if (taken_up && is_due && !goes_on) {
+            ++refusals_[refusal];
+        }
         auto& shares = taken_up ? take_ups_ : new_streams_;
         shares.first.add(goes_on);
         if (is_due) {
@@ -224,8 +228,11 @@
             text << "; " << rule << ' ' << count << " times";
         }
         text << "; streams begun " << new_streams_.first.text() << " (due " << new_streams_.second.text()
-             << "), taken up " << take_ups_.first.text() << " (due " << take_ups_.second.text() << "); "
-             << losses_.summary();
+             << "), taken up " << take_ups_.first.text() << " (due " << take_ups_.second.text();
+        for (auto const& [refusal, count] : refusals_) {
+            text << ", " << refusal << ' ' << count;
+        }
+        text << "); " << losses_.summary();
         return text.str();
     }
 
@@ -286,6 +293,7 @@
     std::int64_t order_count_{};
     std::pair<stream_share, stream_share> new_streams_; ///< All, and those that are due.
     std::pair<stream_share, stream_share> take_ups_;
+    std::map<std::string, int> refusals_; ///< Of take-ups that are due, by what the answer says.
     std::vector<std::string> failures_;
     std::map<std::string, int> broken_; ///< How often, by rule.
 };
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -163,6 +163,14 @@
     return answer;
 }
 
+/// \returns Why a request did not run, as its answer tells.
+inline std::string refusal_of(caller_answer const& answer)
+{
+    return answer.is_whole()
+               ? std::to_string(answer.status_) + " " + answer.body_.substr(0, answer.body_.find('\n'))
+               : "no answer";
+}
+
 /// Sends a request and waits for its answer. \param made Gets what comes of its stream.
 inline caller_answer call_once(caller_world& shared, caller_connection& connection, soak_request& made,
                                std::string const& key, std::string const& model)
@@ -177,7 +185,7 @@
         bool const taken_up = made.so_far_.events_ > 0;
         auto const& losses = shared.checks_.losses_;
         shared.checks_.note_stream(
-            taken_up, answer.status_ == 200,
+            taken_up, answer.status_ == 200 ? std::string{} : refusal_of(answer),
             losses.is_calm(connection.vm(), sent.at_) && losses.is_calm(loss_check::store, sent.at_) &&
                 (!taken_up || shared.world_.servers_of(made.so_far_.version_, sent.at_) >= 2));
     }
