--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -11,8 +11,10 @@
 #include "transport/entry/order_keeper.hpp"
 #include "transport/entry/peer_exchange.hpp"
 #include "transport/entry/plain_server.hpp"
+#include "transport/entry/plan_reader.hpp"
 #include "transport/entry/planned_stop.hpp"
 #include "transport/entry/store_reader.hpp"
+#include "transport/entry/version_keeper.hpp"
 
 #include <auburnchute/error.hpp>
 
@@ -279,6 +281,12 @@
         net::post(reader.loop_,
                   [&reader, trait, record = std::move(record)] { keep_evidence(reader, trait, record); });
     };
+    reader.plans_changed_ = [&] { net::post(loop, [&node] { node.send_state_(message_targets::all); }); };
+    node.offer_plan_ = [&reader](std::string service, version_plan plan) {
+        net::post(reader.loop_, [&reader, service = std::move(service), plan = std::move(plan)] {
+            offer_plan(reader, service, plan);
+        });
+    };
     node.reread_upstreams_ = [&reader] { net::post(reader.loop_, [&reader] { reread_upstreams(reader); }); };
     node.stop_placing_ = [&keeper] { net::post(keeper.loop_, [&keeper] { give_up_lease(keeper); }); };
     // Before anything listens: a stop without a handler would end the process by its default action.
@@ -286,6 +294,7 @@
     serve_callers(node, settings.callers_listen_);
     serve_own_pages(node);
     exchange_with_peers(node);
+    keep_versions(node);
     loop_turns turns;
     run_forever(loop, "turns", [&] { return note_turns(turns); });
     run_forever(loop, "signals", [&] { return handle_signals(node, signals, settings_file, turns); });
--- a/include/auburnchute/fleet_exchange.hpp
+++ b/include/auburnchute/fleet_exchange.hpp
@@ -53,6 +53,8 @@
     std::int64_t entries_age_{-1};
     std::uint64_t registry_{};
     std::uint64_t leaves_digest_{};
+    std::uint64_t seen_plans_{};
+    std::int64_t plans_age_{-1};
 };
 
 /// \brief Cumulative usage by workspace.
@@ -60,11 +62,11 @@
 
 /// \brief What this VM knows of a VM with which it exchanges messages.
 struct peer_state {
-    fleet_message last_;               ///< Its newest message, without `placements_`, `news_`, `leaves_` and
-                                       ///< `evidence_`.
-    millis received_at_{};             ///< When `last_` arrived; 0: never.
-    millis sending_since_{};           ///< When this VM began to send to it; 0: it does not send.
-    bool in_sums_{};                   ///< Its load is part of `use_`.
+    fleet_message last_;     ///< Its newest message, without `placements_`, `news_`, `leaves_`, `plans_` and
+                             ///< `evidence_`.
+    millis received_at_{};   ///< When `last_` arrived; 0: never.
+    millis sending_since_{}; ///< When this VM began to send to it; 0: it does not send.
+    bool in_sums_{};         ///< Its load is part of `use_`.
     std::int64_t charged_in_term_{-1}; ///< `term_` of this VM when the peer's totals were last charged.
     spend_totals last_totals_;         ///< The totals in its newest messages.
     spend_totals charged_totals_;      ///< For a leaf: usage charged for its current process.
@@ -160,6 +162,7 @@
     /// Latest time in this VM's clock at which the sender's configuration is known to have been the newest.
     std::optional<millis> config_confirmed_at_;
     std::optional<millis> entries_confirmed_at_; ///< The same of the upstream entries.
+    std::optional<millis> plans_confirmed_at_;   ///< The same of the version plans.
     bool models_awaited_{};                      ///< The message lists models for which requests wait.
 };
 
--- a/include/auburnchute/fleet_message.hpp
+++ b/include/auburnchute/fleet_message.hpp
@@ -75,6 +75,15 @@
     friend bool operator==(upstream_entry_update const&, upstream_entry_update const&) = default;
 };
 
+/// \brief The newest record of the store that says how the versions of a service share its streams.
+struct plan_update {
+    std::uint64_t offset_{};
+    std::string service_;
+    std::string document_; ///< As stored.
+
+    friend bool operator==(plan_update const&, plan_update const&) = default;
+};
+
 /// \brief The roles of sender and receiver; see fleet_exchange.hpp.
 enum class message_kind : std::uint8_t {
     report, ///< From a leaf to its relay: state of the leaf.
@@ -135,6 +144,12 @@
                                    ///< -1: never.
     std::uint64_t registry_{};     ///< Digest of the upstream entries at that offset.
 
+    /// Offset in the version plans' topic from which on `plans_` has all that the sender knows.
+    std::uint64_t plans_from_{};
+    std::vector<plan_update> plans_;
+    std::uint64_t seen_plans_{}; ///< One more than the offset up to which the sender has the plans; 0: none.
+    std::int64_t plans_age_{-1}; ///< Milliseconds since it last knew that no newer one counts; -1: never.
+
     std::vector<leave_notice> leaves_; ///< The sender's notices, unless the receiver has the same.
     std::uint64_t leaves_digest_{};    ///< Of all its notices.
 
--- a/src/coordination/fleet_exchange.cpp
+++ b/src/coordination/fleet_exchange.cpp
@@ -666,6 +666,8 @@
     message.entries_age_ = own.entries_age_;
     message.registry_ = own.registry_;
     message.leaves_digest_ = own.leaves_digest_;
+    message.seen_plans_ = own.seen_plans_;
+    message.plans_age_ = own.plans_age_;
     if (own.holds_lease_ || kind == message_kind::digest) {
         message.lease_epoch_ = own.lease_epoch_;
         message.lease_end_ = own.lease_end_;
@@ -815,6 +817,7 @@
     peer.last_.placements_.clear();
     peer.last_.news_.clear();
     peer.last_.leaves_.clear();
+    peer.last_.plans_.clear();
     peer.last_.evidence_.clear();
     if (!message.roster_told_) {
         peer.last_.ready_ = std::move(previous.ready_);
@@ -842,6 +845,7 @@
     }
     effects.config_confirmed_at_ = confirmed_at(exchange, message, message.config_age_, now);
     effects.entries_confirmed_at_ = confirmed_at(exchange, message, message.entries_age_, now);
+    effects.plans_confirmed_at_ = confirmed_at(exchange, message, message.plans_age_, now);
     effects.models_awaited_ = std::any_of(message.needs_.begin(), message.needs_.end(),
                                           [](need_row const& row) { return row.amount_.waiting_ > 0; });
     return effects;
--- a/src/protocol/fleet_codec.cpp
+++ b/src/protocol/fleet_codec.cpp
@@ -216,6 +216,12 @@
             row.set_document(*change.document_);
         }
     }
+    for (auto const& plan : message.plans_) {
+        auto& row = *into.add_plans();
+        row.set_offset(plan.offset_);
+        row.set_service(plan.service_);
+        row.set_document(plan.document_);
+    }
     for (auto const& notice : message.leaves_) {
         auto& row = *into.add_leaves();
         row.set_id(notice.id_);
@@ -245,6 +251,9 @@
         message.news_.push_back({change.offset(), change.id(),
                                  change.has_document() ? std::optional{change.document()} : std::nullopt});
     }
+    for (auto const& row : from.plans()) {
+        message.plans_.push_back({row.offset(), row.service(), row.document()});
+    }
     for (auto const& row : from.leaves()) {
         message.leaves_.push_back({row.id(), row.started_at(), millis{message.sent_at_ - row.age_ms()}});
     }
@@ -289,6 +298,9 @@
     message.leaves_digest_ = from.leaves_digest();
     message.evidence_version_ = from.evidence_version();
     message.seen_evidence_ = from.seen_evidence();
+    message.plans_from_ = from.plans_from();
+    message.seen_plans_ = from.seen_plans();
+    message.plans_age_ = checked(from.plans_age_ms());
 }
 
 } // namespace
@@ -331,6 +343,9 @@
     into.set_leaves_digest(message.leaves_digest_);
     into.set_evidence_version(message.evidence_version_);
     into.set_seen_evidence(message.seen_evidence_);
+    into.set_plans_from(message.plans_from_);
+    into.set_seen_plans(message.seen_plans_);
+    into.set_plans_age_ms(message.plans_age_);
     write_tables(message, into);
     std::vector<std::uint8_t> bytes(into.ByteSizeLong());
     into.SerializeWithCachedSizesToArray(bytes.data());
@@ -357,6 +372,52 @@
     }
 }
 
+std::string encode_plan(version_plan const& plan)
+{
+    wire::VersionPlan into;
+    into.set_revision(plan.revision_);
+    into.set_longest_limit_ms(plan.longest_limit_.count_);
+    for (auto const& [model, eras] : plan.models_) {
+        auto& list = *into.add_models();
+        list.set_model(model);
+        for (auto const& era : eras) {
+            auto& row = *list.add_eras();
+            row.set_number(era.number_);
+            row.mutable_versions()->Add(era.versions_.begin(), era.versions_.end());
+            row.set_owners(std::string{era.owners_.begin(), era.owners_.end()});
+        }
+    }
+    return into.SerializeAsString();
+}
+
+std::optional<version_plan> decode_plan(std::string_view bytes)
+{
+    wire::VersionPlan from;
+    if (!from.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return std::nullopt;
+    }
+    version_plan plan{.revision_ = from.revision(),
+                      .longest_limit_ =
+                          std::clamp(millis{from.longest_limit_ms()}, millis{0}, max_time_limit),
+                      .models_ = {}};
+    for (auto const& list : from.models()) {
+        auto& eras = plan.models_[list.model()];
+        for (auto const& row : list.eras()) {
+            version_era era{.number_ = row.number(),
+                            .versions_ = {row.versions().begin(), row.versions().end()},
+                            .owners_ = {},
+                            .learned_at_ = {},
+                            .absent_at_ = {}};
+            if (row.owners().size() != era.owners_.size()) {
+                return std::nullopt;
+            }
+            std::copy(row.owners().begin(), row.owners().end(), era.owners_.begin());
+            eras.push_back(std::move(era));
+        }
+    }
+    return is_valid(plan) ? std::optional{std::move(plan)} : std::nullopt;
+}
+
 std::optional<fleet_message> decode_message(std::span<std::uint8_t const> bytes)
 {
     google::protobuf::Arena arena;
--- a/src/protocol/fleet_codec.hpp
+++ b/src/protocol/fleet_codec.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <auburnchute/fleet_message.hpp>
+#include <auburnchute/version_plan.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -23,4 +24,10 @@
 /// \returns The record, or none if the bytes are not one.
 [[nodiscard]] std::optional<trait_record> decode_evidence(std::string_view bytes);
 
+/// \returns A plan as it is kept in the store, without times.
+[[nodiscard]] std::string encode_plan(version_plan const& plan);
+
+/// \returns The plan, or none if the bytes are not one.
+[[nodiscard]] std::optional<version_plan> decode_plan(std::string_view bytes);
+
 } // namespace auburnchute
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -6,6 +6,7 @@
 #include "transport/entry/forward_job.hpp"
 #include "transport/entry/listen.hpp"
 #include "transport/entry/upstream_booking.hpp"
+#include "transport/entry/version_keeper.hpp"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -72,6 +73,10 @@
 /// Shortest wait told to a caller whose request found no room.
 constexpr millis least_retry_after{200};
 
+/// When a caller may come back whose stream can't go on here for now: another VM may know more, and entries
+/// and plans are read within this time.
+constexpr millis version_retry_after{1'000};
+
 /// Longest wait told to a caller whose request found no upstream that takes any.
 constexpr millis longest_retry_after{60'000};
 
@@ -122,6 +127,21 @@
                : least_retry_after;
 }
 
+/// \returns The reason for which a request that has no software version is refused at once, or empty.
+std::string_view version_refusal(choice_fault fault) noexcept
+{
+    switch (fault) {
+    case choice_fault::version_gone:
+        return "version-gone";
+    case choice_fault::version_unknown:
+        return "version-unknown";
+    case choice_fault::version_stale:
+        return "version-stale";
+    default:
+        return {};
+    }
+}
+
 /// The answer to a request that is given up: a refusal that says when to come back if it is known not to have
 /// run, else a failure that promises nothing.
 own_answer give_up(forward_job const& job, std::string_view refusal, int failure_status,
@@ -764,6 +784,9 @@
     if (fault == choice_fault::no_upstream) {
         co_return own_answer{unavailable, "no-upstream", millis{500}};
     }
+    if (auto const reason = version_refusal(fault); !reason.empty()) {
+        co_return own_answer{unavailable, reason, version_retry_after};
+    }
     if (fault == choice_fault::not_loaded) {
         // An engine that has the model still needs some time for the first token.
         if (auto const load = load_remaining(node_, job); load + first_token_time > left) {
@@ -777,7 +800,9 @@
             co_return own_answer{unavailable, "load-too-late", load + least_retry_after};
         }
     } else if (now - job.arrived_ > (job.first_deadline_ - job.arrived_) / 2) {
-        co_return own_answer{unavailable, "upstreams-full", least_retry_after};
+        co_return own_answer{unavailable,
+                             fault == choice_fault::version_awaited ? "version-awaited" : "upstreams-full",
+                             least_retry_after};
     }
     wake_event wake{node_.loop_};
     auto const key = need_of(job);
@@ -869,6 +894,9 @@
                   {"config_age_ms", (boot_now() - fresh_at(node_)).count_},
                   {"entries_age_ms", entries_age_ms(node_)},
                   {"reused", connection->reused_}});
+    if (needs_one_version(job)) {
+        job.begun_at_version_ = upstream.software_version_;
+    }
     job.used_.push_back(upstream.id_);
     upstream_try first_try{node_, upstream};
     first_try_ = &first_try;
@@ -1273,6 +1301,9 @@
     auto const workspace = job.workspace_ != nullptr ? std::string_view{job.workspace_->name_} : "";
     auto const first = job.first_event_at_ > millis{0} ? job.first_event_at_ - job.arrived_ : millis{-1};
     node_.counters_.count("auburnchute_requests_total", outcome);
+    if (job.route_ != nullptr && takes_up_stream(job)) {
+        node_.counters_.count("auburnchute_streams_taken_up_total", outcome);
+    }
     node_.counters_.observe("auburnchute_request_ms", route, now - job.arrived_);
     if (first >= millis{0}) {
         node_.counters_.observe("auburnchute_first_event_ms", route, first);
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -111,6 +111,8 @@
     need_names need_names_;
     std::uint64_t need_names_version_{}; ///< Configuration version of `need_names_`.
     std::list<waiting_call*> waiting_;
+    std::map<std::string, millis, std::less<>> longest_limits_; ///< Of streams' callers here, by service.
+    std::map<std::string, millis, std::less<>> plans_due_since_; ///< By service; see version_keeper.hpp.
     crash_evidence evidence_;
     std::map<trait_hash, kept_evidence> kept_evidence_; ///< Records in the store that this VM looks after.
     std::map<std::string, retry_budget, std::less<>> retries_; ///< By service; this VM's parts.
@@ -127,7 +129,9 @@
         entries_reported_; ///< Called with what a peer's message says of the upstreams' entries.
     std::function<void(leave_notice)> leave_noticed_; ///< Called when an upstream says that it leaves.
     std::function<void()> reread_upstreams_;          ///< Called when a record of the upstreams was missed.
-    std::function<void()> stop_placing_;              ///< Gives up the order lease for good.
+    /// Has the plan of a service's versions stored.
+    std::function<void(std::string, version_plan)> offer_plan_;
+    std::function<void()> stop_placing_; ///< Gives up the order lease for good.
     /// Keeps the record of a trait in the store, or deletes it there if there is none.
     std::function<void(trait_hash, std::optional<trait_record>)> keep_evidence_;
 };
--- a/src/transport/entry/entry_view.hpp
+++ b/src/transport/entry/entry_view.hpp
@@ -7,6 +7,7 @@
 #include <auburnchute/fleet_message.hpp>
 #include <auburnchute/rcu_cell.hpp>
 #include <auburnchute/upstream.hpp>
+#include <auburnchute/version_plan.hpp>
 
 #include <atomic>
 #include <cstdint>
@@ -33,6 +34,10 @@
     std::uint64_t seen_{};               ///< Offset up to which the peer has the entries.
     std::optional<millis> proof_at_{};   ///< When they were known to be the newest; this VM's boot clock.
     std::vector<leave_notice> leaves_{}; ///< Times in this VM's boot clock.
+    std::uint64_t plans_from_{};         ///< Offset from which on `plans_` has all that the peer knows.
+    std::vector<plan_update> plans_{};
+    std::uint64_t seen_plans_{};             ///< As in `fleet_message`.
+    std::optional<millis> plans_proof_at_{}; ///< When no newer plan counted; this VM's boot clock.
 };
 
 /// \brief What the control thread knows; replaced as a whole.
@@ -49,6 +54,10 @@
     std::shared_ptr<entry_log const> log_{std::make_shared<entry_log const>()};
     std::shared_ptr<std::vector<leave_notice> const> leaves_{
         std::make_shared<std::vector<leave_notice> const>()}; ///< Those that are told to the peers.
+    std::shared_ptr<version_plans const> plans_{std::make_shared<version_plans const>()};
+    std::shared_ptr<std::vector<plan_update> const> plan_updates_{
+        std::make_shared<std::vector<plan_update> const>()}; ///< The plans as stored, for the peers.
+    std::uint64_t seen_plans_{};                             ///< As in `fleet_message`.
 };
 
 /// \brief What the control thread shares with the thread that serves requests.
@@ -65,6 +74,9 @@
     /// When the upstreams' entries that this VM has were last known to be the newest, by a read of its own or
     /// by a peer; boot clock. 0: never.
     std::atomic<std::int64_t> entries_proof_at_{0};
+    /// When the version plans that this VM has were last known to be the newest that count, by a read of its
+    /// own or by a peer; boot clock. 0: never.
+    std::atomic<std::int64_t> plans_proof_at_{0};
     /// Whether this VM is one of those that read the store for all.
     std::atomic<bool> reads_for_all_{true};
     /// Whether a ready peer comes before this VM in taking work for all; see
--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/decision_log.hpp"
 #include "transport/entry/peer_exchange.hpp"
+#include "transport/entry/version_keeper.hpp"
 
 #include <auburnchute/ids.hpp>
 #include <auburnchute/upstream_choice.hpp>
@@ -91,6 +92,20 @@
     return std::nullopt;
 }
 
+choice_fault fault_of(version_fault fault) noexcept
+{
+    switch (fault) {
+    case version_fault::unknown:
+        return choice_fault::version_unknown;
+    case version_fault::stale:
+        return choice_fault::version_stale;
+    case version_fault::none:
+    case version_fault::awaited:
+        break;
+    }
+    return choice_fault::version_awaited;
+}
+
 } // namespace
 
 bool is_repeatable(forward_job const& job) noexcept
@@ -144,6 +159,7 @@
     job.urgency_ = job.workspace_ != nullptr && job.workspace_->priority_ ? *job.workspace_->priority_
                                                                           : job.route_->priority_;
     job.last_event_ = job.call_.resume_after_;
+    note_time_limit(node, job);
     if (!may_begin(node, job.deadline_)) {
         return refuse_for_stop(node, now);
     }
@@ -184,6 +200,13 @@
     bool service_there = false;
     bool tried_by_other = false;
     std::optional<millis> held_until;
+    auto const bound = version_for(node, job, now);
+    if (bound.fault_ != version_fault::none) {
+        chosen.fault_ = fault_of(bound.fault_);
+        return chosen;
+    }
+    bool version_there = !bound.version_;
+    bool other_version_can = false;
     for (auto const& [id, entry] : *view.upstreams_) {
         if (entry.service_ != job.service_ || entry.leaving_) {
             continue;
@@ -203,6 +226,7 @@
             continue;
         }
         service_there = true;
+        version_there = version_there || entry.software_version_ == *bound.version_;
         if (job.engine_ != nullptr && !job.call_.model_.empty()) {
             auto const* const placement = find_placement(node.placements_, id, now);
             if (!is_usable(entry, placement != nullptr ? &placement->placement_ : nullptr, job.call_.model_,
@@ -210,6 +234,10 @@
                 continue;
             }
         }
+        if (bound.version_ && entry.software_version_ != *bound.version_) {
+            other_version_can = true;
+            continue;
+        }
         if (access == upstream_access::held) {
             auto const until = own->second.signals_.hold_until_;
             held_until = held_until ? std::min(*held_until, until) : until;
@@ -242,6 +270,14 @@
         chosen.held_until_ = *held_until;
         return chosen;
     }
+    if (options.empty() && bound.version_ && takes_up_stream(job) && (!version_there || other_version_can)) {
+        chosen.fault_ = choice_fault::version_gone;
+        return chosen;
+    }
+    if (options.empty() && other_version_can) {
+        chosen.fault_ = choice_fault::version_awaited; // the plan follows the upstreams
+        return chosen;
+    }
     if (options.empty()) {
         chosen.fault_ = service_there ? choice_fault::not_loaded : choice_fault::no_upstream;
         return chosen;
--- a/src/transport/entry/forward_job.hpp
+++ b/src/transport/entry/forward_job.hpp
@@ -32,7 +32,9 @@
     std::vector<std::string> used_; ///< Upstreams that it was sent to.
     std::string last_event_;        ///< Id of the last event passed on to the caller.
     std::string first_event_;       ///< Id of the first event passed on to the caller in this answer.
-    bool head_sent_{};              ///< The head of the answer has gone to the caller.
+    std::optional<std::string> begun_at_version_; ///< Software version that the first try went to, if only
+                                                  ///< that one may serve the request.
+    bool head_sent_{};                            ///< The head of the answer has gone to the caller.
     millis first_event_at_{};
     millis sent_at_{};                  ///< Of the last try.
     millis answer_began_at_{};          ///< When the body of the last try's answer began; 0: it has not.
@@ -72,10 +74,14 @@
 };
 
 enum class choice_fault : std::uint8_t {
-    no_upstream, ///< The service has none that accepts work.
-    not_loaded,  ///< No upstream holds the model or adapter.
-    all_held,    ///< Those that could take it have told this VM to stay away for now.
-    all_full,    ///< Those that could take it have no room, or were used already.
+    no_upstream,     ///< The service has none that accepts work.
+    not_loaded,      ///< No upstream holds the model or adapter.
+    all_held,        ///< Those that could take it have told this VM to stay away for now.
+    all_full,        ///< Those that could take it have no room, or were used already.
+    version_awaited, ///< The software version for the stream is not settled, or others hold its model.
+    version_gone,    ///< No upstream of the software version that began the stream can go on with it.
+    version_unknown, ///< More than one software version may have begun the stream.
+    version_stale,   ///< This VM's knowledge of the software versions is too old.
 };
 
 struct choice {
--- a/src/transport/entry/peer_exchange.cpp
+++ b/src/transport/entry/peer_exchange.cpp
@@ -142,12 +142,15 @@
     own.seen_epoch_ = node.placements_.epoch_;
     own.seen_placements_ = node.placements_.version_;
     auto const proof =
-        millis{node.shared_.entries_proof_at_.load(std::memory_order_acquire)}; // before the offset
-    std::tie(own.seen_news_, own.registry_, own.leaves_digest_) =
+        millis{node.shared_.entries_proof_at_.load(std::memory_order_acquire)}; // before the offsets
+    auto const plans_proof = millis{node.shared_.plans_proof_at_.load(std::memory_order_acquire)};
+    std::tie(own.seen_news_, own.registry_, own.leaves_digest_, own.seen_plans_) =
         node.shared_.cell_.read([](entry_view const& view) {
-            return std::tuple{view.upstreams_next_, view.registry_, leaves_digest(*view.leaves_)};
+            return std::tuple{view.upstreams_next_, view.registry_, leaves_digest(*view.leaves_),
+                              view.seen_plans_};
         });
     own.entries_age_ = proof > millis{0} && own.seen_news_ > 0 ? (now - proof).count_ : -1;
+    own.plans_age_ = plans_proof > millis{0} && own.seen_plans_ > 0 ? (now - plans_proof).count_ : -1;
     return own;
 }
 
@@ -186,6 +189,23 @@
     }
 }
 
+/// Adds the version plans that the target lacks.
+void add_plans(entry_node const& node, message_target const& target, fleet_message& message)
+{
+    auto const peer = node.exchange_.peers_.find(target.vm_);
+    auto const seen = peer == node.exchange_.peers_.end() ? 0 : peer->second.last_.seen_plans_;
+    if (seen >= message.seen_plans_) {
+        return;
+    }
+    message.plans_from_ = seen > 0 ? seen - 1 : 0;
+    auto const plans = node.shared_.cell_.read([](entry_view const& view) { return view.plan_updates_; });
+    for (auto const& plan : *plans) {
+        if (plan.offset_ >= message.plans_from_) {
+            message.plans_.push_back(plan);
+        }
+    }
+}
+
 /// Adds the crash evidence that the target lacks.
 void add_evidence(entry_node const& node, message_target const& target, fleet_message& message)
 {
@@ -248,6 +268,7 @@
         add_placements(node, target, now, message);
         add_entries(node, target, tells, now, message);
         add_evidence(node, target, message);
+        add_plans(node, target, message);
         auto const bytes = encode_message(message);
         error_code fault;
         own.socket_.send_to(net::buffer(bytes), endpoint->second, 0, fault);
@@ -331,7 +352,7 @@
 }
 
 /// Hands what the message says of the upstreams' entries to the thread that keeps them.
-void take_entries_of(entry_node& node, fleet_message& message, std::optional<millis> proof, millis now)
+void take_entries_of(entry_node& node, fleet_message& message, message_effects const& effects, millis now)
 {
     for (auto& notice : message.leaves_) {
         notice.noticed_at_ = now - (millis{message.sent_at_} - notice.noticed_at_);
@@ -340,8 +361,12 @@
                             .kind_ = message.kind_,
                             .updates_ = {message.news_from_, message.news_to_, std::move(message.news_)},
                             .seen_ = message.seen_news_,
-                            .proof_at_ = proof,
-                            .leaves_ = std::move(message.leaves_)});
+                            .proof_at_ = effects.entries_confirmed_at_,
+                            .leaves_ = std::move(message.leaves_),
+                            .plans_from_ = message.plans_from_,
+                            .plans_ = std::move(message.plans_),
+                            .seen_plans_ = message.seen_plans_,
+                            .plans_proof_at_ = effects.plans_confirmed_at_});
 }
 
 /// Takes over the sender's crash evidence, and forwards what is new to VMs that do not hear the sender.
@@ -413,7 +438,7 @@
     take_config_hint(own, message);
     take_freshness(node, message, effects.config_confirmed_at_);
     compare_registries(own, message);
-    take_entries_of(node, message, effects.entries_confirmed_at_, now);
+    take_entries_of(node, message, effects, now);
     take_evidence_of(own, message, now);
     take_placements(own, message, now);
     if (!effects.models_awaited_) {
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -4,6 +4,7 @@
 #include "platform/json_codec.hpp"
 #include "protocol/decision_log.hpp"
 #include "protocol/fleet_codec.hpp"
+#include "transport/entry/plan_reader.hpp"
 
 #include <auburnchute/error.hpp>
 
@@ -216,6 +217,9 @@
         reader.counters_.count("auburnchute_unreadable_entries_total");
         log_failure("upstream-unreadable", {{"upstream", id}, {"in_use", known}, {"told_by", told_by}});
     }
+    if (entry) {
+        reader.plans_.seen_[entry->service_].insert(entry->software_version_);
+    }
     auto const change = entry ? apply_entry(reader.registry_, std::move(*entry), update.offset_, now)
                               : apply_removal(reader.registry_, id, update.offset_, now);
     if (unreadable && !known) {
@@ -349,6 +353,7 @@
     append_updates(reader.log_, next, next, {}, boot_now());
     reader.upstreams_next_ = next;
     reader.reads_all_upstreams_ = false;
+    reader.plans_.due_ = true; // versions may have come and gone unseen
     changes.any_ = true;
     publish_changes(reader, changes, message_targets::all);
 }
@@ -418,6 +423,7 @@
     take_updates(reader, std::move(updates), "", message_targets::all);
     if (page.next_offset_ >= page.end_offset_) {
         note_entries_proof(reader, sent_at);
+        co_await follow_plans(reader, store, sent_at);
         co_return false;
     }
     co_return !page.records_.empty();
@@ -433,7 +439,7 @@
     if (reader.shared_.reads_for_all_.load(std::memory_order_acquire)) {
         return budget.read_interval_ - (boot_now() - read_at);
     }
-    return budget.proof_limit_ - entries_age(reader);
+    return budget.proof_limit_ - std::max(entries_age(reader), plans_age(reader));
 }
 
 net::awaitable<void> follow_upstreams(store_reader& reader)
@@ -649,6 +655,9 @@
                 co_await read_evidence(reader, store); // before callers are taken
                 evidence_read = true;
             }
+            if (!reader.plans_.next_) {
+                co_await read_plans(reader, store);
+            }
             if (!feed.next_) {
                 (void)co_await read_members(reader, store, feed);
                 reader.draft_.members_read_ = true;
@@ -713,9 +722,14 @@
         return;
     }
     take_updates(reader, report.updates_, report.told_by_, untold);
-    if (report.proof_at_ && report.seen_ > 0 && *reader.upstreams_next_ >= report.seen_) {
+    take_plans(reader, report);
+    if (report.seen_ == 0 || *reader.upstreams_next_ < report.seen_) {
+        return;
+    }
+    if (report.proof_at_) {
         note_entries_proof(reader, *report.proof_at_);
     }
+    take_plans_proof(reader, report);
 }
 
 void take_leave(store_reader& reader, leave_notice const& notice)
@@ -743,6 +757,7 @@
 void publish(store_reader& reader)
 {
     reader.draft_.upstreams_next_ = reader.upstreams_next_.value_or(0);
+    reader.draft_.seen_plans_ = reader.plans_.next_ ? *reader.plans_.next_ + 1 : 0;
     reader.shared_.cell_.publish(std::make_unique<entry_view const>(reader.draft_));
     if (reader.changed_) {
         reader.changed_();
@@ -754,6 +769,7 @@
     run_forever(reader.loop_, "follow-config", [&reader] { return follow_config(reader); });
     run_forever(reader.loop_, "follow-upstreams", [&reader] { return follow_upstreams(reader); });
     run_forever(reader.loop_, "follow-evidence", [&reader] { return follow_evidence(reader); });
+    run_forever(reader.loop_, "store-plans", [&reader] { return store_plans(reader); });
     run_forever(reader.loop_, "follow-members", [&reader] { return follow_members(reader); });
 }
 
--- a/src/transport/entry/store_reader.hpp
+++ b/src/transport/entry/store_reader.hpp
@@ -4,6 +4,7 @@
 #include "protocol/entry_settings.hpp"
 #include "protocol/metrics.hpp"
 #include "transport/entry/entry_view.hpp"
+#include "transport/entry/plan_feed.hpp"
 
 #include <auburnchute/entry_feed.hpp>
 #include <auburnchute/upstream_registry.hpp>
@@ -41,6 +42,8 @@
         evidence_read_{}; ///< Called once with the crash evidence that the store holds.
     std::map<trait_hash, std::optional<std::string>> evidence_due_{}; ///< Records to write; none: to delete.
     std::set<trait_hash> evidence_written_{}; ///< Records that this VM wrote and the store may hold.
+    plan_feed plans_{};
+    std::function<void()> plans_changed_{}; ///< Called when this VM has stored a plan.
 };
 
 /// \brief Starts reading until the loop stops. \pre `reader` outlives the loop's work.
--- a/tests/protocol/fleet_codec_test.cpp
+++ b/tests/protocol/fleet_codec_test.cpp
@@ -66,6 +66,10 @@
     message.registry_ = 55;
     message.leaves_ = {{"i-4", 1'700'000'000'000, millis{message.sent_at_ - 250}}};
     message.leaves_digest_ = 66;
+    message.plans_from_ = 2;
+    message.plans_ = {{3, "s", std::string{"\0\x01", 2}}};
+    message.seen_plans_ = 5;
+    message.plans_age_ = 270;
     return message;
 }
 
@@ -125,6 +129,29 @@
     CHECK(read->registry_ == message.registry_);
     CHECK(read->leaves_ == message.leaves_);
     CHECK(read->leaves_digest_ == message.leaves_digest_);
+    CHECK(read->plans_from_ == message.plans_from_);
+    CHECK(read->plans_ == message.plans_);
+    CHECK(read->seen_plans_ == message.seen_plans_);
+    CHECK(read->plans_age_ == message.plans_age_);
+}
+
+// Guards against VMs that read another plan than the one that was stored.
+TEST_CASE("a plan of versions is read back as stored, and other bytes are none", "[peers][versions]")
+{
+    version_plan plan{.revision_ = 7, .longest_limit_ = millis{15'000}, .models_ = {}};
+    version_era era{
+        .number_ = 3, .versions_ = {"", "v1"}, .owners_ = {}, .learned_at_ = {}, .absent_at_ = {}};
+    era.owners_[5] = 1;
+    plan.models_[""] = {era};
+    era.number_ = 7;
+    era.owners_.fill(1);
+    plan.models_["m"] = {plan.models_[""][0], era};
+    auto const stored = encode_plan(plan);
+    CHECK(decode_plan(stored) == plan);
+    CHECK_FALSE(decode_plan(stored.substr(0, stored.size() - 1)));
+    CHECK_FALSE(decode_plan("{}"));
+    plan.models_["m"].clear();
+    CHECK_FALSE(decode_plan(encode_plan(plan)));
 }
 
 // Guards against a process that ends because of bytes from elsewhere.
