--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -1173,7 +1173,8 @@
             if (number && last && *number <= *last) {
                 continue; // the caller has it from the upstream before
             }
-            if (number && last && job.used_.size() > 1 && *number > *last + 1) {
+            bool const goes_on = job.used_.size() > 1 || !job.call_.resume_after_.empty();
+            if (number && last && goes_on && *number > *last + 1) {
                 in_order = false;
                 break;
             }
@@ -1187,6 +1188,9 @@
         }
         passed += event;
     }
+    if (!in_order && passed.empty()) {
+        co_return true; // another upstream may still begin the answer
+    }
     std::string bytes;
     if (!job.head_sent_) {
         auto head = platform::make_caller_response_head(parser.get().base());
--- /dev/null
+++ b/tests/transport/entry/event_order_test.cpp
@@ -0,0 +1,80 @@
+#include "transport/entry/entry_world.hpp"
+
+#include <atomic>
+
+using namespace auburnchute::tests;
+
+namespace {
+
+std::string numbered(std::string const& id, std::string const& data)
+{
+    return "id: " + id + "\ndata: " + data + "\n\n";
+}
+
+std::string unnumbered(std::string const& data)
+{
+    return "data: " + data + "\n\n";
+}
+
+/// \returns The data of the events in a chunked answer, joined by spaces.
+std::string pieces_of(std::string const& answer)
+{
+    std::string pieces;
+    for (auto at = answer.find("\ndata: "); at != std::string::npos; at = answer.find("\ndata: ", at + 1)) {
+        auto const begin = at + 7;
+        pieces +=
+            (pieces.empty() ? "" : " ") + answer.substr(begin, answer.find_first_of("\r\n", begin) - begin);
+    }
+    return pieces;
+}
+
+bool is_complete(std::string const& answer)
+{
+    return answer.ends_with("\r\n0\r\n\r\n");
+}
+
+/// Fields of a caller that waits for the end of its connection, also behind an error.
+std::string const closing = "Api-Key: key\r\nConnection: close\r\n";
+
+std::string after(std::string const& event)
+{
+    return closing + "Last-Event-Id: " + event + "\r\n";
+}
+
+/// Answers with a whole stream of these events.
+scripted_upstream::script streaming(std::string const& events)
+{
+    return after_probe([events](received_request const& request, owned_socket& connection) {
+        connection.send(stream_head(request) + chunk(events) + "0\r\n\r\n");
+        return true;
+    });
+}
+
+} // namespace
+
+// Guards against a piece that is missing or comes twice where a caller takes its stream up, with one upstream
+// only.
+TEST_CASE("a stream that is taken up goes on with the next event or not at all", "[entry][order][promise-8]")
+{
+    struct row {
+        char const* what_;
+        std::string events_; ///< Of the upstream; the caller has events 1 and 2.
+        std::string pieces_; ///< That the caller may get.
+        bool complete_;
+    };
+    auto const three = numbered("3", "c");
+    auto const four = numbered("4", "d");
+    auto const r = GENERATE_COPY(row{"the next", three + four, "c d", true},
+                                 row{"the last once more", numbered("2", "b") + three, "c", true},
+                                 row{"comments", ":\n\n" + three + ":\n\n" + four, "c d", true},
+                                 row{"a gap", four + numbered("5", "e"), "", false},
+                                 row{"a gap behind the next", three + numbered("5", "e"), "c", false},
+                                 row{"no space", "id:3\ndata: c\n\n", "c", true},
+                                 row{"an end inside an event", three + "id: 4\nda", "c", false});
+    CAPTURE(r.what_);
+    entry_world world{{streaming(r.events_)}};
+    auto const answer = world.call("POST", "/resume/1", "q", after("2")).receive_until("\r\n0\r\n\r\n");
+    CHECK(pieces_of(answer) == r.pieces_);
+    CHECK(is_complete(answer) == r.complete_);
+    CHECK((entry_world::status_of(answer) == 200) == !r.pieces_.empty());
+}
