--- a/src/transport/entry/event_stream.cpp
+++ b/src/transport/entry/event_stream.cpp
@@ -7,15 +7,35 @@
 
 namespace {
 
+/// Takes the first line off `text`, which has one. \returns It without its end.
+std::string_view next_line(std::string_view& text) noexcept
+{
+    auto const end = std::min(text.find('\n'), text.size());
+    auto line = text.substr(0, end);
+    text.remove_prefix(std::min(end + 1, text.size()));
+    if (line.ends_with('\r')) {
+        line.remove_suffix(1);
+    }
+    return line;
+}
+
 /// \returns Offset after the next blank line, or npos.
 std::size_t event_end(std::string_view text) noexcept
 {
-    auto const plain = text.find("\n\n");
-    auto const with_returns = text.find("\r\n\r\n");
-    if (plain == std::string_view::npos && with_returns == std::string_view::npos) {
-        return std::string_view::npos;
+    auto rest = text;
+    while (rest.find('\n') != std::string_view::npos) {
+        if (next_line(rest).empty()) {
+            return text.size() - rest.size();
+        }
     }
-    return with_returns < plain ? with_returns + 4 : plain + 2;
+    return std::string_view::npos;
+}
+
+std::string_view trim(std::string_view text) noexcept
+{
+    constexpr std::string_view blanks = " \t";
+    text.remove_prefix(std::min(text.find_first_not_of(blanks), text.size()));
+    return text.substr(0, text.find_last_not_of(blanks) + 1);
 }
 
 } // namespace
@@ -46,22 +66,16 @@
 
 std::optional<std::string_view> event_id(std::string_view event) noexcept
 {
+    std::optional<std::string_view> id;
     while (!event.empty()) {
-        auto const end = std::min(event.find('\n'), event.size());
-        auto line = event.substr(0, end);
-        event.remove_prefix(std::min(end + 1, event.size()));
-        if (!line.empty() && line.back() == '\r') {
-            line.remove_suffix(1);
-        }
-        if (line.starts_with("id:")) {
-            line.remove_prefix(3);
-            if (line.starts_with(' ')) {
-                line.remove_prefix(1);
-            }
-            return line;
+        auto const line = next_line(event);
+        if (line == "id") {
+            id = std::string_view{};
+        } else if (line.starts_with("id:")) {
+            id = trim(line.substr(3));
         }
     }
-    return std::nullopt;
+    return id;
 }
 
 bool carries_data(std::string_view event) noexcept
@@ -71,6 +85,9 @@
 
 std::optional<std::int64_t> event_number(std::string_view id) noexcept
 {
+    if (id.starts_with('-')) {
+        return std::nullopt;
+    }
     std::int64_t number = 0;
     auto const [end, fault] = std::from_chars(id.data(), id.data() + id.size(), number);
     return fault == std::errc{} && end == id.data() + id.size() ? std::optional{number} : std::nullopt;
--- a/src/transport/entry/event_stream.hpp
+++ b/src/transport/entry/event_stream.hpp
@@ -19,13 +19,14 @@
 /// \brief Takes the first whole event off `events`. \pre `events` holds whole events only.
 [[nodiscard]] std::string_view next_event(std::string_view& events) noexcept;
 
-/// \returns The event's id as written, or none. Thread safety: pure.
+/// \returns The event's id without spaces around it, or none. The last of several ids counts, as for readers.
+/// Thread safety: pure.
 [[nodiscard]] std::optional<std::string_view> event_id(std::string_view event) noexcept;
 
 /// \returns Whether the event has data; comments that keep a connection alive have none. Thread safety: pure.
 [[nodiscard]] bool carries_data(std::string_view event) noexcept;
 
-/// \returns The id as a number, or none. Thread safety: pure.
+/// \returns The id as a number, or none if it has anything but digits or is too large. Thread safety: pure.
 [[nodiscard]] std::optional<std::int64_t> event_number(std::string_view id) noexcept;
 
 } // namespace auburnchute
--- a/tests/transport/entry/event_order_test.cpp
+++ b/tests/transport/entry/event_order_test.cpp
@@ -64,13 +64,18 @@
     };
     auto const three = numbered("3", "c");
     auto const four = numbered("4", "d");
-    auto const r = GENERATE_COPY(row{"the next", three + four, "c d", true},
-                                 row{"the last once more", numbered("2", "b") + three, "c", true},
-                                 row{"comments", ":\n\n" + three + ":\n\n" + four, "c d", true},
-                                 row{"a gap", four + numbered("5", "e"), "", false},
-                                 row{"a gap behind the next", three + numbered("5", "e"), "c", false},
-                                 row{"no space", "id:3\ndata: c\n\n", "c", true},
-                                 row{"an end inside an event", three + "id: 4\nda", "c", false});
+    auto const r = GENERATE_COPY(
+        row{"the next", three + four, "c d", true},
+        row{"the last once more", numbered("2", "b") + three, "c", true},
+        row{"comments", ":\n\n" + three + ":\n\n" + four, "c d", true},
+        row{"a gap", four + numbered("5", "e"), "", false},
+        row{"a gap behind the next", three + numbered("5", "e"), "c", false},
+        row{"two ids, the last of them right", "id: 9\nid: 3\ndata: c\n\n", "c", true},
+        row{"two ids, the last of them wrong", "id: 3\nid: 9\ndata: c\n\n", "", false},
+        row{"no space", "id:3\ndata: c\n\n", "c", true}, row{"spaces", "id:   3 \ndata: c\n\n", "c", true},
+        row{"line ends of both kinds", "id: 3\r\ndata: c\n\r\nid: 5\ndata: e\n\n", "c", false},
+        row{"a further blank line at the end", three + "\n", "c", true},
+        row{"an end inside an event", three + "id: 4\nda", "c", false});
     CAPTURE(r.what_);
     entry_world world{{streaming(r.events_)}};
     auto const answer = world.call("POST", "/resume/1", "q", after("2")).receive_until("\r\n0\r\n\r\n");
@@ -78,3 +83,30 @@
     CHECK(is_complete(answer) == r.complete_);
     CHECK((entry_world::status_of(answer) == 200) == !r.pieces_.empty());
 }
+
+// Guards against a piece that is dropped as an upstream numbers badly, and against cutting a stream whose
+// numbers have gaps of its upstream's own.
+TEST_CASE("the events of a new stream are passed on as long as their ids increase",
+          "[entry][order][promise-8]")
+{
+    struct row {
+        char const* what_;
+        std::string events_;
+        std::string pieces_;
+        bool complete_;
+    };
+    auto const begin = numbered("1", "a") + numbered("2", "b");
+    auto const r =
+        GENERATE_COPY(row{"from the first", begin, "a b", true},
+                      row{"from a later number", numbered("7", "a") + numbered("8", "b"), "a b", true},
+                      row{"gaps", numbered("1", "a") + numbered("5", "b"), "a b", true},
+                      row{"no ids", unnumbered("a") + unnumbered("b"), "a b", true},
+                      row{"no numbers", numbered("x", "a") + numbered("b", "b"), "a b", true},
+                      row{"a further blank line", begin + "\n", "a b", true});
+    auto const route = GENERATE(std::string{"/watch/1"}, std::string{"/resume/1"});
+    CAPTURE(r.what_, route);
+    entry_world world{{streaming(r.events_)}};
+    auto const answer = world.call("POST", route, "q", closing).receive_until("\r\n0\r\n\r\n");
+    CHECK(pieces_of(answer) == r.pieces_);
+    CHECK(is_complete(answer) == r.complete_);
+}
--- a/tests/transport/entry/event_stream_test.cpp
+++ b/tests/transport/entry/event_stream_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 #include <string>
+#include <vector>
 
 using namespace auburnchute;
 
@@ -40,8 +41,43 @@
     };
     for (auto const& row :
          {row{"id: 7\ndata: x\n\n", "7"}, row{"data: x\nid:8\n\n", "8"},
-          row{"x-weight-versions: 2\nid: 9\r\ndata: y\r\n\r\n", "9"}, row{"data: id: 3\n\n", std::nullopt}}) {
+          row{"x-weight-versions: 2\nid: 9\r\ndata: y\r\n\r\n", "9"}, row{"data: id: 3\n\n", std::nullopt},
+          row{"id: 3\nid: 9\ndata: x\n\n", "9"}, row{"id:  7 \n\n", "7"}, row{"id:\n\n", ""},
+          row{"id\n\n", ""}, row{"id: 3\nid\n\n", ""}, row{"idx: 3\nID: 4\n id: 5\nid : 6\n\n", std::nullopt},
+          row{":id: 3\n\n", std::nullopt}}) {
         CAPTURE(row.event_);
         CHECK(event_id(row.event_) == row.id_);
     }
 }
+
+// Guards against comparing ids that are no numbers as if they were some.
+TEST_CASE("an id is a number if it has digits only and is not too large", "[stream][order]")
+{
+    struct row {
+        std::string_view id_;
+        std::optional<std::int64_t> number_;
+    };
+    for (auto const& row : {row{"0", 0}, row{"007", 7}, row{"9223372036854775807", 9'223'372'036'854'775'807},
+                            row{"9223372036854775808", std::nullopt}, row{"", std::nullopt},
+                            row{"-1", std::nullopt}, row{"+1", std::nullopt}, row{"1x", std::nullopt},
+                            row{"1 2", std::nullopt}, row{"0x1", std::nullopt}}) {
+        CAPTURE(row.id_);
+        CHECK(event_number(row.id_) == row.number_);
+    }
+}
+
+// Guards against two events that are taken for one, whose second id is not compared, and against a whole
+// stream that seems to end inside an event.
+TEST_CASE("an event ends with a blank line, whatever its line ends", "[stream][order]")
+{
+    for (std::string const end : {"\n\n", "\r\n\r\n", "\n\r\n", "\r\n\n", "\n\n\n", "\r\n\r\n\r\n"}) {
+        CAPTURE(end);
+        event_cutter cutter;
+        auto const passed = feed_events(cutter, "id: 1" + end + "id: 2" + end);
+        CHECK(passed == "id: 1" + end + "id: 2" + end);
+        CHECK(cutter.pending_.empty());
+        std::string_view rest{passed};
+        CHECK(event_id(next_event(rest)) == "1");
+        CHECK(rest.ends_with("id: 2" + end));
+    }
+}
