--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -302,7 +302,7 @@
     /// \returns An entry for an answer on the connection, which is closed if the answer is given up.
     std::unique_ptr<answer_ledger::entry> hold_answer(upstream_connection& connection);
     net::awaitable<bool> pass_events(forward_job& job, answer_parser& parser, std::string_view events,
-                                     bool& in_order);
+                                     event_sequence& sequence, bool& in_order);
     net::awaitable<bool> write_caller(std::string bytes);
     net::awaitable<bool> send_answer(upstream_answer answer);
     net::awaitable<bool> send_own(own_answer answer, std::string request_id);
@@ -1102,6 +1102,7 @@
     outcome.result_ = try_result::cut_in_answer;
     bool const continues = job.head_sent_;
     auto const last_before = job.last_event_;
+    event_sequence sequence{.caller_last_ = event_number(job.last_event_), .run_last_ = std::nullopt};
     event_cutter cutter;
     auto const held = hold_answer(connection);
     std::array<char, 8'192> chunk{};
@@ -1128,7 +1129,7 @@
             boot_now() - job.answer_began_at_ >= crash_onset) {
             std::exchange(on_survival_, nullptr)();
         }
-        if (!events.empty() && !co_await pass_events(job, parser, events, in_order)) {
+        if (!events.empty() && !co_await pass_events(job, parser, events, sequence, in_order)) {
             gone_ = true;
             co_return;
         }
@@ -1149,7 +1150,7 @@
         outcome.fault_ = "stream: ended without a further event"; // it cannot be told from one cut short
         co_return;
     }
-    if (!job.head_sent_ && !co_await pass_events(job, parser, {}, in_order)) {
+    if (!job.head_sent_ && !co_await pass_events(job, parser, {}, sequence, in_order)) {
         gone_ = true;
         co_return;
     }
@@ -1162,22 +1163,21 @@
 }
 
 net::awaitable<bool> caller_session::pass_events(forward_job& job, answer_parser& parser,
-                                                 std::string_view events, bool& in_order)
+                                                 std::string_view events, event_sequence& sequence,
+                                                 bool& in_order)
 {
     std::string passed;
     while (!events.empty() && in_order) {
         auto const event = next_event(events);
+        auto const verdict = judge_event(sequence, event);
+        if (verdict == event_verdict::out_of_order) {
+            in_order = false;
+            break;
+        }
+        if (verdict == event_verdict::skip) {
+            continue;
+        }
         if (auto const id = event_id(event)) {
-            auto const number = event_number(*id);
-            auto const last = event_number(job.last_event_);
-            if (number && last && *number <= *last) {
-                continue; // the caller has it from the upstream before
-            }
-            bool const goes_on = job.used_.size() > 1 || !job.call_.resume_after_.empty();
-            if (number && last && goes_on && *number > *last + 1) {
-                in_order = false;
-                break;
-            }
             job.last_event_ = *id;
             if (job.first_event_.empty()) {
                 job.first_event_ = *id;
--- a/src/transport/entry/event_stream.cpp
+++ b/src/transport/entry/event_stream.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace auburnchute {
 
@@ -93,4 +94,29 @@
     return fault == std::errc{} && end == id.data() + id.size() ? std::optional{number} : std::nullopt;
 }
 
+event_verdict judge_event(event_sequence& sequence, std::string_view event) noexcept
+{
+    auto const id = event_id(event);
+    auto const number = id ? event_number(*id) : std::nullopt;
+    auto const last = sequence.caller_last_;
+    if (!number) {
+        return event_verdict::pass;
+    }
+    auto const run_last = std::exchange(sequence.run_last_, number);
+    if (run_last && *number <= *run_last) {
+        return event_verdict::out_of_order;
+    }
+    if (!last) {
+        return event_verdict::pass;
+    }
+    if (*number == *last) {
+        return event_verdict::skip;
+    }
+    if (*number - 1 != *last) { // a number is not negative
+        return event_verdict::out_of_order;
+    }
+    sequence.caller_last_ = number;
+    return event_verdict::pass;
+}
+
 } // namespace auburnchute
--- a/src/transport/entry/event_stream.hpp
+++ b/src/transport/entry/event_stream.hpp
@@ -26,6 +26,23 @@
 /// \returns Whether the event has data; comments that keep a connection alive have none. Thread safety: pure.
 [[nodiscard]] bool carries_data(std::string_view event) noexcept;
 
+/// \brief How the events of one upstream follow what the caller has of the stream.
+struct event_sequence {
+    std::optional<std::int64_t> caller_last_; ///< Last event that the caller has; none: the stream is new.
+    std::optional<std::int64_t> run_last_;    ///< Last numbered event of this upstream.
+};
+
+enum class event_verdict : std::uint8_t {
+    pass,
+    skip,         ///< The caller has it.
+    out_of_order, ///< Neither it nor anything behind it may follow.
+};
+
+/// \returns What to do with the upstream's next event. In a new stream the ids increase. A run that goes on
+/// begins with the next number, or with the last one once more; one that begins earlier is another run.
+/// Thread safety: as `sequence`.
+[[nodiscard]] event_verdict judge_event(event_sequence& sequence, std::string_view event) noexcept;
+
 /// \returns The id as a number, or none if it has anything but digits or is too large. Thread safety: pure.
 [[nodiscard]] std::optional<std::int64_t> event_number(std::string_view id) noexcept;
 
--- a/tests/transport/entry/event_order_test.cpp
+++ b/tests/transport/entry/event_order_test.cpp
@@ -70,6 +70,9 @@
         row{"comments", ":\n\n" + three + ":\n\n" + four, "c d", true},
         row{"a gap", four + numbered("5", "e"), "", false},
         row{"a gap behind the next", three + numbered("5", "e"), "c", false},
+        row{"from the beginning", numbered("1", "a") + numbered("2", "b") + three, "", false},
+        row{"the same twice", three + three + four, "c", false},
+        row{"back", three + numbered("2", "b") + four, "c", false},
         row{"two ids, the last of them right", "id: 9\nid: 3\ndata: c\n\n", "c", true},
         row{"two ids, the last of them wrong", "id: 3\nid: 9\ndata: c\n\n", "", false},
         row{"no space", "id:3\ndata: c\n\n", "c", true}, row{"spaces", "id:   3 \ndata: c\n\n", "c", true},
@@ -102,6 +105,8 @@
                       row{"gaps", numbered("1", "a") + numbered("5", "b"), "a b", true},
                       row{"no ids", unnumbered("a") + unnumbered("b"), "a b", true},
                       row{"no numbers", numbered("x", "a") + numbered("b", "b"), "a b", true},
+                      row{"twice", begin + numbered("2", "c") + numbered("3", "d"), "a b", false},
+                      row{"back", begin + begin + numbered("3", "d"), "a b", false},
                       row{"a further blank line", begin + "\n", "a b", true});
     auto const route = GENERATE(std::string{"/watch/1"}, std::string{"/resume/1"});
     CAPTURE(r.what_, route);
@@ -110,3 +115,44 @@
     CHECK(pieces_of(answer) == r.pieces_);
     CHECK(is_complete(answer) == r.complete_);
 }
+
+// Guards against pieces of two runs in one answer where no number tells that the second goes on.
+TEST_CASE("a stream goes on at another upstream only behind a number", "[entry][order][promise-8]")
+{
+    struct row {
+        char const* what_;
+        std::string type_;
+        std::string first_; ///< What the first upstream sends before it breaks off.
+        std::string then_;  ///< Of the second.
+        std::string pieces_;
+        bool complete_;
+        int tries_;
+    };
+    std::string const events = "text/event-stream";
+    auto const two = numbered("1", "a") + numbered("2", "b");
+    auto const r = GENERATE_COPY(
+        row{"numbers", events, two, numbered("3", "c"), "a b c", true, 2},
+        row{"nothing before", events, ":\n\n", two, "a b", true, 2},
+        row{"from the beginning", events, two, numbered("1", "A") + numbered("2", "B") + numbered("3", "C"),
+            "a b", false, 2},
+        row{"the same twice", events, two, numbered("3", "c") + numbered("3", "C"), "a b c", false, 2});
+    CAPTURE(r.what_);
+    std::atomic<int> tries{0};
+    auto const script = after_probe([&](received_request const& request, owned_socket& connection) {
+        if (++tries == 1) {
+            auto head = stream_head(request);
+            head.replace(head.find(events), events.size(), r.type_);
+            connection.send(head + chunk(r.first_));
+            std::this_thread::sleep_for(std::chrono::milliseconds{50}); // a reset may overtake the events
+            connection.reset();
+            return false;
+        }
+        connection.send(stream_head(request) + chunk(r.then_) + "0\r\n\r\n");
+        return true;
+    });
+    entry_world world{{script, script}};
+    auto const answer = world.call("POST", "/resume/1", "q", closing).receive_until("\r\n0\r\n\r\n");
+    CHECK(pieces_of(answer) == r.pieces_);
+    CHECK(is_complete(answer) == r.complete_);
+    CHECK(tries == r.tries_);
+}
