--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -1177,14 +1177,14 @@
         if (verdict == event_verdict::skip) {
             continue;
         }
-        if (auto const id = event_id(event)) {
+        auto const id = event_id(event);
+        if (id && event_number(*id)) {
             job.last_event_ = *id;
             if (job.first_event_.empty()) {
                 job.first_event_ = *id;
             }
-        } else if (job.head_sent_ && job.used_.size() > 1 && carries_data(event)) {
-            in_order = false; // the caller may have it already
-            break;
+        } else {
+            job.unnumbered_ = job.unnumbered_ || id || carries_data(event);
         }
         passed += event;
     }
--- a/src/transport/entry/event_stream.cpp
+++ b/src/transport/entry/event_stream.cpp
@@ -100,7 +100,8 @@
     auto const number = id ? event_number(*id) : std::nullopt;
     auto const last = sequence.caller_last_;
     if (!number) {
-        return event_verdict::pass;
+        bool const has_place = !last || !(id || carries_data(event));
+        return has_place ? event_verdict::pass : event_verdict::out_of_order;
     }
     auto const run_last = std::exchange(sequence.run_last_, number);
     if (run_last && *number <= *run_last) {
--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -111,7 +111,7 @@
 bool is_repeatable(forward_job const& job) noexcept
 {
     return job.route_->kind_ == route_type::safe ||
-           (job.route_->kind_ == route_type::stream && job.route_->resumable_);
+           (job.route_->kind_ == route_type::stream && job.route_->resumable_ && !job.unnumbered_);
 }
 
 millis deadline_of(request_route const& route, request_attributes const& call, millis arrived)
--- a/src/transport/entry/forward_job.hpp
+++ b/src/transport/entry/forward_job.hpp
@@ -34,7 +34,8 @@
     std::string first_event_;       ///< Id of the first event passed on to the caller in this answer.
     std::optional<std::string> begun_at_version_; ///< Software version that the first try went to, if only
                                                   ///< that one may serve the request.
-    bool head_sent_{};                            ///< The head of the answer has gone to the caller.
+    bool unnumbered_{}; ///< The caller has a part of a stream behind which no other run can go on.
+    bool head_sent_{};  ///< The head of the answer has gone to the caller.
     millis first_event_at_{};
     millis sent_at_{};                  ///< Of the last try.
     millis answer_began_at_{};          ///< When the body of the last try's answer began; 0: it has not.
--- a/tests/transport/entry/event_order_test.cpp
+++ b/tests/transport/entry/event_order_test.cpp
@@ -72,10 +72,17 @@
         row{"a gap behind the next", three + numbered("5", "e"), "c", false},
         row{"from the beginning", numbered("1", "a") + numbered("2", "b") + three, "", false},
         row{"the same twice", three + three + four, "c", false},
-        row{"back", three + numbered("2", "b") + four, "c", false},
+        row{"back", three + numbered("2", "b") + four, "c", false}, row{"no ids", unnumbered("c"), "", false},
+        row{"no id later", three + unnumbered("d"), "c", false},
+        row{"no number", numbered("3x", "c"), "", false},
+        row{"a negative number", numbered("-3", "c"), "", false},
+        row{"too large a number", numbered("99999999999999999999", "c"), "", false},
+        row{"an empty id", three + "id:\ndata: d\n\n" + three, "c", false},
+        row{"an id without a value", three + "id\ndata: d\n\n" + three, "c", false},
         row{"two ids, the last of them right", "id: 9\nid: 3\ndata: c\n\n", "c", true},
         row{"two ids, the last of them wrong", "id: 3\nid: 9\ndata: c\n\n", "", false},
         row{"no space", "id:3\ndata: c\n\n", "c", true}, row{"spaces", "id:   3 \ndata: c\n\n", "c", true},
+        row{"another field", "idx: 3\ndata: c\n\n", "", false},
         row{"line ends of both kinds", "id: 3\r\ndata: c\n\r\nid: 5\ndata: e\n\n", "c", false},
         row{"a further blank line at the end", three + "\n", "c", true},
         row{"an end inside an event", three + "id: 4\nda", "c", false});
@@ -135,7 +142,14 @@
         row{"nothing before", events, ":\n\n", two, "a b", true, 2},
         row{"from the beginning", events, two, numbered("1", "A") + numbered("2", "B") + numbered("3", "C"),
             "a b", false, 2},
-        row{"the same twice", events, two, numbered("3", "c") + numbered("3", "C"), "a b c", false, 2});
+        row{"the same twice", events, two, numbered("3", "c") + numbered("3", "C"), "a b c", false, 2},
+        row{"no ids", events, unnumbered("a"), numbered("1", "A"), "a", false, 1},
+        row{"no numbers", events, numbered("x", "a"), numbered("y", "B"), "a", false, 1},
+        row{"the last without id", events, numbered("1", "a") + unnumbered("b"), numbered("2", "B"), "a b",
+            false, 1},
+        row{"the last with an empty id", events, two + "id:\ndata: c\n\n", numbered("1", "A"), "a b c", false,
+            1},
+        row{"no events", "text/plain", "\ndata: a\n\n", numbered("1", "A"), "a", false, 1});
     CAPTURE(r.what_);
     std::atomic<int> tries{0};
     auto const script = after_probe([&](received_request const& request, owned_socket& connection) {
--- a/tests/transport/entry/event_stream_test.cpp
+++ b/tests/transport/entry/event_stream_test.cpp
@@ -81,3 +81,34 @@
         CHECK(rest.ends_with("id: 2" + end));
     }
 }
+
+// Guards against a piece that is missing or comes twice, whatever an upstream sends.
+TEST_CASE("what is passed on of any events follows what the caller has", "[stream][order]")
+{
+    CHECK(rc::check([] {
+        auto const last = *rc::gen::inRange<std::int64_t>(0, 4);
+        bool const is_new = *rc::gen::arbitrary<bool>();
+        event_sequence sequence{.caller_last_ = is_new ? std::nullopt : std::optional{last},
+                                .run_last_ = std::nullopt};
+        std::vector<std::int64_t> passed;
+        for (auto const event : *rc::gen::container<std::vector<std::int64_t>>(rc::gen::inRange(-1, 8))) {
+            bool const has_number = event >= 0;
+            auto const verdict = judge_event(
+                sequence, (has_number ? "id: " + std::to_string(event) + "\n" : "") + "data: x\n\n");
+            if (verdict == event_verdict::out_of_order) {
+                break;
+            }
+            RC_ASSERT((has_number || is_new));
+            if (verdict == event_verdict::skip) {
+                RC_ASSERT((!is_new && event == last && passed.empty()));
+            } else if (has_number) {
+                passed.push_back(event);
+            }
+        }
+        for (std::size_t i = 0; i < passed.size(); ++i) {
+            auto const before = i == 0 ? last : passed[i - 1];
+            bool const follows = is_new ? i == 0 || passed[i] > before : passed[i] == before + 1;
+            RC_ASSERT(follows);
+        }
+    }));
+}
