--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -114,8 +114,15 @@
 /// \returns Whether the body of a stream consists of events; one that does not is passed on as it is.
 bool holds_events(http::fields const& head)
 {
-    auto const type = head[http::field::content_type];
-    return type.empty() || boost::beast::iequals(type.substr(0, type.find(';')), "text/event-stream");
+    auto type = head[http::field::content_type];
+    type = type.substr(0, type.find_first_of("; \t"));
+    return type.empty() || boost::beast::iequals(type, "text/event-stream");
+}
+
+/// \returns Whether the body of an answer is declared to consist of events.
+bool names_events(http::fields const& head)
+{
+    return !head[http::field::content_type].empty() && holds_events(head);
 }
 
 /// \returns When a caller may come back whose request found no upstream: at once elsewhere, or when the first
@@ -1019,9 +1026,11 @@
         } else if (reply.keep_alive_) {
             keep_alive = *reply.keep_alive_ - keep_alive_margin;
         }
-        bool const is_stream = job.route_->kind_ == route_type::stream && status == 200 && !head_only_;
-        if (job.head_sent_ && !(is_stream && !reply.not_run_ && holds_events(head->get()))) {
-            // Nothing but further events may follow what the caller has.
+        bool const is_stream = job.route_->kind_ == route_type::stream && !head_only_ &&
+                               (status == 200 || (status / 100 == 2 && names_events(head->get())));
+        // Nothing but further events may follow what the caller has, be it of another answer.
+        bool const must_go_on = job.head_sent_ || (is_stream && !job.last_event_.empty());
+        if (must_go_on && !(is_stream && !reply.not_run_ && holds_events(head->get()))) {
             outcome.result_ = reply.not_run_ ? try_result::refused : try_result::wrong_answer;
             outcome.fault_ = "the stream is not continued: " + std::to_string(status);
             co_return;
@@ -1167,6 +1176,10 @@
                                                  bool& in_order)
 {
     std::string passed;
+    if (!holds_events(parser.get())) {
+        passed = std::exchange(events, {});
+        job.unnumbered_ = true;
+    }
     while (!events.empty() && in_order) {
         auto const event = next_event(events);
         auto const verdict = judge_event(sequence, event);
--- a/tests/transport/entry/event_order_test.cpp
+++ b/tests/transport/entry/event_order_test.cpp
@@ -170,3 +170,29 @@
     CHECK(is_complete(answer) == r.complete_);
     CHECK(tries == r.tries_);
 }
+
+// Guards against an answer that is no part of a stream, or whose events are not compared, behind the part
+// that the caller has.
+TEST_CASE("a stream that is taken up gets an error or events that were compared", "[entry][order][promise-8]")
+{
+    struct row {
+        std::string status_line_;
+        std::string type_;
+        std::string body_;
+        int status_;
+    };
+    auto const r = GENERATE(row{"200 OK", "text/plain", "text", 502},
+                            row{"206 Partial Content", "text/event-stream", numbered("9", "z"), 502},
+                            row{"206 Partial Content", "text/event-stream", numbered("3", "c"), 206},
+                            row{"200 OK", "Text/Event-Stream ; charset=utf-8", numbered("3", "c"), 200},
+                            row{"404 Not Found", "text/plain", "text", 404});
+    CAPTURE(r.status_line_, r.type_, r.body_);
+    entry_world world{{after_probe([&r](received_request const& request, owned_socket& connection) {
+        connection.send("HTTP/1.1 " + r.status_line_ + "\r\nX-Request-Id: " + request.field("X-Request-Id") +
+                        "\r\nX-Response-Stamp: proof\r\nContent-Type: " + r.type_ +
+                        "\r\nContent-Length: " + std::to_string(r.body_.size()) + "\r\n\r\n" + r.body_);
+        return true;
+    })}};
+    auto const answer = world.call("POST", "/resume/1", "q", after("2")).receive_until("\r\n\r\n");
+    CHECK(entry_world::status_of(answer) == r.status_);
+}
