--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -29,6 +29,7 @@
 /// Time limit of a request whose route states none.
 constexpr millis default_timeout{30'000};
 
+constexpr int bad_request = 400;
 constexpr int unauthorized = 401;
 constexpr int not_found = 404;
 constexpr int too_many_requests = 429;
@@ -106,6 +107,20 @@
     return choice_fault::version_awaited;
 }
 
+/// \returns The refusal of a request that takes a stream up which may not go on, or none.
+std::optional<own_answer> refuse_take_up(entry_node const& node, forward_job const& job, millis now)
+{
+    if (job.route_->kind_ != route_type::stream || job.call_.resume_after_.empty()) {
+        return std::nullopt;
+    }
+    if (!job.route_->resumable_) {
+        return absence_is_certain(node, now)
+                   ? own_answer{bad_request, "not-resumable", millis{-1}}
+                   : own_answer{unavailable, "configuration-stale", stale_retry_after};
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 bool is_repeatable(forward_job const& job) noexcept
@@ -148,6 +163,9 @@
         }
         job.workspace_ = &job.config_->workspaces_[key->second];
     }
+    if (auto refusal = refuse_take_up(node, job, now)) {
+        return refusal;
+    }
     job.service_ = choose_service(*job.route_, stable_hash(job.call_.request_id_));
     job.engine_ = find_engine(*job.config_, job.service_);
     job.deadline_ = deadline_of(*job.route_, job.call_, job.arrived_);
--- a/tests/transport/entry/event_order_test.cpp
+++ b/tests/transport/entry/event_order_test.cpp
@@ -171,6 +171,37 @@
     CHECK(tries == r.tries_);
 }
 
+// Guards against a take-up that is joined although its route doesn't allow that, or whose event nobody can
+// compare.
+TEST_CASE("a stream is taken up only where its route allows it and behind one number",
+          "[entry][order][promise-8]")
+{
+    struct row {
+        char const* method_;
+        char const* path_;
+        std::string fields_;
+        int status_;
+        int arrivals_;
+    };
+    auto const r = GENERATE_COPY(
+        row{"POST", "/watch/1", after("2"), 400, 0}, row{"GET", "/watch/1", after("2"), 400, 0},
+        row{"HEAD", "/watch/1", after("2"), 400, 0}, row{"POST", "/watch/1", after(""), 200, 1},
+        row{"POST", "/resume/1", after("2"), 200, 1}, row{"GET", "/resume/1", after("2"), 200, 1},
+        row{"HEAD", "/resume/1", after("2"), 200, 1},
+
+        row{"GET", "/look/1", after("x"), 200, 1}, row{"POST", "/buy/1", after("x"), 200, 1});
+    CAPTURE(r.method_, r.path_, r.fields_);
+    entry_world world{{after_probe([](received_request const& request, owned_socket& connection) {
+        bool const head_only = request.head_.starts_with("HEAD ");
+        connection.send(stream_head(request) + (head_only ? "" : chunk(numbered("3", "c")) + "0\r\n\r\n"));
+        return true;
+    })}};
+    auto const body = std::string_view{r.method_} == "POST" ? "q" : "";
+    auto const answer = world.call(r.method_, r.path_, body, r.fields_).receive_until("\r\n\r\n");
+    CHECK(entry_world::status_of(answer) == r.status_);
+    CHECK(world.arrivals() == static_cast<std::size_t>(r.arrivals_));
+}
+
 // Guards against an answer that is no part of a stream, or whose events are not compared, behind the part
 // that the caller has.
 TEST_CASE("a stream that is taken up gets an error or events that were compared", "[entry][order][promise-8]")
