--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -1,6 +1,7 @@
 #include "transport/entry/forward_job.hpp"
 
 #include "protocol/decision_log.hpp"
+#include "transport/entry/event_stream.hpp"
 #include "transport/entry/peer_exchange.hpp"
 #include "transport/entry/version_keeper.hpp"
 
@@ -118,6 +119,10 @@
                    ? own_answer{bad_request, "not-resumable", millis{-1}}
                    : own_answer{unavailable, "configuration-stale", stale_retry_after};
     }
+    // Behind anything else no event can be told to be the next.
+    if (!event_number(job.call_.resume_after_)) {
+        return own_answer{bad_request, "malformed-event-id", millis{-1}};
+    }
     return std::nullopt;
 }
 
--- a/tests/transport/entry/event_order_test.cpp
+++ b/tests/transport/entry/event_order_test.cpp
@@ -187,8 +187,11 @@
         row{"POST", "/watch/1", after("2"), 400, 0}, row{"GET", "/watch/1", after("2"), 400, 0},
         row{"HEAD", "/watch/1", after("2"), 400, 0}, row{"POST", "/watch/1", after(""), 200, 1},
         row{"POST", "/resume/1", after("2"), 200, 1}, row{"GET", "/resume/1", after("2"), 200, 1},
-        row{"HEAD", "/resume/1", after("2"), 200, 1},
-
+        row{"HEAD", "/resume/1", after("2"), 200, 1}, row{"POST", "/resume/1", after("x"), 400, 0},
+        row{"POST", "/resume/1", after("-2"), 400, 0},
+        row{"POST", "/resume/1", after("99999999999999999999"), 400, 0},
+        row{"POST", "/resume/1", after("2") + "Last-Event-Id: 7\r\n", 400, 0},
+        row{"POST", "/resume/1", after("") + "Last-Event-Id: 2\r\n", 400, 0},
         row{"GET", "/look/1", after("x"), 200, 1}, row{"POST", "/buy/1", after("x"), 200, 1});
     CAPTURE(r.method_, r.path_, r.fields_);
     entry_world world{{after_probe([](received_request const& request, owned_socket& connection) {
