Leave a request that fits nowhere in its queue, uncharged

Cause: dispatch looked for a place without the waiting request's own constraints (isolation of a suspect), took the request from the queue, and put it back when it had no place.

Change: take_next passes over the requests that it is told of; dispatch names the isolated ones that have no place. If room is lost between the look and the grant, the request is queued again as before, and told at once if the queue refuses it.

Not measured: the order of requests of a live daemon with suspects in its queue.

--- a/include/auburnchute/admission.hpp
+++ b/include/auburnchute/admission.hpp
@@ -8,7 +8,9 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace auburnchute {
@@ -66,8 +68,10 @@
 
 /// \brief Removes the next request of a model and charges its workspace: the most important effective class
 /// first, then the workspace with the earliest virtual start, then the oldest request.
-/// \returns None if no waiting request of the model has a deadline after `now`.
-[[nodiscard]] std::optional<waiting_request> take_next(wait_queue& queue, std::string_view model, millis now);
+/// \param passed_over Tickets of requests that stay, because no upstream that may serve them has room.
+/// \returns None if no other waiting request of the model has a deadline after `now`.
+[[nodiscard]] std::optional<waiting_request> take_next(wait_queue& queue, std::string_view model, millis now,
+                                                       std::span<std::uint64_t const> passed_over = {});
 
 /// \brief Removes all requests whose deadline has passed. \returns These; the caller refuses them.
 [[nodiscard]] std::vector<waiting_request> take_expired(wait_queue& queue, millis now);
--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -119,7 +119,8 @@
     return enqueue_verdict::queued;
 }
 
-std::optional<waiting_request> take_next(wait_queue& queue, std::string_view model, millis now)
+std::optional<waiting_request> take_next(wait_queue& queue, std::string_view model, millis now,
+                                         std::span<std::uint64_t const> passed_over)
 {
     std::optional<std::size_t> best;
     std::size_t of_model = 0;
@@ -135,6 +136,9 @@
             continue;
         }
         ++of_model;
+        if (std::find(passed_over.begin(), passed_over.end(), request.ticket_) != passed_over.end()) {
+            continue;
+        }
         if (!best || rank(request) < rank(queue.waiting_[*best])) {
             best = i;
         }
@@ -146,6 +150,9 @@
         }
         return best ? std::optional{remove_at(queue, *best)} : std::nullopt;
     }
+    if (!best) {
+        return std::nullopt;
+    }
     auto taken = remove_at(queue, *best);
     auto& virtual_times = queue.virtual_clocks_[taken.model_];
     virtual_times.virtual_time_ = virtual_start(virtual_times, taken.workspace_);
--- a/src/transport/request_queue.cpp
+++ b/src/transport/request_queue.cpp
@@ -251,28 +251,40 @@
 void request_queue::dispatch(fleet_view const& view, pool_queue& pool)
 {
     auto const time = now(control_.time_source());
-    std::map<std::string, std::shared_ptr<waiter>> models;
+    std::map<std::string, std::vector<std::pair<std::uint64_t, std::shared_ptr<waiter>>>> models;
     for (auto const& [ticket, entry] : pool.waiters_) {
-        models.try_emplace(queue_name(entry->request_.key_), entry);
+        models[queue_name(entry->request_.key_)].emplace_back(ticket, entry);
     }
-    for (auto const& [model, sample] : models) {
-        // A request is charged when it is taken from the queue, so a place is looked for first.
+    for (auto const& [model, waiters] : models) {
         slot_grant found;
-        auto probe = sample->request_;
+        auto probe = waiters.front().second->request_;
         probe.isolated_ = false;
         probe.avoid_.clear();
         while (find_place(view, probe, found)) {
-            auto next = take_next(pool.queue_, model, time);
+            // A request is charged when it is taken from the queue, so those that fit nowhere stay in it.
+            std::vector<std::uint64_t> passed_over;
+            for (auto const& [ticket, entry] : waiters) {
+                bool const waits = !entry->done_ && entry->request_.isolated_;
+                if (waits && !find_place(view, entry->request_, found)) {
+                    passed_over.push_back(ticket);
+                }
+            }
+            auto next = take_next(pool.queue_, model, time, passed_over);
             auto const it = next ? pool.waiters_.find(next->ticket_) : pool.waiters_.end();
             if (it == pool.waiters_.end()) {
                 break;
             }
             auto const entry = it->second;
-            if (!take_place(view, entry->request_, entry->grant_)) {
-                (void)enqueue(pool.queue_, std::move(*next), {}, time);
-                break;
+            if (take_place(view, entry->request_, entry->grant_)) {
+                ++pool.usage_[entry->request_.key_].running_;
+            } else {
+                // Another pool's request, or a refusal, took the room meanwhile.
+                auto const verdict = enqueue(pool.queue_, std::move(*next), {}, time);
+                if (verdict == enqueue_verdict::queued) {
+                    break;
+                }
+                entry->grant_.verdict_ = slot_verdict::queue_full;
             }
-            ++pool.usage_[entry->request_.key_].running_;
             pool.waiters_.erase(it);
             entry->done_ = true;
             entry->wake_.notify_all();
--- a/tests/coordination/admission_test.cpp
+++ b/tests/coordination/admission_test.cpp
@@ -54,6 +54,30 @@
     CHECK(effective_class(make_request(1, "a", level), {aging}, {waited}) == expected);
 }
 
+// Guards against a request without a place that holds up those behind it, or is charged while it stays.
+TEST_CASE("requests that are passed over stay in the queue uncharged", "[admission][promise-3]")
+{
+    struct row {
+        std::vector<std::uint64_t> passed_over_;
+        std::vector<std::uint64_t> taken_;
+        std::vector<std::uint64_t> left_;
+    };
+    for (auto const& r : {row{{}, {1, 3, 2, 4}, {}}, row{{1}, {2, 3, 4}, {1}}, row{{1, 2}, {3, 4}, {1, 2}},
+                          row{{3, 4}, {1, 2}, {3, 4}}, row{{1, 2, 3, 4}, {}, {1, 3, 2, 4}}}) {
+        wait_queue queue;
+        for (std::uint64_t ticket = 1; ticket <= 4; ++ticket) {
+            REQUIRE(enqueue(queue, make_request(ticket, ticket <= 2 ? "a" : "b"), {}, {}) ==
+                    enqueue_verdict::queued);
+        }
+        std::vector<std::uint64_t> taken;
+        while (auto const next = take_next(queue, "m", {}, r.passed_over_)) {
+            taken.push_back(next->ticket_);
+        }
+        CHECK(taken == r.taken_);
+        CHECK(take_all(queue, {}) == r.left_);
+    }
+}
+
 // Guards against FIFO order, in which a workspace with many requests delays the others behind all of them.
 TEST_CASE("workspaces alternate within a class", "[admission][promise-3]")
 {
