--- a/include/auburnchute/retry.hpp
+++ b/include/auburnchute/retry.hpp
@@ -16,6 +16,7 @@
                        ///< answer.
     cut_in_answer,     ///< The connection broke within the answer.
     wrong_answer,      ///< The answer belongs to another request or is malformed.
+    wrong_version,     ///< The answer is of another software version than the one that began it.
 };
 
 /// \brief What a caller may be told about the execution of its request.
--- a/src/coordination/retry.cpp
+++ b/src/coordination/retry.cpp
@@ -19,6 +19,7 @@
         return execution::ran;
     case try_result::cut_before_answer:
     case try_result::wrong_answer:
+    case try_result::wrong_version:
         break;
     }
     return execution::unknown;
--- a/src/protocol/explain.cpp
+++ b/src/protocol/explain.cpp
@@ -65,6 +65,12 @@
     phrase{"relay", "cut", "The connection to the upstream %1 broke after %2 tokens."},
     phrase{"relay", "resumed", "The upstream %1 continued the answer where it had stopped."},
     phrase{"relay", "crossed", "The upstream %1 sent the answer to a different request; it was discarded."},
+    phrase{"relay", "other_version",
+           "The upstream %1 runs another software version than the one that began the answer; nothing of its "
+           "answer was used."},
+    phrase{"wait", "no_version",
+           "No upstream was left that runs the software version that began the answer, so it was not "
+           "continued."},
     phrase{"relay", "caller_left", "The caller closed the connection before the answer was complete."},
     phrase{"relay", "key_withdrawn",
            "The key was withdrawn while the answer was under way, so the answer was stopped."},
--- a/src/transport/admin_front.cpp
+++ b/src/transport/admin_front.cpp
@@ -349,6 +349,7 @@
         }
         for (auto const& [name, entry] : state.upstreams_) {
             auto const live = view.upstreams_.find(name);
+            bool const is_known = live != view.upstreams_.end() && live->second.reported_once_;
             shown["upstreams"].push_back(
                 {{"upstream", name},
                  {"address", entry.address_},
@@ -357,7 +358,9 @@
                  {"reserved_mb", reserved_memory_mb(state, name)},
                  {"running", live == view.upstreams_.end() ? 0 : live->second.reported_},
                  {"drained", state.drained_.contains(name)},
-                 {"leaving", live != view.upstreams_.end() && live->second.leaving_}});
+                 {"leaving", live != view.upstreams_.end() && live->second.leaving_},
+                 {"software_version",
+                  is_known ? nlohmann::json(live->second.software_version_) : nlohmann::json{}}});
         }
         shown["drained"] = state.drained_;
         return shown;
--- a/src/transport/engine_client.cpp
+++ b/src/transport/engine_client.cpp
@@ -13,6 +13,9 @@
 /// Largest answer of an engine to a call, in bytes: a report names its replicas and cached models.
 constexpr std::size_t max_engine_answer_bytes = std::size_t{1024} * 1024;
 
+/// Longest name of a software version in bytes, as heartbeats carry it; a longer one counts as none.
+constexpr std::size_t max_version_bytes = 128;
+
 load_source parse_source(std::string const& text)
 {
     if (text == "memory_cache") {
@@ -43,6 +46,10 @@
     report.waiting_ = json.value("waiting", std::int64_t{0});
     report.leaving_ = json.value("leaving", false);
     report.resumes_streams_ = json.value("resumes_streams", false);
+    report.software_version_ = json.value("software_version", "");
+    if (report.software_version_.size() > max_version_bytes) {
+        report.software_version_.clear();
+    }
     for (auto const& item : json.value("replicas", nlohmann::json::array())) {
         report.replicas_.push_back(
             {item.at("replica").get<std::string>(), item.value("status", "") == "loaded"});
--- a/src/transport/engine_client.hpp
+++ b/src/transport/engine_client.hpp
@@ -25,6 +25,7 @@
     std::int64_t waiting_{};
     bool leaving_{};
     bool resumes_streams_{};
+    std::string software_version_; ///< Empty: the upstream names none.
     std::vector<reported_replica> replicas_;
     std::vector<std::pair<std::string, load_source>>
         cached_; ///< `base` or `base:adapter`, and the cache that holds it.
--- a/src/transport/fleet_peers.cpp
+++ b/src/transport/fleet_peers.cpp
@@ -112,6 +112,7 @@
         report->set_leaving(held.report_.leaving_ || list_leaving_.contains(upstream));
         report->set_reachable(held.reachable_);
         report->set_resumes_streams(held.report_.resumes_streams_);
+        report->set_software_version(held.report_.software_version_);
         for (auto const& [model, source] : held.report_.cached_) {
             auto* const cached = report->add_cached();
             cached->set_model(model);
@@ -193,6 +194,7 @@
         report.waiting_ = message.waiting();
         report.leaving_ = message.leaving();
         report.resumes_streams_ = message.resumes_streams();
+        report.software_version_ = message.software_version();
         for (auto const& cached : message.cached()) {
             report.cached_.emplace_back(cached.model(),
                                         static_cast<load_source>(std::clamp(cached.source(), 0, 2)));
--- a/src/transport/fleet_upstreams.cpp
+++ b/src/transport/fleet_upstreams.cpp
@@ -193,6 +193,7 @@
     status.taken_at_ = taken;
     status.reported_once_ = true;
     status.resumes_streams_ = report.resumes_streams_;
+    status.software_version_ = report.software_version_;
     status.leaving_ = report.leaving_;
     status.counters_->refused_connections_.store(0, std::memory_order_relaxed);
     auto& cache = caches_[upstream];
--- a/src/transport/fleet_view.hpp
+++ b/src/transport/fleet_view.hpp
@@ -29,6 +29,7 @@
     millis taken_at_{};            ///< When the report was taken, by this daemon's clock.
     bool reported_once_{};
     bool resumes_streams_{};
+    std::string software_version_;
     bool leaving_{};
     std::shared_ptr<upstream_counters> counters_;
 };
--- a/src/transport/model_call.cpp
+++ b/src/transport/model_call.cpp
@@ -76,6 +76,7 @@
     std::condition_variable ready_;
     std::condition_variable room_;
     std::deque<item> items_;
+    std::string software_version_; ///< Of the upstream that answers; set before the first item.
     bool given_up_{};
     std::atomic<bool> closed_{};
     http_client* client_{};
@@ -130,13 +131,15 @@
         woken->given_up_ = true;
         woken->ready_.notify_all();
     });
-    reader_ = std::jthread{[this, out = channel_, grant = grant_, text = body.dump()](
-                               std::stop_token const& stop) { read_upstream(stop, out, grant, text); }};
+    reader_ = std::jthread{[this, out = channel_, grant = grant_, text = body.dump(),
+                            version = wanted_.software_version_](std::stop_token const& stop) {
+        read_upstream(stop, out, grant, text, version);
+    }};
     return std::nullopt;
 }
 
 void model_call::read_upstream(std::stop_token const& stop, std::shared_ptr<channel> out, slot_grant grant,
-                               std::string body)
+                               std::string body, std::optional<std::string> version)
 {
     auto const left = context_.deadline_ - now(services_.control_.time_source());
     http_client client{grant.address_, {{1'000}, std::max(left, stream_silence), {5'000}}};
@@ -152,6 +155,7 @@
     bool any = false;
     bool crossed = false;
     bool malformed = false;
+    bool other_version = false;
     int status = 0;
     std::string error_body;
     call_request const request{.method_ = "POST",
@@ -166,7 +170,12 @@
         status = head.status_;
         auto const echoed = head.header("X-Request-Id");
         crossed = status == 200 && !echoed.empty() && echoed != context_.id_;
-        return !crossed;
+        // The report that led here may be older than a restart of the upstream.
+        auto own_version = head.header("X-Software-Version");
+        other_version = status == 200 && version && own_version != *version;
+        std::lock_guard const lock{out->mutex_};
+        out->software_version_ = std::move(own_version);
+        return !crossed && !other_version;
     };
     receiver.body_ = [&](std::string_view bytes) {
         if (stop.stop_requested() || out->closed_) {
@@ -213,6 +222,9 @@
     if (crossed || malformed || answer.fault_ == call_fault::wrong_answer) {
         end.result_ = try_result::wrong_answer;
         end.detail_ = crossed ? "the answer belongs to another request" : "the answer is malformed";
+    } else if (other_version) {
+        end.result_ = try_result::wrong_version;
+        end.detail_ = "the upstream runs another software version than the one that began the answer";
     } else if (answer && status == 200) {
         end.result_ = whole ? try_result::answered
                       : any ? try_result::cut_in_answer
@@ -290,11 +302,16 @@
          result == try_result::wrong_answer ? "relay"
          : result == try_result::not_sent   ? "connect"
                                             : "relay",
-         result == try_result::wrong_answer ? "crossed " + upstream
-         : result == try_result::not_sent   ? "failed " + upstream
-                                            : "cut " + upstream + " " + std::to_string(tokens_));
+         result == try_result::wrong_answer    ? "crossed " + upstream
+         : result == try_result::wrong_version ? "other_version " + upstream
+         : result == try_result::not_sent      ? "failed " + upstream
+                                               : "cut " + upstream + " " + std::to_string(tokens_));
     end_try(broke);
-    wanted_.avoid_ = upstream;
+    if (result == try_result::wrong_version) {
+        wanted_.excluded_.push_back(upstream);
+    } else {
+        wanted_.avoid_ = upstream;
+    }
     // A refusal for lack of room costs the upstream nothing, so it goes back to the queue without using up a
     // try.
     if (result == try_result::refused && time < context_.deadline_) {
@@ -364,6 +381,9 @@
                 return finish(std::move(failed), "failed");
             }
             item = std::move(channel_->items_.front());
+            if (!item.end_ && !wanted_.software_version_) {
+                wanted_.software_version_ = channel_->software_version_;
+            }
             channel_->items_.pop_front();
             channel_->room_.notify_all();
         }
--- a/src/transport/model_call.hpp
+++ b/src/transport/model_call.hpp
@@ -69,7 +69,7 @@
 
     [[nodiscard]] std::optional<problem> start_try();
     void read_upstream(std::stop_token const& stop, std::shared_ptr<channel> out, slot_grant grant,
-                       std::string body);
+                       std::string body, std::optional<std::string> version);
     [[nodiscard]] std::optional<answer_event> after_failure(try_result result, std::string const& detail);
     void end_try(bool broke);
     answer_event finish(answer_event event, std::string_view outcome);
--- a/src/transport/request_context.cpp
+++ b/src/transport/request_context.cpp
@@ -310,6 +310,11 @@
     }
     case slot_verdict::stopping:
         return make_stop_problem(services, context);
+    case slot_verdict::no_version:
+        note(services, context, "wait", "no_version");
+        return make_problem(context, 502, "upstream-failed", "relay",
+                            "no upstream is left that runs the software version that began the answer",
+                            execution::ran);
     case slot_verdict::expired:
         break;
     }
--- a/src/transport/request_queue.cpp
+++ b/src/transport/request_queue.cpp
@@ -44,6 +44,20 @@
     return candidate;
 }
 
+/// True if the upstream's software version fits to what its caller has of the answer.
+bool fits_answer(std::string const& name, upstream_status const& status, slot_request const& request)
+{
+    return !request.software_version_ ||
+           (status.software_version_ == *request.software_version_ &&
+            std::find(request.excluded_.begin(), request.excluded_.end(), name) == request.excluded_.end());
+}
+
+bool serves(replica_entry const& replica, model_key const& key)
+{
+    return replica.pool_ == key.pool_ && replica.model_ == key.model_ && replica.adapter_ == key.adapter_ &&
+           replica.status_ == replica_status::loaded;
+}
+
 } // namespace
 
 request_queue::request_queue(fleet_control& control, metrics& counters, stop_gate const& stop)
@@ -83,11 +97,10 @@
             return false;
         }
         for (auto const& [id, replica] : view.state_->replicas_) {
-            bool const wanted =
-                replica.pool_ == request.key_.pool_ && replica.model_ == request.key_.model_ &&
-                replica.adapter_ == request.key_.adapter_ && replica.status_ == replica_status::loaded;
-            auto const status = wanted ? view.upstreams_.find(replica.upstream_) : view.upstreams_.end();
-            if (status != view.upstreams_.end() && status->second.counters_) {
+            auto const status = serves(replica, request.key_) ? view.upstreams_.find(replica.upstream_)
+                                                              : view.upstreams_.end();
+            if (status != view.upstreams_.end() && status->second.counters_ &&
+                fits_answer(status->first, status->second, request)) {
                 candidates.push_back(
                     make_candidate(view, status->first, status->second, model->slots_, time));
                 replicas.push_back(&id);
@@ -139,6 +152,19 @@
     return true;
 }
 
+bool request_queue::may_continue(fleet_view const& view, slot_request const& request)
+{
+    return !request.software_version_ ||
+           std::any_of(view.state_->replicas_.begin(), view.state_->replicas_.end(), [&](auto const& item) {
+               auto const& replica = item.second;
+               auto const status = serves(replica, request.key_) ? view.upstreams_.find(replica.upstream_)
+                                                                 : view.upstreams_.end();
+               return status != view.upstreams_.end() && !status->second.leaving_ &&
+                      !view.state_->drained_.contains(status->first) &&
+                      fits_answer(status->first, status->second, request);
+           });
+}
+
 wait_estimate request_queue::estimate(fleet_view const& view, pool_queue const& pool,
                                       slot_request const& request, bool& cold) const
 {
@@ -201,6 +227,10 @@
             ++pool.usage_[request.key_].running_;
             return;
         }
+        if (!may_continue(view, request)) {
+            grant.verdict_ = slot_verdict::no_version;
+            return;
+        }
         auto const expected = estimate(view, pool, request, grant.was_cold_);
         grant.expected_wait_ = expected.load_remaining_;
         if (auto const* const row = find_pool(*view.state_->tables_, request.key_.pool_)) {
@@ -251,6 +281,16 @@
 void request_queue::dispatch(fleet_view const& view, pool_queue& pool)
 {
     auto const time = now(control_.time_source());
+    std::erase_if(pool.waiters_, [&](auto const& item) {
+        if (may_continue(view, item.second->request_)) {
+            return false;
+        }
+        cancel(pool.queue_, item.first);
+        item.second->grant_.verdict_ = slot_verdict::no_version;
+        item.second->done_ = true;
+        item.second->wake_.notify_all();
+        return true;
+    });
     std::map<std::string, std::vector<std::pair<std::uint64_t, std::shared_ptr<waiter>>>> models;
     for (auto const& [ticket, entry] : pool.waiters_) {
         models[queue_name(entry->request_.key_)].emplace_back(ticket, entry);
@@ -260,12 +300,13 @@
         auto probe = waiters.front().second->request_;
         probe.isolated_ = false;
         probe.avoid_.clear();
+        probe.software_version_.reset();
         while (find_place(view, probe, found)) {
             // A request is charged when it is taken from the queue, so those that fit nowhere stay in it.
             std::vector<std::uint64_t> passed_over;
             for (auto const& [ticket, entry] : waiters) {
-                bool const waits = !entry->done_ && entry->request_.isolated_;
-                if (waits && !find_place(view, entry->request_, found)) {
+                bool const is_bound = entry->request_.isolated_ || entry->request_.software_version_;
+                if (is_bound && !entry->done_ && !find_place(view, entry->request_, found)) {
                     passed_over.push_back(ticket);
                 }
             }
--- a/src/transport/request_queue.hpp
+++ b/src/transport/request_queue.hpp
@@ -14,7 +14,9 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace auburnchute {
 
@@ -31,10 +33,19 @@
     std::uint64_t prefix_hash_{};
     std::uint64_t request_hash_{};
     bool isolated_{};
-    std::string avoid_; ///< The upstream on which the request last failed.
+    std::string avoid_;                           ///< The upstream on which the request last failed.
+    std::optional<std::string> software_version_; ///< Of an answer that has begun; no other may continue it.
+    std::vector<std::string> excluded_; ///< Upstreams whose answers to the request were of another version.
 };
 
-enum class slot_verdict : std::uint8_t { granted, too_late, queue_full, expired, stopping };
+enum class slot_verdict : std::uint8_t {
+    granted,
+    too_late,
+    queue_full,
+    expired,
+    stopping,
+    no_version ///< No upstream with the software version of the answer is left.
+};
 
 /// \brief A place on an upstream.
 struct slot_grant {
@@ -111,6 +122,8 @@
     /// \brief As `find_place`, and counts the request as running there.
     [[nodiscard]] bool take_place(fleet_view const& view, slot_request const& request,
                                   slot_grant& grant) const;
+    /// \returns False if no upstream, free or not, may continue the request's answer.
+    [[nodiscard]] static bool may_continue(fleet_view const& view, slot_request const& request);
     [[nodiscard]] wait_estimate estimate(fleet_view const& view, pool_queue const& pool,
                                          slot_request const& request, bool& cold) const;
     void dispatch(fleet_view const& view, pool_queue& pool);
--- a/standins/standin-engine.cpp
+++ b/standins/standin-engine.cpp
@@ -38,6 +38,7 @@
   --disk-cache N            Models kept on the VM's disk [default: 8].
   --report-lag-ms MS        Age of the reports [default: 200].
   --resumes-streams         Continue streams by resume_from.
+  --software-version TEXT   Version of the engine's software; its answers' text depends on it [default: ].
   --help                    Show this text.
 )";
 
@@ -65,6 +66,7 @@
     std::size_t disk_cache_{};
     std::int64_t report_lag_ms_{};
     bool resumes_streams_{};
+    std::string software_version_;
 };
 
 /// Status and body of an answer.
@@ -116,13 +118,15 @@
     std::int64_t length_{};
     std::int64_t from_{};
     std::string finish_reason_;
+    std::string software_version_;
 };
 
-/// Token `index` of the answer: the prompt's digest, then words picked by it. It depends only on model and
-/// prompt, so that every engine continues a stream with the same text.
+/// Token `index` of the answer: the prompt's digest, then words picked by it. It depends only on model,
+/// prompt and software version, so that every engine of the version continues a stream with the same text.
 std::string token_of(completion const& work, std::int64_t index)
 {
-    auto const digest = hash_of(work.model_ + '\n' + work.prompt_);
+    auto const version = work.software_version_.empty() ? std::string{} : '\n' + work.software_version_;
+    auto const digest = hash_of(work.model_ + '\n' + work.prompt_ + version);
     if (index == 0) {
         char text[20]{};
         std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(digest));
@@ -306,6 +310,9 @@
             }
         }
         json result = chosen->state_;
+        if (auto const shown = faults_.text("reported_version"); !shown.empty()) {
+            result["software_version"] = shown;
+        }
         result["taken_ms_ago"] = (now - chosen->at_).count_;
         return result;
     }
@@ -486,15 +493,19 @@
         for (auto const& [base, count] : waiting_) {
             waiting += count;
         }
-        return {{"vm_instance", settings_.vm_instance_},
-                {"running", static_cast<std::int64_t>(running_.size()) - waiting},
-                {"waiting", waiting},
-                {"leaving", faults_.flag("leaving")},
-                {"resumes_streams", settings_.resumes_streams_},
-                {"replicas", replicas},
-                {"cached", cached},
-                {"memory_mb", settings_.memory_mb_},
-                {"memory_used_mb", memory_used()}};
+        json state{{"vm_instance", settings_.vm_instance_},
+                   {"running", static_cast<std::int64_t>(running_.size()) - waiting},
+                   {"waiting", waiting},
+                   {"leaving", faults_.flag("leaving")},
+                   {"resumes_streams", settings_.resumes_streams_},
+                   {"replicas", replicas},
+                   {"cached", cached},
+                   {"memory_mb", settings_.memory_mb_},
+                   {"memory_used_mb", memory_used()}};
+        if (!settings_.software_version_.empty()) {
+            state["software_version"] = settings_.software_version_;
+        }
+        return state;
     }
 
     engine_settings const settings_;
@@ -624,6 +635,9 @@
         auto work = read(req, body, chat);
         auto const own_request = work.request_;
         res.set_header("X-Request-Id", own_request);
+        if (auto const& version = host_.settings().software_version_; !version.empty()) {
+            res.set_header("X-Software-Version", version);
+        }
         if (work.from_ > 0 && !host_.settings().resumes_streams_) {
             return refuse(res, 400, "cannot_resume", "this engine does not continue streams");
         }
@@ -665,6 +679,7 @@
         work.length_ = wanted > 0 ? std::min(wanted, limit) : limit;
         work.finish_reason_ = work.length_ < limit ? "stop" : "length";
         work.from_ = body.value("resume_from", std::int64_t{0});
+        work.software_version_ = host_.settings().software_version_;
         return work;
     }
 
@@ -766,7 +781,8 @@
             static_cast<std::size_t>(number("--memory-cache")),
             static_cast<std::size_t>(number("--disk-cache")),
             number("--report-lag-ms"),
-            flag("--resumes-streams")};
+            flag("--resumes-streams"),
+            text("--software-version")};
 }
 
 int run_engine(std::map<std::string, docopt::value> const& arguments)
@@ -778,6 +794,7 @@
                       {"report_lag_ms", -1},
                       {"leaving", false},
                       {"refuse_loads", false},
+                      {"reported_version", ""},
                       {"nonsense", false}}};
     engine host{settings_from(arguments), faults};
     completion_server completions{host, faults};
--- a/tests/coordination/retry_test.cpp
+++ b/tests/coordination/retry_test.cpp
@@ -10,7 +10,8 @@
 
 constexpr try_result all_results[] = {try_result::answered,      try_result::not_sent,
                                       try_result::refused,       try_result::cut_before_answer,
-                                      try_result::cut_in_answer, try_result::wrong_answer};
+                                      try_result::cut_in_answer, try_result::wrong_answer,
+                                      try_result::wrong_version};
 
 } // namespace
 
--- a/tests/transport/fleet.hpp
+++ b/tests/transport/fleet.hpp
@@ -82,6 +82,7 @@
     int max_replicas_{1};
     bool honours_fencing_{true};
     bool resumes_streams_{};
+    std::vector<std::string> software_versions_{}; ///< Of the first engines; the others name none.
     std::int64_t rate_{100'000'000};
     std::int64_t burst_{1'000'000'000};
     std::vector<std::string> log_arguments_{};
@@ -110,7 +111,7 @@
           list_address_{list_.wait_listening()}, folder_{make_folder()}
     {
         for (int i = 0; i < options_.engines_; ++i) {
-            start_engine("engine-" + std::to_string(i));
+            start_engine(static_cast<std::size_t>(i));
         }
         for (int i = 0; i < options_.services_; ++i) {
             auto const name = "desk-" + std::to_string(i);
@@ -171,15 +172,21 @@
                                    int tokens = 3, bool stream = false,
                                    std::string const& key = fleet_key) const
     {
-        nlohmann::json const body{{"model", model},
-                                  {"max_tokens", tokens},
-                                  {"stream", stream},
-                                  {"messages", {{{"role", "user"}, {"content", prompt}}}}};
         auto client = callers_client(daemon);
         if (!key.empty()) {
             client.set_bearer_token_auth(key);
         }
-        return read(client.Post("/v1/chat/completions", body.dump(), "application/json"));
+        return read(client.Post("/v1/chat/completions", model_body(model, prompt, tokens, stream).dump(),
+                                "application/json"));
+    }
+
+    /// \brief Sends a model request to an engine itself.
+    [[nodiscard]] fleet_answer ask_engine(std::size_t engine, std::string const& model,
+                                          std::string const& prompt, int tokens) const
+    {
+        auto client = client_of(engine_addresses_[engine]);
+        return read(client.Post("/v1/chat/completions", model_body(model, prompt, tokens, false).dump(),
+                                "application/json"));
     }
 
     /// \brief Sends a purchase.
@@ -346,6 +353,15 @@
                              : std::string{};
     }
 
+    static nlohmann::json model_body(std::string const& model, std::string const& prompt, int tokens,
+                                     bool stream)
+    {
+        return {{"model", model},
+                {"max_tokens", tokens},
+                {"stream", stream},
+                {"messages", {{{"role", "user"}, {"content", prompt}}}}};
+    }
+
     static fleet_answer read(httplib::Result const& result)
     {
         return result ? fleet_answer{result->status, result->body, result->headers} : fleet_answer{};
@@ -358,8 +374,9 @@
         return client;
     }
 
-    void start_engine(std::string const& name)
+    void start_engine(std::size_t index)
     {
+        auto const name = "engine-" + std::to_string(index);
         std::vector<std::string> arguments{"--name",          name,
                                            "--vm-instance",   name + "-1",
                                            "--slots",         std::to_string(options_.slots_),
@@ -372,6 +389,9 @@
         if (options_.resumes_streams_) {
             arguments.emplace_back("--resumes-streams");
         }
+        if (index < options_.software_versions_.size() && !options_.software_versions_[index].empty()) {
+            arguments.insert(arguments.end(), {"--software-version", options_.software_versions_[index]});
+        }
         engines_.push_back(std::make_unique<child_process>("standin-engine", arguments));
         engine_addresses_.push_back(engines_.back()->wait_listening());
         add_vm(name, engine_addresses_.back(), 10'000);
--- a/tests/transport/fleet_test.cpp
+++ b/tests/transport/fleet_test.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <future>
 #include <set>
+#include <sstream>
 
 using namespace auburnchute;
 using namespace auburnchute::tests;
@@ -22,6 +23,37 @@
                                                         : std::string{};
 }
 
+/// The text of a stream's chunks.
+std::string streamed_content(fleet_answer const& answer)
+{
+    std::string text;
+    std::istringstream lines{answer.body_};
+    for (std::string line; std::getline(lines, line);) {
+        auto const event = line.starts_with("data: ") ? nlohmann::json::parse(line.substr(6), nullptr, false)
+                                                      : nlohmann::json{};
+        if (event.is_object() && event.contains("choices") && !event["choices"].empty()) {
+            text += event["choices"][0]["delta"].value("content", "");
+        }
+    }
+    return text;
+}
+
+/// The engines' software versions as a daemon knows them, and `unknown` of one without a report.
+std::vector<std::string> reported_versions(fleet const& f, std::size_t daemon)
+{
+    std::vector<std::string> versions(f.engines(), "unknown");
+    auto const status = f.status(daemon);
+    for (auto const& upstream : status["upstreams"]) {
+        for (std::size_t engine = 0; engine < versions.size(); ++engine) {
+            if (upstream["upstream"] == "engine-" + std::to_string(engine) &&
+                upstream["software_version"].is_string()) {
+                versions[engine] = upstream["software_version"].get<std::string>();
+            }
+        }
+    }
+    return versions;
+}
+
 bool said_not_run(fleet_answer const& answer)
 {
     auto const json = answer.json();
@@ -237,6 +269,111 @@
     }
 }
 
+// Guards against an answer that begins with one software version and goes on with another, also where a
+// daemon knows an engine's version from a peer, or where an engine runs another one than its report names.
+TEST_CASE("an answer goes on only with the software version that began it", "[promise-8][process]")
+{
+    struct row {
+        std::vector<std::string> versions_; ///< Engine 0 cuts its answers.
+        std::string reported_by_engine_1_;
+        bool goes_on_;
+    };
+    auto const r =
+        GENERATE(row{{"1", "2", "1"}, "", true}, row{{"", "2", ""}, "", true},
+                 row{{"1", "2", "1"}, "1", true}, row{{"1", "2"}, "", false}, row{{"1", ""}, "", false},
+                 row{{"", "2"}, "", false}, row{{"1", "2"}, "1", false});
+    constexpr int tokens = 20;
+    constexpr int prompts = 5;
+    auto const engines = static_cast<int>(r.versions_.size());
+    fleet f{{.daemons_ = 2,
+             .engines_ = engines,
+             .min_replicas_ = engines,
+             .max_replicas_ = engines,
+             .resumes_streams_ = true,
+             .software_versions_ = r.versions_}};
+    auto reported = r.versions_;
+    if (!r.reported_by_engine_1_.empty()) {
+        reported[1] = r.reported_by_engine_1_;
+        fleet::fault(f.engine_address(1), {{"reported_version", reported[1]}});
+    }
+    for (std::size_t daemon = 0; daemon < f.daemons(); ++daemon) {
+        REQUIRE(eventually(10s, [&] { return reported_versions(f, daemon) == reported; }));
+    }
+    std::size_t cut = 0;
+    for (int i = 0; i < prompts; ++i) {
+        auto const prompt = "story " + std::to_string(i);
+        std::vector<std::string> whole;
+        for (std::size_t engine = 0; engine < f.engines(); ++engine) {
+            whole.push_back(content_of(f.ask_engine(engine, "m", prompt, tokens)));
+        }
+        REQUIRE(whole[0] != whole[1]);
+        fleet::fault(f.engine_address(0), {{"cut_after_tokens", 4}});
+        for (std::size_t daemon = 0; daemon < f.daemons(); ++daemon) {
+            auto const before = f.received_by(0, "/v1/chat/completions");
+            auto const began = std::chrono::steady_clock::now();
+            auto const answer = f.ask(daemon, "m", prompt, tokens, daemon == 1);
+            CHECK(std::chrono::steady_clock::now() - began < 5s);
+            bool const was_cut = f.received_by(0, "/v1/chat/completions") > before;
+            cut += was_cut ? 1 : 0;
+            auto const text = daemon == 1 ? streamed_content(answer) : content_of(answer);
+            CAPTURE(prompt, daemon, was_cut, answer.status_, answer.body_, whole);
+            bool const complete =
+                daemon == 1 ? answer.body_.find("[DONE]") != std::string::npos : answer.status_ == 200;
+            CHECK(complete == (r.goes_on_ || !was_cut));
+            CHECK(std::any_of(whole.begin(), whole.end(), [&](std::string const& one) {
+                return complete ? text == one : one.starts_with(text);
+            }));
+            if (!complete && daemon == 0) {
+                CHECK(answer.status_ == 502);
+                CHECK(answer.json()["execution"] == "ran");
+            }
+        }
+        fleet::fault(f.engine_address(0), {{"clear", true}});
+    }
+    CHECK(cut > 0);
+}
+
+// Guards against a caller that waits although no engine is left that could go on with its answer.
+TEST_CASE("an answer whose software version has no engine left ends at once", "[promise-8][process]")
+{
+    fleet f{{.daemons_ = 1,
+             .engines_ = 2,
+             .token_ms_ = 50,
+             .min_replicas_ = 2,
+             .max_replicas_ = 2,
+             .resumes_streams_ = true,
+             .software_versions_ = {"1", "2"}}};
+    REQUIRE(eventually(10s, [&f] { return reported_versions(f, 0) == std::vector<std::string>{"1", "2"}; }));
+    std::vector<std::future<fleet_answer>> streams;
+    for (auto const* const prompt : {"one", "other"}) {
+        streams.push_back(
+            std::async(std::launch::async, [&f, prompt] { return f.ask(0, "m", prompt, 100, true); }));
+    }
+    auto const calls = [&f](std::size_t engine) { return f.received_by(engine, "/v1/chat/completions"); };
+    REQUIRE(eventually(10s, [&] { return calls(0) + calls(1) == 2; }));
+    REQUIRE(calls(0) == 1);
+    f.mark_leaving("engine-0");
+    REQUIRE(eventually(10s, [&f] {
+        auto const upstreams = f.status(0)["upstreams"];
+        return std::any_of(upstreams.begin(), upstreams.end(),
+                           [](auto const& u) { return u["upstream"] == "engine-0" && u["leaving"] == true; });
+    }));
+    auto const began = std::chrono::steady_clock::now();
+    f.engine(0).kill();
+    std::size_t ended = 0;
+    for (auto& stream : streams) {
+        auto const answer = stream.get();
+        bool const failed = answer.body_.find("\"error\"") != std::string::npos;
+        ended += failed ? 1 : 0;
+        CAPTURE(answer.body_);
+        CHECK(failed != (answer.body_.find("[DONE]") != std::string::npos));
+        CHECK((!failed || answer.body_.find("software version") != std::string::npos));
+    }
+    CHECK(ended == 1);
+    CHECK(std::chrono::steady_clock::now() - began < 8s);
+    CHECK(calls(1) == 1);
+}
+
 // Guards against a key that opens routes of another workspace.
 TEST_CASE("a key opens only the routes of its workspace", "[promise-4][process]")
 {
