auburnchuted: continue a cut stream only at an engine that resumes streams

Cause: only the engine that cut the stream was asked whether it resumes streams; the next one could be one that doesn't.

Change: a request that goes on after its first token waits only for upstreams whose report says that they resume streams. If one refuses the rest all the same, as its report was old, the answer ends with 502 and what is known of its execution; a refusal after a try that may have run is "unknown" in place of "not_run".

Not run: a report that says "resumes" of an engine that doesn't any more.

--- a/src/protocol/explain.cpp
+++ b/src/protocol/explain.cpp
@@ -69,8 +69,7 @@
            "The upstream %1 runs another software version than the one that began the answer; nothing of its "
            "answer was used."},
     phrase{"wait", "no_version",
-           "No upstream was left that runs the software version that began the answer, so it was not "
-           "continued."},
+           "No upstream was left that can continue the answer with the software version that began it."},
     phrase{"relay", "caller_left", "The caller closed the connection before the answer was complete."},
     phrase{"relay", "key_withdrawn",
            "The key was withdrawn while the answer was under way, so the answer was stopped."},
--- a/src/transport/model_call.cpp
+++ b/src/transport/model_call.cpp
@@ -319,6 +319,7 @@
         return std::nullopt;
     }
     bool const started_to_caller = tokens_ > 0;
+    wanted_.resumes_ = started_to_caller;
     auto const limit = started_to_caller ? time + stream_silence : context_.deadline_;
     bool const possible = !started_to_caller || was_resumable;
     if (possible &&
@@ -421,10 +422,10 @@
         if (item.result_ == try_result::answered) {
             note(services_, context_, "relay", "answered " + std::to_string(item.status_));
             answer_event failed;
-            failed.problem_ = make_problem(context_, item.status_, "bad-request", "relay",
-                                           "the upstream refused the request: " + item.detail_.substr(0, 300),
-                                           execution::not_run);
-            return finish(std::move(failed), "refused");
+            failed.problem_ = make_problem(
+                context_, first_seen_ ? 502 : item.status_, first_seen_ ? "upstream-failed" : "bad-request",
+                "relay", "the upstream refused the request: " + item.detail_.substr(0, 300), ran_);
+            return finish(std::move(failed), ran_ == execution::not_run ? "refused" : "failed");
         }
         if (auto ended = after_failure(item.result_, item.detail_)) {
             return std::move(*ended);
--- a/src/transport/request_context.cpp
+++ b/src/transport/request_context.cpp
@@ -312,9 +312,10 @@
         return make_stop_problem(services, context);
     case slot_verdict::no_version:
         note(services, context, "wait", "no_version");
-        return make_problem(context, 502, "upstream-failed", "relay",
-                            "no upstream is left that runs the software version that began the answer",
-                            execution::ran);
+        return make_problem(
+            context, 502, "upstream-failed", "relay",
+            "no upstream is left that can continue the answer with the software version that began it",
+            execution::ran);
     case slot_verdict::expired:
         break;
     }
--- a/src/transport/request_queue.cpp
+++ b/src/transport/request_queue.cpp
@@ -44,11 +44,12 @@
     return candidate;
 }
 
-/// True if the upstream's software version fits to what its caller has of the answer.
+/// True if the upstream may write the answer, or the rest of one that has begun.
 bool fits_answer(std::string const& name, upstream_status const& status, slot_request const& request)
 {
     return !request.software_version_ ||
            (status.software_version_ == *request.software_version_ &&
+            (status.resumes_streams_ || !request.resumes_) &&
             std::find(request.excluded_.begin(), request.excluded_.end(), name) == request.excluded_.end());
 }
 
--- a/src/transport/request_queue.hpp
+++ b/src/transport/request_queue.hpp
@@ -35,6 +35,7 @@
     bool isolated_{};
     std::string avoid_;                           ///< The upstream on which the request last failed.
     std::optional<std::string> software_version_; ///< Of an answer that has begun; no other may continue it.
+    bool resumes_{};                    ///< Only an upstream that resumes streams may continue the answer.
     std::vector<std::string> excluded_; ///< Upstreams whose answers to the request were of another version.
 };
 
--- a/tests/transport/fleet.hpp
+++ b/tests/transport/fleet.hpp
@@ -5,6 +5,7 @@
 
 #include <auburnchute/ids.hpp>
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <chrono>
 #include <cstddef>
@@ -82,6 +83,7 @@
     int max_replicas_{1};
     bool honours_fencing_{true};
     bool resumes_streams_{};
+    std::vector<std::size_t> never_resume_{};      ///< Engines to which `resumes_streams_` does not apply.
     std::vector<std::string> software_versions_{}; ///< Of the first engines; the others name none.
     std::int64_t rate_{100'000'000};
     std::int64_t burst_{1'000'000'000};
@@ -386,7 +388,8 @@
         if (options_.honours_fencing_) {
             arguments.emplace_back("--honours-fencing");
         }
-        if (options_.resumes_streams_) {
+        auto const& never = options_.never_resume_;
+        if (options_.resumes_streams_ && std::find(never.begin(), never.end(), index) == never.end()) {
             arguments.emplace_back("--resumes-streams");
         }
         if (index < options_.software_versions_.size() && !options_.software_versions_[index].empty()) {
--- a/tests/transport/fleet_test.cpp
+++ b/tests/transport/fleet_test.cpp
@@ -333,6 +333,44 @@
     CHECK(cut > 0);
 }
 
+// Guards against a stream that is continued at an engine which cannot, and so ends as one that did not run.
+TEST_CASE("a cut stream goes on only at an engine that resumes streams", "[promise-8][promise-9][process]")
+{
+    struct row {
+        int engines_; ///< Engine 0 cuts its answers, engine 1 does not resume them.
+        bool goes_on_;
+    };
+    auto const r = GENERATE(row{3, true}, row{2, false});
+    constexpr int tokens = 20;
+    fleet f{{.daemons_ = 1,
+             .engines_ = r.engines_,
+             .min_replicas_ = r.engines_,
+             .max_replicas_ = r.engines_,
+             .resumes_streams_ = true,
+             .never_resume_ = {1}}};
+    REQUIRE(eventually(10s, [&] {
+        return reported_versions(f, 0) == std::vector<std::string>(f.engines(), std::string{});
+    }));
+    fleet::fault(f.engine_address(0), {{"cut_after_tokens", 4}});
+    std::size_t cut = 0;
+    for (int i = 0; i < 10; ++i) {
+        auto const prompt = "story " + std::to_string(i);
+        auto const before = f.received_by(0, "/v1/chat/completions");
+        auto const answer = f.ask(0, "m", prompt, tokens);
+        bool const was_cut = f.received_by(0, "/v1/chat/completions") > before;
+        cut += was_cut ? 1 : 0;
+        CAPTURE(prompt, was_cut, answer.body_);
+        CHECK((answer.status_ == 200) == (r.goes_on_ || !was_cut));
+        if (answer.status_ == 200) {
+            CHECK(content_of(answer) == content_of(f.ask_engine(1, "m", prompt, tokens)));
+        } else {
+            CHECK(answer.status_ == 502);
+            CHECK(answer.json().value("execution", "") == "ran");
+        }
+    }
+    CHECK(cut > 0);
+}
+
 // Guards against a caller that waits although no engine is left that could go on with its answer.
 TEST_CASE("an answer whose software version has no engine left ends at once", "[promise-8][process]")
 {
