--- a/include/auburnchute/version_plan.hpp
+++ b/include/auburnchute/version_plan.hpp
@@ -35,11 +35,13 @@
 /// \brief Slots by which a version may have too many or too few before they move.
 inline constexpr std::size_t slot_tolerance = stream_slots / 8;
 
-/// \brief Longest time limit of a stream's caller that counts; streams of longer ones count as over by then.
+/// \brief Longest time limit of a stream's caller that counts; streams of longer ones count as over by then,
+/// and while there are any, nothing follows from what callers have left.
 inline constexpr millis max_time_limit{300'000};
 
-/// \brief Most eras of a model; no further one is begun before the oldest is over.
+/// \brief Most eras of a model from which slots move between versions that serve; and most of all.
 inline constexpr std::size_t max_eras = 16;
+inline constexpr std::size_t max_urgent_eras = 64;
 
 /// \brief Which version takes the new streams of each slot, from its beginning to the next era's.
 struct version_era {
@@ -104,7 +106,7 @@
                                                              millis now) noexcept;
 
 /// \returns A time after which the caller of a stream sent its first request, by what it has left of its time
-/// limit; none: it does not say. Its limit may be longer than the plan has it, if it began of late.
+/// limit; 0: it may have been at any time. \param left None: the caller states no limit.
 [[nodiscard]] millis began_after(version_plan const& plan, std::optional<millis> left,
                                  version_timing const& timing, millis now) noexcept;
 
@@ -137,7 +139,12 @@
 /// newest one; boot clock. 0: never.
 void date_eras(version_plan& plan, version_plan const* known, millis proof_at, millis now);
 
-/// \returns Whether each list has eras, each of their slots a version, and their numbers rise.
+/// \brief Numbers a plan that follows no known one. \param revision Higher than that of any plan of the
+/// service.
+void number_plan(version_plan& plan, std::uint64_t revision) noexcept;
+
+/// \returns Whether there is a list for all models, each list has eras, each of their slots a version, and
+/// their numbers rise.
 [[nodiscard]] bool is_valid(version_plan const& plan) noexcept;
 
 } // namespace auburnchute
--- a/src/coordination/version_plan.cpp
+++ b/src/coordination/version_plan.cpp
@@ -168,15 +168,14 @@
         eras.erase(eras.begin());
         changed = true;
     }
-    // A single era has followed others long ago, unless it is the first one.
-    bool const in_use =
-        (eras.size() == 1 && eras.back().number_ > 1) || now - eras.back().learned_at_ >= timing.fence_;
-    if (counts == nullptr || !in_use || eras.size() >= max_eras) {
+    bool const in_use = now - eras.back().learned_at_ >= timing.fence_;
+    if (counts == nullptr || !in_use || eras.size() >= max_urgent_eras) {
         return changed;
     }
     // By then most streams that began before the last move are over.
     bool const may_move =
-        eras.size() == 1 || now - eras.back().learned_at_ >= timing.fence_ + timing.begin_limit_;
+        eras.size() == 1 ||
+        (eras.size() < max_eras && now - eras.back().learned_at_ >= timing.fence_ + timing.begin_limit_);
     if (auto const owners = next_owners(eras.back(), *counts, may_move)) {
         eras.push_back(make_era(*owners, plan.revision_, now));
         changed = true;
@@ -201,6 +200,9 @@
     return only;
 }
 
+/// How long a request may wait unread; its caller gives it up then.
+constexpr millis unread_time{1'000};
+
 /// Limits are raised in steps, so that few writes do.
 constexpr millis limit_step{1'000};
 
@@ -347,9 +349,21 @@
 millis began_after(version_plan const& plan, std::optional<millis> left, version_timing const& timing,
                    millis now) noexcept
 {
-    auto const known_left = std::min(left.value_or(millis{0}), plan.longest_limit_);
-    // A limit that this VM does not know was stored within the fence, and its streams began later.
-    return now - std::max(plan.longest_limit_ - known_left, timing.fence_);
+    // A limit that the plan may not have, or one that its caller states anew with each request, tells
+    // nothing.
+    bool const tells =
+        left && plan.longest_limit_ < max_time_limit && *left + unread_time <= plan.longest_limit_;
+    return tells ? now - std::max(plan.longest_limit_ - *left + unread_time, timing.fence_) : millis{0};
+}
+
+void number_plan(version_plan& plan, std::uint64_t revision) noexcept
+{
+    plan.revision_ = revision;
+    for (auto& [model, eras] : plan.models_) {
+        for (auto& era : eras) {
+            era.number_ = revision;
+        }
+    }
 }
 
 void date_eras(version_plan& plan, version_plan const* known, millis proof_at, millis now)
@@ -378,16 +392,18 @@
 
 bool is_valid(version_plan const& plan) noexcept
 {
-    return std::all_of(plan.models_.begin(), plan.models_.end(), [](auto const& entry) {
-        auto const& eras = entry.second;
-        std::uint64_t before = 0;
-        return !eras.empty() && std::all_of(eras.begin(), eras.end(), [&](version_era const& era) {
-            bool const rises = era.number_ > before;
-            before = era.number_;
-            return rises && std::all_of(era.owners_.begin(), era.owners_.end(),
-                                        [&](std::uint8_t owner) { return owner < era.versions_.size(); });
-        });
-    });
+    return plan.models_.contains("") &&
+           std::all_of(plan.models_.begin(), plan.models_.end(), [](auto const& entry) {
+               auto const& eras = entry.second;
+               std::uint64_t before = 0;
+               return !eras.empty() && std::all_of(eras.begin(), eras.end(), [&](version_era const& era) {
+                   bool const rises = era.number_ > before;
+                   before = era.number_;
+                   return rises &&
+                          std::all_of(era.owners_.begin(), era.owners_.end(),
+                                      [&](std::uint8_t owner) { return owner < era.versions_.size(); });
+               });
+           });
 }
 
 } // namespace auburnchute
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -111,7 +111,7 @@
     need_names need_names_;
     std::uint64_t need_names_version_{}; ///< Configuration version of `need_names_`.
     std::list<waiting_call*> waiting_;
-    std::map<std::string, millis, std::less<>> longest_limits_; ///< Of streams' callers here, by service.
+    std::map<std::string, millis, std::less<>> longest_limits_;  ///< Of streams' callers here, by service.
     std::map<std::string, millis, std::less<>> plans_due_since_; ///< By service; see version_keeper.hpp.
     crash_evidence evidence_;
     std::map<trait_hash, kept_evidence> kept_evidence_; ///< Records in the store that this VM looks after.
--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -171,7 +171,9 @@
     if (auto refusal = refuse_take_up(node, job, now)) {
         return refusal;
     }
-    job.service_ = choose_service(*job.route_, stable_hash(job.call_.request_id_));
+    // A stream goes on at the service that began it.
+    auto const& stream = job.call_.stream_id_.empty() ? job.call_.request_id_ : job.call_.stream_id_;
+    job.service_ = choose_service(*job.route_, stable_hash(stream));
     job.engine_ = find_engine(*job.config_, job.service_);
     job.deadline_ = deadline_of(*job.route_, job.call_, job.arrived_);
     auto const left = job.deadline_ - job.arrived_;
--- a/src/transport/entry/plan_reader.cpp
+++ b/src/transport/entry/plan_reader.cpp
@@ -39,6 +39,7 @@
         return;
     }
     feed.offsets_[service] = offset;
+    feed.documents_[service] = document;
     auto plan = decode_plan(document);
     if (!plan) {
         log_failure("version-plan-unreadable", {{"service", service}, {"offset", offset}});
@@ -62,9 +63,10 @@
 {
     auto const& feed = reader.plans_;
     std::vector<plan_update> updates;
-    for (auto const& [service, plan] : feed.known_) {
-        updates.push_back({feed.offsets_.at(service), service, encode_plan(plan)});
+    for (auto const& [service, document] : feed.documents_) {
+        updates.push_back({feed.offsets_.at(service), service, document});
     }
+    reader.draft_.seen_plans_ = feed.next_ ? *feed.next_ + 1 : 0; // with what was read up to there
     reader.draft_.plans_ = std::make_shared<version_plans const>(feed.known_);
     reader.draft_.plan_updates_ = std::make_shared<std::vector<plan_update> const>(std::move(updates));
     publish(reader);
@@ -78,9 +80,13 @@
     for (auto const& [id, entry] : reader.registry_.entries_) {
         versions[entry.service_].insert(entry.software_version_);
     }
+    auto const& config = reader.draft_.config_;
     return std::any_of(versions.begin(), versions.end(), [&](auto const& service) {
         auto const plan = feed.known_.find(service.first);
-        return is_open(plan != feed.known_.end() ? &plan->second : nullptr, service.second);
+        if (plan != feed.known_.end()) {
+            return is_open(&plan->second, service.second);
+        }
+        return (!config || has_resumable_streams(*config, service.first)) && is_open(nullptr, service.second);
     });
 }
 
@@ -126,7 +132,7 @@
             for (auto const& record : newest.records_) {
                 take_plan(reader, record.key_, record.value_.value_or(""), record.offset_, "");
             }
-            feed.next_ = newest.next_offset_;
+            feed.next_ = std::max(feed.next_.value_or(0), newest.next_offset_);
         }
         publish_plans(reader);
         co_return;
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -207,6 +207,9 @@
     if (unreadable) {
         update.document_.reset();
     }
+    if (entry) {
+        reader.plans_.seen_[entry->service_].insert(entry->software_version_);
+    }
     auto const now = boot_now();
     bool const known = reader.registry_.entries_.contains(id);
     auto const applied = reader.registry_.applied_.find(id);
@@ -217,9 +220,6 @@
         reader.counters_.count("auburnchute_unreadable_entries_total");
         log_failure("upstream-unreadable", {{"upstream", id}, {"in_use", known}, {"told_by", told_by}});
     }
-    if (entry) {
-        reader.plans_.seen_[entry->service_].insert(entry->software_version_);
-    }
     auto const change = entry ? apply_entry(reader.registry_, std::move(*entry), update.offset_, now)
                               : apply_removal(reader.registry_, id, update.offset_, now);
     if (unreadable && !known) {
@@ -757,7 +757,6 @@
 void publish(store_reader& reader)
 {
     reader.draft_.upstreams_next_ = reader.upstreams_next_.value_or(0);
-    reader.draft_.seen_plans_ = reader.plans_.next_ ? *reader.plans_.next_ + 1 : 0;
     reader.shared_.cell_.publish(std::make_unique<entry_view const>(reader.draft_));
     if (reader.changed_) {
         reader.changed_();
--- a/src/transport/entry/version_keeper.cpp
+++ b/src/transport/entry/version_keeper.cpp
@@ -24,10 +24,11 @@
     return route.kind_ == route_type::stream && route.resumable_;
 }
 
-/// \returns The time for which the caller of a new stream waits, all its attempts together.
+/// \returns The time for which the caller of a new stream waits, all its attempts together; 0: it states
+/// none, and what it has left will tell nothing.
 millis limit_of(forward_job const& job) noexcept
 {
-    return std::min(job.call_.time_left_.value_or(max_time_limit), max_time_limit);
+    return std::min(job.call_.time_left_.value_or(millis{0}), max_time_limit);
 }
 
 std::set<std::string_view> services_with_resumable_streams(fleet_config const& config)
@@ -60,10 +61,20 @@
         if (engine == nullptr) {
             continue;
         }
-        auto const* const placement = find_placement(node.placements_, id, now);
-        for (auto const& model : engine->models_) {
-            if (is_usable(entry, placement != nullptr ? &placement->placement_ : nullptr, model.name_, "")) {
-                ++census.usable_[model.name_][entry.software_version_];
+        auto const* const known = find_placement(node.placements_, id, now);
+        auto const* const placement = known != nullptr ? &known->placement_ : nullptr;
+        std::set<std::string_view> held;
+        for (auto const& [model, state] : entry.models_) {
+            held.insert(model);
+        }
+        if (placement != nullptr) {
+            for (auto const& [model, state] : placement->models_) {
+                held.insert(model);
+            }
+        }
+        for (auto const model : held) {
+            if (is_usable(entry, placement, model, "")) {
+                ++census.usable_[std::string{model}][entry.software_version_];
             }
         }
     }
@@ -82,10 +93,11 @@
 void plan_once(entry_node& node)
 {
     auto const now = boot_now();
+    auto const proof_at =
+        millis{node.shared_.plans_proof_at_.load(std::memory_order_acquire)}; // before the plans
     auto const [config, upstreams, plans, seen_plans] = node.shared_.cell_.read([](entry_view const& view) {
         return std::tuple{view.config_, view.upstreams_, view.plans_, view.seen_plans_};
     });
-    auto const proof_at = millis{node.shared_.plans_proof_at_.load(std::memory_order_acquire)};
     if (!config || seen_plans == 0) {
         return;
     }
@@ -100,6 +112,9 @@
         auto const longest = limit != node.longest_limits_.end() ? limit->second : millis{0};
         auto const census = census_of(node, *config, service, *upstreams, now);
         auto next = next_plan(plan, census, timing, longest, now);
+        if (next && plan == nullptr) {
+            number_plan(*next, seen_plans); // above those of all records before
+        }
         if (!next) {
             node.plans_due_since_.erase(std::string{service});
             continue;
@@ -127,7 +142,7 @@
 bool takes_up_stream(forward_job const& job) noexcept
 {
     return job.route_->kind_ == route_type::stream &&
-           (!job.call_.resume_after_.empty() || !job.call_.stream_id_.empty());
+           (!job.call_.resume_after_.empty() || (job.route_->resumable_ && !job.call_.stream_id_.empty()));
 }
 
 bool needs_one_version(forward_job const& job) noexcept
@@ -160,15 +175,16 @@
     }
     bool const taken_up = takes_up_stream(job);
     auto const timing = timing_of(node);
-    auto const plans = node.shared_.cell_.read([](entry_view const& view) { return view.plans_; });
+    // The proof first: one of newer plans must not count for older ones.
     auto const proof_at = millis{node.shared_.plans_proof_at_.load(std::memory_order_acquire)};
+    auto const plans = node.shared_.cell_.read([](entry_view const& view) { return view.plans_; });
     if (proof_at == millis{0} || now - proof_at > (taken_up ? timing.fence_ : timing.begin_limit_)) {
         return {std::nullopt, version_fault::stale};
     }
     auto const plan = plans->find(job.service_);
     auto const* const eras = plan != plans->end() ? eras_of(plan->second, job.call_.model_) : nullptr;
     if (eras == nullptr) {
-        return {std::nullopt, taken_up ? version_fault::unknown : version_fault::awaited};
+        return {std::nullopt, version_fault::awaited}; // the first one is about to be stored
     }
     std::optional<std::string_view> version;
     if (taken_up) {
--- a/src/transport/entry/version_keeper.hpp
+++ b/src/transport/entry/version_keeper.hpp
@@ -9,7 +9,7 @@
 /// \brief Why a request has no version.
 enum class version_fault : std::uint8_t {
     none,
-    awaited, ///< A new stream; the VM will know within `fence_` where it may begin.
+    awaited, ///< The VM will know within `fence_` where the stream may begin, or has begun.
     unknown, ///< A stream that is taken up, and that more than one version may have begun.
     stale,   ///< This VM's knowledge is too old.
 };
--- a/tests/coordination/version_plan_test.cpp
+++ b/tests/coordination/version_plan_test.cpp
@@ -174,13 +174,17 @@
     CHECK(raised->longest_limit_ == millis{16'000});
     CHECK(raised->revision_ == plan.revision_ + 1);
     CHECK(raise_limit(plan, millis{1'000'000'000})->longest_limit_ == max_time_limit);
+    auto unbounded = plan;
+    unbounded.longest_limit_ = max_time_limit;
+    CHECK(began_after(unbounded, millis{12'000}, timing, millis{100'000}) == millis{0});
     struct row {
         std::optional<millis> left_;
         millis after_;
     };
-    for (auto const& row : {row{std::nullopt, millis{85'000}}, row{millis{0}, millis{85'000}},
-                            row{millis{12'000}, millis{97'000}}, row{millis{14'000}, millis{98'000}},
-                            row{millis{15'000}, millis{98'000}}, row{millis{16'000}, millis{98'000}}}) {
+    for (auto const& row :
+         {row{std::nullopt, millis{0}}, row{millis{0}, millis{84'000}}, row{millis{12'000}, millis{96'000}},
+          row{millis{14'000}, millis{98'000}}, row{millis{14'001}, millis{0}}, row{millis{15'000}, millis{0}},
+          row{millis{200'000}, millis{0}}}) {
         CHECK(began_after(plan, row.left_, timing, millis{100'000}) == row.after_);
     }
 }
@@ -241,7 +245,10 @@
         return is_valid(plan);
     };
     CHECK(change([](version_plan&) {}));
+    CHECK(change([](version_plan& plan) { number_plan(plan, 9); }));
     CHECK_FALSE(change([](version_plan& plan) { plan.models_[""].clear(); }));
+    CHECK_FALSE(change([](version_plan& plan) { plan.models_.clear(); }));
+    CHECK_FALSE(change([](version_plan& plan) { plan.models_["m"] = plan.models_.extract("").mapped(); }));
     CHECK_FALSE(change([](version_plan& plan) { plan.models_[""][0].owners_[5] = 2; }));
     CHECK_FALSE(change([](version_plan& plan) { plan.models_[""][0].versions_.clear(); }));
     CHECK_FALSE(change([](version_plan& plan) { plan.models_[""].push_back(plan.models_[""][0]); }));
@@ -284,6 +291,7 @@
         std::string id_;
         std::string version_;
         millis began_{};
+        millis limit_{}; ///< Of its caller.
     };
 
     int pick(int below) { return static_cast<int>(random_() % static_cast<std::uint64_t>(below)); }
@@ -362,7 +370,7 @@
         }
         auto const id = id_of(begun_);
         if (auto const version = version_of_new(*eras_of(*one.plan_, ""), id, timing, now_)) {
-            streams_.push_back({id, std::string{*version}, now_});
+            streams_.push_back({id, std::string{*version}, now_, millis{2'000 + pick(13'001)}});
             used_.insert(std::string{*version});
             ++begun_;
         }
@@ -370,7 +378,7 @@
 
     void take_streams_up()
     {
-        std::erase_if(streams_, [&](stream const& each) { return now_ - each.began_ >= longest; });
+        std::erase_if(streams_, [&](stream const& each) { return now_ - each.began_ >= each.limit_; });
         if (streams_.empty()) {
             return;
         }
@@ -380,7 +388,7 @@
                 now_ - one.proof_at_ > timing.fence_) {
                 continue;
             }
-            auto const left = longest - (now_ - taken.began_);
+            auto const left = taken.limit_ - (now_ - taken.began_);
             auto const version = version_of_begun(*eras_of(*one.plan_, ""), taken.id_,
                                                   began_after(*one.plan_, left, timing, now_), timing, now_);
             ++(version ? taken_up_ : refused_);
