--- a/src/transport/entry/version_keeper.cpp
+++ b/src/transport/entry/version_keeper.cpp
@@ -24,11 +24,14 @@
     return route.kind_ == route_type::stream && route.resumable_;
 }
 
-/// \returns The time for which the caller of a new stream waits, all its attempts together; 0: it states
-/// none, and what it has left will tell nothing.
+/// Time for which a caller that states no limit counts as waiting, at least.
+constexpr millis least_unstated_limit{30'000};
+
+/// \returns The time for which the caller of a new stream waits, all its attempts together.
 millis limit_of(forward_job const& job) noexcept
 {
-    return std::min(job.call_.time_left_.value_or(millis{0}), max_time_limit);
+    auto const unstated = std::max(job.route_->timeout_, least_unstated_limit);
+    return std::min(job.call_.time_left_.value_or(unstated), max_time_limit);
 }
 
 std::set<std::string_view> services_with_resumable_streams(fleet_config const& config)
@@ -98,6 +101,7 @@
     auto const [config, upstreams, plans, seen_plans] = node.shared_.cell_.read([](entry_view const& view) {
         return std::tuple{view.config_, view.upstreams_, view.plans_, view.seen_plans_};
     });
+    node.counters_.gauge("auburnchute_version_plans", "", static_cast<double>(plans->size()));
     if (!config || seen_plans == 0) {
         return;
     }
--- a/tests/transport/entry/entry_world.hpp
+++ b/tests/transport/entry/entry_world.hpp
@@ -48,6 +48,9 @@
         }
         start_daemon(ip_, "front-a-1", "a", more_settings);
         REQUIRE(eventually(limit, [&] { return ready() && served(); }));
+        // The daemon has stored how versions share streams; until then a stream waits.
+        REQUIRE((upstreams_.empty() ||
+                 eventually(limit, [&] { return metric(ip_, "auburnchute_version_plans") > 0; })));
     }
     ~entry_world()
     {
