Read the installation's terms and limits, and say where decisions under load are made

Cause: what is new for the two customers with hard load may act only where an installation calls for it, and the daemon knew neither the terms agreed with the platform nor the limits of its process. Change: the settings agreements, memory_mb and max_descriptors; serves_contested_load says whether requests compete for room here, by the terms or as upstreams tell how fast their machines are.

--- a/src/protocol/entry_settings.cpp
+++ b/src/protocol/entry_settings.cpp
@@ -69,6 +69,9 @@
     add("retry_ratio", false, into.retry_ratio_);
     add("retry_extra", false, into.retry_extra_);
     add("load_window_s", false, into.load_window_);
+    add("agreements", false, into.agreements_);
+    add("memory_mb", false, into.memory_mb_);
+    add("max_descriptors", false, into.max_descriptors_);
     return keys;
 }
 
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -1,5 +1,6 @@
 #include "transport/entry/entry_node.hpp"
 
+#include "platform/agreements.hpp"
 #include "protocol/decision_log.hpp"
 
 #include <auburnchute/ids.hpp>
@@ -12,6 +13,11 @@
 
 namespace auburnchute {
 
+bool serves_contested_load(entry_node const& node) noexcept
+{
+    return node.upstreams_tell_pace_ || platform::names_contested_load(node.settings_.agreements_);
+}
+
 request_view current_view(entry_node const& node)
 {
     return node.shared_.cell_.read([](entry_view const& view) {
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -107,6 +107,7 @@
     std::map<std::string, workspace_use, std::less<>> workspaces_;
     std::uint64_t limits_version_{}; ///< Configuration version that the buckets follow.
     std::map<std::string, own_use, std::less<>> upstreams_; ///< By upstream id.
+    bool upstreams_tell_pace_{}; ///< An upstream has told how fast its machine is at the moment.
     std::map<need_key, own_need> needs_;
     need_names need_names_;
     std::uint64_t need_names_version_{}; ///< Configuration version of `need_names_`.
@@ -148,6 +149,10 @@
     return node.stop_ && node.stop_->closing_;
 }
 
+/// \returns Whether requests compete for room at this installation: its settings say so, or its upstreams
+/// share their machines with others and tell so. Decisions under load are made only there.
+[[nodiscard]] bool serves_contested_load(entry_node const& node) noexcept;
+
 /// \returns The current view's parts that a request needs. Thread safety: any thread.
 struct request_view {
     std::shared_ptr<fleet_config const> config_;
--- a/tests/protocol/entry_settings_test.cpp
+++ b/tests/protocol/entry_settings_test.cpp
@@ -24,12 +24,17 @@
 {
     auto const read =
         parse_entry_settings("entry.yaml", complete + "shutdown_grace_s: 7.5\norder_lease_ms: 2500\n"
-                                                      "first_start: true\nretry_ratio: 0.15\n");
+                                                      "first_start: true\nretry_ratio: 0.15\n"
+                                                      "agreements: [base, quota]\nmemory_mb: 260.5\n"
+                                                      "max_descriptors: 4100\n");
     CHECK(read.values_.vm_ == "front-a-1");
     CHECK(read.values_.shutdown_grace_ == millis{7'500});
     CHECK(read.values_.order_lease_ == millis{2'500});
     CHECK(read.values_.first_start_);
     CHECK(read.values_.retry_ratio_ == Approx(0.15));
+    CHECK(read.values_.agreements_ == std::vector<std::string>{"base", "quota"});
+    CHECK(read.values_.memory_mb_ == Approx(260.5));
+    CHECK(read.values_.max_descriptors_ == Approx(4'100));
     CHECK(read.unknown_.empty());
 }
 
