--- a/include/auburnchute/shared_bucket.hpp
+++ b/include/auburnchute/shared_bucket.hpp
@@ -88,6 +88,14 @@
 /// \brief How long a VM counts as just started; the first message of every peer arrives within it.
 inline constexpr millis startup_period{2'000};
 
+/// \returns Level that a request of these units needs; one above the capacity needs a full bucket.
+/// \param share As in `peer_visibility`. Thread safety: pure.
+[[nodiscard]] double required_level(shared_bucket const& bucket, double units, double share) noexcept;
+
+/// \returns Level that this VM may spend from: that of its share while it does not receive from all members.
+/// Thread safety: pure.
+[[nodiscard]] double usable_level(shared_bucket const& bucket) noexcept;
+
 /// \returns Time until the level suffices for these units if nothing is spent meanwhile. \pre `refill` was
 /// called with the present time. Thread safety: pure.
 [[nodiscard]] millis time_until_available(shared_bucket const& bucket, double units, double share) noexcept;
--- a/src/coordination/shared_bucket.cpp
+++ b/src/coordination/shared_bucket.cpp
@@ -10,20 +10,18 @@
 /// Lower bound of the period that a new moving average covers; one or two messages arrive in it.
 constexpr double min_average_span_ms = 200.0;
 
-/// Level that a request of these units needs; one above the capacity needs a full bucket.
+} // namespace
+
 double required_level(shared_bucket const& bucket, double units, double share) noexcept
 {
     return std::min(units, bucket.burst_ * share);
 }
 
-/// Level that this VM may spend from: that of its share while it does not receive from all members.
 double usable_level(shared_bucket const& bucket) noexcept
 {
     return bucket.local_share_ < 1.0 ? bucket.local_level_ : bucket.level_;
 }
 
-} // namespace
-
 void set_limit(shared_bucket& bucket, double rate, double burst, millis now) noexcept
 {
     bool const unlimited_before = bucket.rate_ <= 0;
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -7,6 +7,7 @@
 #include "transport/entry/listen.hpp"
 #include "transport/entry/upstream_booking.hpp"
 #include "transport/entry/version_keeper.hpp"
+#include "transport/entry/wait_keeper.hpp"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -724,6 +725,9 @@
         auto outcome = co_await try_upstream(job, request, *chosen.upstream_);
         job.on_trial_ = job.on_trial_ && outcome.result_ == try_result::not_sent;
         last_status_ = outcome.status_;
+        if (outcome.result_ != try_result::not_sent) {
+            note_room(node_, job, boot_now());
+        }
         if (outcome.withdrawn_) {
             continue;
         }
@@ -806,6 +810,10 @@
                          {"placement_age_ms", (now - node_.placements_.holder_message_at_).count_}});
             co_return own_answer{unavailable, "load-too-late", load + least_retry_after};
         }
+    } else if (waits_by_turn(node_, chosen)) {
+        if (auto refusal = refuse_wait(node_, job, now)) {
+            co_return refusal;
+        }
     } else if (now - job.arrived_ > (job.first_deadline_ - job.arrived_) / 2) {
         co_return own_answer{unavailable,
                              fault == choice_fault::version_awaited ? "version-awaited" : "upstreams-full",
@@ -814,7 +822,11 @@
     wake_event wake{node_.loop_};
     auto const key = need_of(job);
     waiting_call entry{job.urgency_, job.arrived_, job.deadline_, key, name_hash_of(key), &wake};
+    entry.job_ = waits_by_turn(node_, chosen) ? &job : nullptr;
     node_.waiting_.push_back(&entry);
+    if (chosen.yielded_ && !std::exchange(job.waited_, true)) {
+        wake_waiting(node_); // those that come first may not know of the room yet
+    }
     auto& need = need_of(node_, entry.need_);
     if (++need.waiting_ == 1 && node_.need_changed_) {
         node_.need_changed_();
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/agreements.hpp"
 #include "protocol/decision_log.hpp"
+#include "transport/entry/wait_keeper.hpp"
 
 #include <auburnchute/ids.hpp>
 #include <auburnchute/order_lease.hpp>
@@ -349,9 +350,13 @@
 
 void wake_waiting(entry_node& node)
 {
-    node.waiting_.sort([](waiting_call const* a, waiting_call const* b) {
-        return std::tie(a->urgency_, a->arrived_) < std::tie(b->urgency_, b->arrived_);
-    });
+    if (serves_contested_load(node)) {
+        sort_by_turn(node, boot_now());
+    } else {
+        node.waiting_.sort([](waiting_call const* a, waiting_call const* b) {
+            return std::tie(a->urgency_, a->arrived_) < std::tie(b->urgency_, b->arrived_);
+        });
+    }
     for (auto* const call : node.waiting_) {
         call->wake_->notify();
     }
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -10,6 +10,7 @@
 #include <auburnchute/answer_ledger.hpp>
 #include <auburnchute/crash_evidence.hpp>
 #include <auburnchute/fleet_exchange.hpp>
+#include <auburnchute/limit_order.hpp>
 #include <auburnchute/model_need.hpp>
 #include <auburnchute/placement_table.hpp>
 #include <auburnchute/request_attributes.hpp>
@@ -18,6 +19,7 @@
 #include <auburnchute/shutdown_plan.hpp>
 #include <auburnchute/upstream_choice.hpp>
 #include <auburnchute/upstream_signals.hpp>
+#include <auburnchute/wait_order.hpp>
 
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
@@ -37,6 +39,8 @@
     shared_bucket bucket_;
     std::int64_t used_{};  ///< Units spent by this VM since its start.
     std::int64_t asked_{}; ///< Units that it was asked for since its start.
+    limit_order order_;    ///< Under contested load.
+    millis order_logged_at_{};
 };
 
 /// \brief This VM's own requests at an upstream, and what it learned about the upstream from them.
@@ -58,6 +62,8 @@
     millis rated_at_{};
 };
 
+struct forward_job;
+
 /// \brief A request that waits for an upstream.
 struct waiting_call {
     std::int64_t urgency_{};
@@ -66,6 +72,7 @@
     need_key need_;
     name_hash need_hash_{};
     wake_event* wake_{};
+    forward_job const* job_{}; ///< While it waits for room under contested load; else null.
 };
 
 /// \brief Models and adapters by the hashes that messages carry.
@@ -112,6 +119,7 @@
     need_names need_names_;
     std::uint64_t need_names_version_{}; ///< Configuration version of `need_names_`.
     std::list<waiting_call*> waiting_;
+    std::map<need_key, room_pace> paces_; ///< Under contested load; by service and model.
     std::map<std::string, millis, std::less<>> longest_limits_;  ///< Of streams' callers here, by service.
     std::map<std::string, millis, std::less<>> plans_due_since_; ///< By service; see version_keeper.hpp.
     crash_evidence evidence_;
--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -2,8 +2,10 @@
 
 #include "protocol/decision_log.hpp"
 #include "transport/entry/event_stream.hpp"
+#include "transport/entry/limit_keeper.hpp"
 #include "transport/entry/peer_exchange.hpp"
 #include "transport/entry/version_keeper.hpp"
+#include "transport/entry/wait_keeper.hpp"
 
 #include <auburnchute/ids.hpp>
 #include <auburnchute/upstream_choice.hpp>
@@ -79,6 +81,9 @@
                                 .propagation_delay_ = propagation_delay(node.exchange_),
                                 .draw_ = static_cast<double>(stable_hash(job.call_.request_id_) % draws) /
                                          static_cast<double>(draws)};
+    if (serves_contested_load(node)) {
+        return charge_in_order(node, job, use, wanted, now);
+    }
     if (!try_spend(use.bucket_, wanted, now)) {
         log_failure("rate-limited", {{"id", job.call_.request_id_},
                                      {"workspace", job.workspace_->name_},
@@ -321,6 +326,11 @@
         return chosen;
     }
     auto const& entry = *entries[best->index_];
+    if (yields_room(node, job, entry, now)) {
+        chosen.fault_ = choice_fault::all_full;
+        chosen.yielded_ = true;
+        return chosen;
+    }
     auto const& option = options[best->index_];
     chosen.upstream_ =
         chosen_upstream{entry.id_,       entry.address_,        entry.started_at_,    entry.software_version_,
--- a/src/transport/entry/forward_job.hpp
+++ b/src/transport/entry/forward_job.hpp
@@ -39,6 +39,7 @@
     millis first_event_at_{};
     millis sent_at_{};                  ///< Of the last try.
     millis answer_began_at_{};          ///< When the body of the last try's answer began; 0: it has not.
+    bool waited_{};                     ///< It has found no room before.
     bool on_trial_{};                   ///< Tries blocked traits again, and has not been sent yet.
     std::vector<request_trait> traits_; ///< Computed when first needed; see `traits_of`.
 };
@@ -89,6 +90,7 @@
     std::optional<chosen_upstream> upstream_;
     choice_fault fault_{choice_fault::no_upstream}; ///< If no upstream was chosen.
     millis held_until_{};                           ///< With `all_held`: when the first may be asked again.
+    bool yielded_{}; ///< With `all_full`: there is room, for which others wait that come first.
 };
 
 /// \brief Chooses the upstream of a request from the current view.
