--- a/include/auburnchute/request_attributes.hpp
+++ b/include/auburnchute/request_attributes.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <auburnchute/clock.hpp>
+#include <auburnchute/upstream_load.hpp>
 #include <auburnchute/upstream_signals.hpp>
 
 #include <cstdint>
@@ -37,13 +38,12 @@
 
 /// \brief What the headers of an upstream's response state.
 struct response_attributes {
-    std::string request_id_;              ///< Empty if the upstream echoed none.
-    bool not_run_{};                      ///< The upstream states that it did not run the request.
-    bool has_response_stamp_{};           ///< Carries a stamp of the upstream, which callers verify.
-    bool closes_connection_{};            ///< The upstream closes the connection after this response.
-    std::optional<std::int64_t> running_; ///< Requests that run on the upstream.
-    std::optional<std::int64_t> waiting_; ///< Requests that wait on the upstream.
-    std::optional<millis> keep_alive_;    ///< How long the upstream keeps an idle connection open.
+    std::string request_id_;            ///< Empty if the upstream echoed none.
+    bool not_run_{};                    ///< The upstream states that it did not run the request.
+    bool has_response_stamp_{};         ///< Carries a stamp of the upstream, which callers verify.
+    bool closes_connection_{};          ///< The upstream closes the connection after this response.
+    std::optional<reported_load> load_; ///< What the upstream tells of its load.
+    std::optional<millis> keep_alive_;  ///< How long the upstream keeps an idle connection open.
     answer_signals signals_;
 };
 
--- a/include/auburnchute/upstream_choice.hpp
+++ b/include/auburnchute/upstream_choice.hpp
@@ -22,6 +22,9 @@
     bool same_zone_{};              ///< In the availability zone of this VM.
     bool recently_failed_{};        ///< Chosen only if all others are full or much slower.
     bool already_tried_{};          ///< The request was already sent to it.
+    double slowness_{1};            ///< How long work takes on it; 1: as usual. See `slowness_of`.
+    /// Requests that its pace leaves room for; none: it has no pace. Negative if it holds more.
+    std::optional<std::int64_t> window_left_{};
 };
 
 /// \brief Properties of the request that the choice depends on.
@@ -31,6 +34,10 @@
     std::int64_t output_tokens_{}; ///< Expected length of the answer.
     std::uint64_t prefix_hash_{};  ///< Hash of the shared prefix; 0 if there is none.
     std::uint64_t tie_breaker_{};  ///< Value per request that breaks ties between candidates.
+    bool contested_{};             ///< Requests compete for room; the fields below count only then.
+    double unheard_{};             ///< Requests that other VMs are likely to have sent unknown to this one.
+    double usual_answer_ms_{};     ///< Of a plain service, until it answers; 0: not known.
+    bool last_resort_{};           ///< It is refused soon if none takes it; a pace gives way to it.
 };
 
 /// \brief The chosen upstream.
@@ -38,6 +45,8 @@
     std::size_t index_{};          ///< Position in the candidates.
     std::int64_t unread_tokens_{}; ///< Prompt tokens of the request that the upstream has to prefill.
     double expected_ms_{};         ///< Expected time until the answer begins, without the excess latency.
+    double work_ms_{};             ///< The part of it that is the request's own work at the usual pace.
+    double wait_ms_{};             ///< The part for known requests before it at the usual pace.
 };
 
 /// \brief By how much an upstream's answers begin later than expected, as a moving average. It decays over
@@ -63,9 +72,15 @@
 ///
 /// Requests with the same prompt prefix prefer the same upstream on every VM, by rendezvous hashing, because
 /// its cache holds the prefix. Another one is chosen if the preferred upstream's delay is longer by more than
-/// the prefill of the prefix takes. \returns None if all candidates are full for this request or were already
-/// tried. Thread safety: pure.
+/// the prefill of the prefix takes.
+///
+/// Where requests compete for room, work takes as long as the upstream's slowness says, the second and the
+/// third upstream by the hashing take what the first can't, and the request is not always sent to the best
+/// one: all VMs see the same best one until they hear of each other's requests. So the requests unheard of
+/// are laid where they would be expected to answer first, as water fills a vessel, and the choice is drawn in
+/// proportion. A pace keeps the share of its process to what its window leaves. \returns None if all
+/// candidates are full for this request or were already tried. Thread safety: pure.
 [[nodiscard]] std::optional<selected_candidate>
-choose_upstream(std::span<upstream_candidate const> candidates, choice_request const& request) noexcept;
+choose_upstream(std::span<upstream_candidate const> candidates, choice_request const& request);
 
 } // namespace auburnchute
--- a/src/coordination/upstream_choice.cpp
+++ b/src/coordination/upstream_choice.cpp
@@ -3,7 +3,9 @@
 #include <auburnchute/ids.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <vector>
 
 namespace auburnchute {
 
@@ -41,6 +43,17 @@
 /// requests.
 constexpr double plain_queue_factor = 1.5;
 
+/// Part of a shared prefix that the upstreams before others are taken to hold, by their rank in the hashing:
+/// what the first can't take goes to the second, and then to the third, which come to hold it too.
+constexpr std::array<double, 3> prefix_held{1.0, 0.5, 0.25};
+
+/// Part of what a window leaves that the VMs fill unknown to each other. The draw keeps to it on the average
+/// only, so the rest is for chance.
+constexpr double window_drawn = 0.5;
+
+/// Rounds in which the level of the draw is narrowed down; each halves the error.
+constexpr int level_rounds = 24;
+
 bool is_full(upstream_candidate const& candidate, choice_request const& request) noexcept
 {
     if (candidate.kv_tokens_ == 0) {
@@ -57,17 +70,180 @@
     return std::max<std::int64_t>(request.prompt_tokens_ - (preferred ? request.shared_tokens_ : 0), 0);
 }
 
-double expected_delay(upstream_candidate const& candidate, choice_request const& request,
-                      bool preferred) noexcept
+/// Times in ms at the usual pace.
+struct delay_parts {
+    double wait_{};
+    double work_{};
+};
+
+/// \returns By how much each request of a plain service delays the next one, in ms at the usual pace.
+double service_step(upstream_candidate const& candidate, choice_request const& request) noexcept
+{
+    bool const known = request.contested_ && request.usual_answer_ms_ > 0;
+    return (known ? request.usual_answer_ms_ : delay_per_service_request_ms) /
+           static_cast<double>(std::max<std::int64_t>(candidate.slots_, 1));
+}
+
+/// \param unread Prompt tokens of the request that the upstream has to read.
+delay_parts usual_delay(upstream_candidate const& candidate, choice_request const& request,
+                        double unread) noexcept
 {
-    auto delay = candidate.same_zone_ ? 0.0 : cross_zone_penalty_ms;
     if (candidate.kv_tokens_ == 0) {
-        return delay + delay_per_service_request_ms * static_cast<double>(candidate.running_) /
-                           static_cast<double>(std::max<std::int64_t>(candidate.slots_, 1));
+        return {service_step(candidate, request) * static_cast<double>(candidate.running_),
+                request.contested_ ? request.usual_answer_ms_ : 0.0};
     }
-    auto const unread = candidate.unread_tokens_ + unread_prompt_tokens(request, preferred);
-    return delay + static_cast<double>(unread) / prompt_tokens_per_ms +
-           delay_per_engine_request_ms * static_cast<double>(candidate.running_);
+    return {static_cast<double>(candidate.unread_tokens_) / prompt_tokens_per_ms +
+                delay_per_engine_request_ms * static_cast<double>(candidate.running_),
+            unread / prompt_tokens_per_ms};
+}
+
+double expected_delay(upstream_candidate const& candidate, choice_request const& request,
+                      delay_parts const& usual) noexcept
+{
+    return (candidate.same_zone_ ? 0.0 : cross_zone_penalty_ms) +
+           (usual.wait_ + usual.work_) * (request.contested_ ? candidate.slowness_ : 1.0);
+}
+
+/// An upstream that may be chosen.
+struct option {
+    std::size_t index_{};
+    double delay_{}; ///< By which the options are compared.
+    double step_{1}; ///< By how much a further request like this one delays the next.
+    double most_{};  ///< Requests that it may be given.
+};
+
+/// Requests that an option gets if all are filled up to the level.
+double share_at(option const& from, double level) noexcept
+{
+    return std::clamp((level - from.delay_) / from.step_, 0.0, from.most_);
+}
+
+/// \returns The level up to which the options take `requests` in all. \pre There is an option.
+double level_of(std::span<option const> options, double requests) noexcept
+{
+    double low = options.front().delay_;
+    double high = low;
+    for (auto const& each : options) {
+        low = std::min(low, each.delay_);
+        high = std::max(high, each.delay_ + each.step_ * requests);
+    }
+    for (int round = 0; round < level_rounds; ++round) {
+        auto const middle = (low + high) / 2;
+        double taken = 0;
+        for (auto const& each : options) {
+            taken += share_at(each, middle);
+        }
+        (taken < requests ? low : high) = middle;
+    }
+    return high;
+}
+
+/// \returns The position of the option drawn in proportion to what it would be given, by the tie breaker.
+std::size_t draw(std::span<option const> options, double requests, std::uint64_t tie_breaker)
+{
+    auto const level = level_of(options, requests);
+    double sum = 0;
+    for (auto const& each : options) {
+        sum += share_at(each, level);
+    }
+    // 53 bits, as many as a double holds.
+    auto left = sum * static_cast<double>(stable_hash("draw", tie_breaker) >> 11U) * 0x1p-53;
+    std::size_t last = 0;
+    for (std::size_t i = 0; i < options.size(); ++i) {
+        auto const share = share_at(options[i], level);
+        if (share <= 0) {
+            continue;
+        }
+        if (left < share) {
+            return i;
+        }
+        left -= share;
+        last = i;
+    }
+    return last;
+}
+
+/// Ranks of the candidates that come first for a prefix, by rendezvous hashing.
+std::array<std::optional<std::size_t>, prefix_held.size()>
+first_for_prefix(std::span<upstream_candidate const> candidates, std::uint64_t prefix) noexcept
+{
+    std::array<std::optional<std::size_t>, prefix_held.size()> first{};
+    std::array<std::uint64_t, prefix_held.size()> weights{};
+    for (std::size_t i = 0; i < candidates.size() && prefix != 0; ++i) {
+        auto weight = stable_hash(candidates[i].id_, prefix);
+        auto index = i;
+        for (std::size_t rank = 0; rank < first.size(); ++rank) {
+            if (!first[rank]) {
+                first[rank] = index;
+                weights[rank] = weight;
+                break;
+            }
+            if (weight > weights[rank]) {
+                std::swap(weight, weights[rank]);
+                std::swap(index, *first[rank]);
+            }
+        }
+    }
+    return first;
+}
+
+/// Whether no candidate without a pace has room.
+bool has_only_paced(std::span<upstream_candidate const> candidates, choice_request const& request) noexcept
+{
+    return std::none_of(candidates.begin(), candidates.end(), [&](upstream_candidate const& each) {
+        return !each.window_left_ && !each.already_tried_ && !each.recently_failed_ &&
+               !is_full(each, request);
+    });
+}
+
+std::optional<selected_candidate> choose_contested(std::span<upstream_candidate const> candidates,
+                                                   choice_request const& request)
+{
+    auto const first = first_for_prefix(candidates, request.prefix_hash_);
+    bool const only_paced = has_only_paced(candidates, request);
+    std::vector<option> options;
+    std::vector<selected_candidate> results;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        auto const& each = candidates[i];
+        if (each.already_tried_ || is_full(each, request)) {
+            continue;
+        }
+        auto most = std::max(request.unheard_, 1.0);
+        if (each.window_left_ && !(only_paced && request.last_resort_)) {
+            if (*each.window_left_ <= 0) {
+                continue;
+            }
+            most = std::min(most, static_cast<double>(*each.window_left_) * window_drawn);
+        }
+        auto const rank = static_cast<std::size_t>(std::find(first.begin(), first.end(), i) - first.begin());
+        auto const held = rank < prefix_held.size() ? prefix_held[rank] : 0.0;
+        auto const unread = std::max(static_cast<double>(request.prompt_tokens_) -
+                                         held * static_cast<double>(request.shared_tokens_),
+                                     0.0);
+        auto const usual = usual_delay(each, request, unread);
+        auto const expected = expected_delay(each, request, usual);
+        auto const step =
+            (each.kv_tokens_ == 0 ? service_step(each, request) : usual.work_ + delay_per_engine_request_ms) *
+            each.slowness_;
+        results.push_back({i, unread_prompt_tokens(request, rank == 0), expected, usual.work_, usual.wait_});
+        options.push_back(
+            {i,
+             expected + each.excess_latency_ms_ + (each.recently_failed_ ? recent_failure_penalty_ms : 0.0),
+             std::max(step, 1.0), most});
+    }
+    if (options.empty()) {
+        return std::nullopt;
+    }
+    if (request.unheard_ > 0) {
+        return results[draw(options, request.unheard_, request.tie_breaker_)];
+    }
+    auto const best = std::min_element(options.begin(), options.end(), [&](option const& a, option const& b) {
+        auto const tie = [&](option const& of) {
+            return ~stable_hash(candidates[of.index_].id_, request.tie_breaker_);
+        };
+        return a.delay_ != b.delay_ ? a.delay_ < b.delay_ : tie(a) < tie(b);
+    });
+    return results[static_cast<std::size_t>(best - options.begin())];
 }
 
 } // namespace
@@ -87,8 +263,11 @@
 }
 
 std::optional<selected_candidate> choose_upstream(std::span<upstream_candidate const> candidates,
-                                                  choice_request const& request) noexcept
+                                                  choice_request const& request)
 {
+    if (request.contested_) {
+        return choose_contested(candidates, request);
+    }
     std::optional<std::size_t> preferred;
     std::uint64_t preferred_weight = 0;
     for (std::size_t i = 0; i < candidates.size() && request.prefix_hash_ != 0; ++i) {
@@ -106,7 +285,9 @@
         if (candidates[i].already_tried_ || is_full(candidates[i], request)) {
             continue;
         }
-        auto const expected = expected_delay(candidates[i], request, preferred == i);
+        auto const unread = static_cast<double>(unread_prompt_tokens(request, preferred == i));
+        auto const expected =
+            expected_delay(candidates[i], request, usual_delay(candidates[i], request, unread));
         auto const delay = expected + candidates[i].excess_latency_ms_ +
                            (candidates[i].recently_failed_ ? recent_failure_penalty_ms : 0.0);
         auto const tie_breaker = stable_hash(candidates[i].id_, request.tie_breaker_);
@@ -118,7 +299,7 @@
         }
     }
     return best ? std::optional{selected_candidate{*best, unread_prompt_tokens(request, preferred == best),
-                                                   best_expected}}
+                                                   best_expected, 0, 0}}
                 : std::nullopt;
 }
 
--- a/src/protocol/metrics.cpp
+++ b/src/protocol/metrics.cpp
@@ -74,6 +74,8 @@
     description{"auburnchute_crashed_requests_total", "answer",
                 "Requests whose upstream crashed, by whether their answer had begun."},
     description{"auburnchute_blocked_traits", "", "Prompt parts and whole requests that are refused."},
+    description{"auburnchute_upstream_paces", "", "Upstreams whose pace limits their requests at this VM."},
+    description{"auburnchute_upstream_pace_total", "event", "Paces begun, by cause, and ended."},
     description{"auburnchute_crash_records", "", "Records of crash evidence that this VM holds."},
     description{"auburnchute_relays", "", "Whether this VM passes on what other VMs tell."},
     description{"auburnchute_first_event_ms", "route",
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -6,6 +6,7 @@
 #include "transport/entry/forward_job.hpp"
 #include "transport/entry/listen.hpp"
 #include "transport/entry/upstream_booking.hpp"
+#include "transport/entry/upstream_keeper.hpp"
 #include "transport/entry/version_keeper.hpp"
 
 #include <algorithm>
@@ -1002,6 +1003,7 @@
         }
         auto const reply = platform::parse_response_attributes(head->get().base());
         take_signals(node_, upstream.id_, upstream.started_at_, reply.signals_);
+        take_load(node_, upstream.id_, reply.load_, boot_now());
         if (!reply.request_id_.empty() && reply.request_id_ != job.call_.request_id_) {
             whole_answer_parser skipped{std::move(*head)};
             auto const held = hold_answer(connection);
@@ -1292,6 +1294,9 @@
         }
         node_.pool_.forget(upstream.id_);
     }
+    if (outcome.status_ != misdirected) {
+        note_fault(node_, upstream, outcome.result_, outcome.upstream_gone_, now);
+    }
     if (outcome.result_ != try_result::answered) {
         log_failure("try-failed", {{"id", job.call_.request_id_},
                                    {"upstream", upstream.id_},
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -17,6 +17,8 @@
 #include <auburnchute/shared_bucket.hpp>
 #include <auburnchute/shutdown_plan.hpp>
 #include <auburnchute/upstream_choice.hpp>
+#include <auburnchute/upstream_load.hpp>
+#include <auburnchute/upstream_pace.hpp>
 #include <auburnchute/upstream_signals.hpp>
 
 #include <boost/asio/ip/udp.hpp>
@@ -47,6 +49,20 @@
     millis suspect_until_{};
     millis closed_until_{}; ///< It refused a connection, or is not the upstream that was meant.
     upstream_signals signals_;
+    // What upstream_keeper.hpp learns, where requests compete for room.
+    short_hash slowness_hash_{}; ///< Under which the slowness is told.
+    short_hash pace_hash_{}; ///< Under which the pace of the present process is told; 0: not followed yet.
+    slowness_estimate slowness_;
+    std::optional<load_report> report_;
+    upstream_pace pace_;
+};
+
+/// \brief What upstream_keeper.hpp knows of all upstreams.
+struct upstream_keeping {
+    std::shared_ptr<upstream_map const> followed_; ///< Whose starts were looked at.
+    std::int64_t newest_at_first_{};               ///< Latest start among those known at first.
+    millis settled_at_{};
+    std::map<std::string, service_times, std::less<>> times_; ///< By service.
 };
 
 /// \brief This VM's own need of a model or adapter.
@@ -107,6 +123,7 @@
     std::map<std::string, workspace_use, std::less<>> workspaces_;
     std::uint64_t limits_version_{}; ///< Configuration version that the buckets follow.
     std::map<std::string, own_use, std::less<>> upstreams_; ///< By upstream id.
+    upstream_keeping keeping_;
     bool upstreams_tell_pace_{}; ///< An upstream has told how fast its machine is at the moment.
     std::map<need_key, own_need> needs_;
     need_names need_names_;
--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -3,6 +3,7 @@
 #include "protocol/decision_log.hpp"
 #include "transport/entry/event_stream.hpp"
 #include "transport/entry/peer_exchange.hpp"
+#include "transport/entry/upstream_keeper.hpp"
 #include "transport/entry/version_keeper.hpp"
 
 #include <auburnchute/ids.hpp>
@@ -221,6 +222,7 @@
     auto const now = boot_now();
     std::vector<upstream_candidate> options;
     std::vector<upstream const*> entries;
+    std::int64_t remote = 0;
     choice chosen;
     bool service_there = false;
     bool tried_by_other = false;
@@ -273,9 +275,11 @@
             continue;
         }
         auto const use = fleet_use(node, id, known ? &own->second : nullptr);
+        auto const standing = standing_of(node, entry, known ? &own->second : nullptr, use, now);
+        remote += use.requests_ - (known ? own->second.use_.requests_ : 0);
         options.push_back(
             {.id_ = id,
-             .running_ = use.requests_,
+             .running_ = standing.requests_,
              .slots_ = entry.slots_,
              .running_tokens_ = use.tokens_,
              .unread_tokens_ = use.unread_tokens_,
@@ -283,7 +287,9 @@
              .excess_latency_ms_ = known ? current_excess_latency(own->second.excess_latency_, now) : 0.0,
              .same_zone_ = entry.availability_zone_ == node.settings_.availability_zone_,
              .recently_failed_ = astray || (known && own->second.suspect_until_ > now),
-             .already_tried_ = std::find(job.used_.begin(), job.used_.end(), id) != job.used_.end()});
+             .already_tried_ = std::find(job.used_.begin(), job.used_.end(), id) != job.used_.end(),
+             .slowness_ = standing.slowness_,
+             .window_left_ = standing.window_left_});
         entries.push_back(&entry);
     }
     if (options.empty() && tried_by_other) {
@@ -308,13 +314,13 @@
         return chosen;
     }
     auto const& from = job.call_;
-    choice_request const wanted{
-        .prompt_tokens_ = from.prompt_tokens_,
-        .shared_tokens_ = shared_tokens(from),
-        .output_tokens_ =
-            std::min(from.output_tokens_, from.output_tokens_hint_.value_or(from.output_tokens_)),
-        .prefix_hash_ = prefix_hash(job),
-        .tie_breaker_ = stable_hash(from.request_id_)};
+    choice_request wanted{.prompt_tokens_ = from.prompt_tokens_,
+                          .shared_tokens_ = shared_tokens(from),
+                          .output_tokens_ = std::min(from.output_tokens_,
+                                                     from.output_tokens_hint_.value_or(from.output_tokens_)),
+                          .prefix_hash_ = prefix_hash(job),
+                          .tie_breaker_ = stable_hash(from.request_id_)};
+    add_contest(node, job, remote, now, wanted);
     auto const best = choose_upstream(options, wanted);
     if (!best) {
         chosen.fault_ = choice_fault::all_full;
@@ -322,9 +328,10 @@
     }
     auto const& entry = *entries[best->index_];
     auto const& option = options[best->index_];
-    chosen.upstream_ =
-        chosen_upstream{entry.id_,       entry.address_,        entry.started_at_,    entry.software_version_,
-                        option.running_, option.unread_tokens_, best->unread_tokens_, best->expected_ms_};
+    chosen.upstream_ = chosen_upstream{
+        entry.id_,       entry.address_,        entry.started_at_,    entry.software_version_,
+        option.running_, option.unread_tokens_, best->unread_tokens_, best->expected_ms_,
+        best->work_ms_,  best->wait_ms_,        entry.slots_,         job.route_->target_latency_};
     return chosen;
 }
 
--- a/src/transport/entry/forward_job.hpp
+++ b/src/transport/entry/forward_job.hpp
@@ -72,6 +72,10 @@
     std::int64_t known_unread_{};  ///< Prompt tokens that it has to read before this request's.
     std::int64_t unread_tokens_{}; ///< Prompt tokens of this request that it has to read.
     double expected_ms_{};         ///< Until it begins to answer.
+    double work_ms_{};             ///< See `selected_candidate`; so is the next.
+    double wait_ms_{};
+    std::int64_t slots_{1};
+    millis target_{}; ///< Within which callers expect the answer to begin; 0: the route states none.
 };
 
 enum class choice_fault : std::uint8_t {
--- a/src/transport/entry/peer_exchange.cpp
+++ b/src/transport/entry/peer_exchange.cpp
@@ -3,6 +3,7 @@
 #include "protocol/decision_log.hpp"
 #include "protocol/fleet_codec.hpp"
 #include "transport/entry/forward_job.hpp"
+#include "transport/entry/upstream_keeper.hpp"
 
 #include <auburnchute/error.hpp>
 #include <auburnchute/ids.hpp>
@@ -132,6 +133,9 @@
             own.use_.push_back({use.hash_, use.use_});
         }
     }
+    for (auto const& row : told_standing(node, now)) {
+        own.use_.push_back(row);
+    }
     own.needs_ = own_needs(node, now);
     own.holds_lease_ = node.own_lease_epoch_ != 0;
     if (own.holds_lease_ || is_holder_responsive(node, now)) {
--- a/src/transport/entry/upstream_booking.cpp
+++ b/src/transport/entry/upstream_booking.cpp
@@ -1,15 +1,18 @@
 #include "transport/entry/upstream_booking.hpp"
 
+#include "transport/entry/upstream_keeper.hpp"
+
 #include <utility>
 
 namespace auburnchute {
 
 upstream_booking::upstream_booking(entry_node& node, chosen_upstream const& upstream, std::int64_t tokens,
                                    need_key need, millis now)
-    : node_{node}, id_{upstream.id_}, tokens_{tokens}, unread_{upstream.unread_tokens_},
-      need_{std::move(need)}, expected_ms_{upstream.expected_ms_}, began_{now}
+    : node_{node}, upstream_{upstream}, tokens_{tokens}, unread_{upstream.unread_tokens_},
+      need_{std::move(need)}, began_{now}
 {
-    auto& use = use_of(node_, id_).use_;
+    note_sent(node_, upstream_, now);
+    auto& use = use_of(node_, upstream_.id_).use_;
     ++use.requests_;
     use.tokens_ += tokens_;
     use.unread_tokens_ += unread_;
@@ -18,7 +21,10 @@
 
 upstream_booking::~upstream_booking()
 {
-    auto& use = use_of(node_, id_).use_;
+    if (answering_) {
+        note_held(node_, need_.service_, boot_now() - began_);
+    }
+    auto& use = use_of(node_, upstream_.id_).use_;
     --use.requests_;
     use.tokens_ -= tokens_;
     use.unread_tokens_ -= unread_;
@@ -30,9 +36,11 @@
 
 void upstream_booking::note_answering(millis now)
 {
-    auto& own = use_of(node_, id_);
+    answering_ = true;
+    auto& own = use_of(node_, upstream_.id_);
     own.use_.unread_tokens_ -= std::exchange(unread_, 0);
-    record_answer_time(own.excess_latency_, expected_ms_, now - began_, now);
+    record_answer_time(own.excess_latency_, upstream_.expected_ms_, now - began_, now);
+    note_begun(node_, upstream_, need_.service_, began_, now);
 }
 
 } // namespace auburnchute
--- a/src/transport/entry/upstream_booking.hpp
+++ b/src/transport/entry/upstream_booking.hpp
@@ -24,12 +24,12 @@
 
 private:
     entry_node& node_;
-    std::string id_;
+    chosen_upstream upstream_;
     std::int64_t tokens_;
     std::int64_t unread_;
     need_key need_;
-    double expected_ms_;
     millis began_;
+    bool answering_{};
 };
 
 } // namespace auburnchute
--- a/tests/platform/headers_test.cpp
+++ b/tests/platform/headers_test.cpp
@@ -108,8 +108,7 @@
     head.set("Keep-Alive", "timeout=5");
     auto reply = parse_response_attributes(head);
     CHECK(reply.not_run_);
-    CHECK(reply.running_ == 3);
-    CHECK(reply.waiting_ == 1);
+    CHECK(reply.load_ == reported_load{3, 1, 8, std::nullopt});
     CHECK(reply.keep_alive_ == millis{5'000});
     CHECK_FALSE(reply.has_response_stamp_);
     response_head plain;
@@ -247,10 +246,26 @@
         head.set("Keep-Alive", row.value_);
         CHECK(parse_response_attributes(head).keep_alive_ == row.kept_);
     }
-    response_head head;
-    head.result(200);
-    head.set("X-Server-Load", "9223372036854775807,-9223372036854775808,4");
-    auto const read = parse_response_attributes(head);
-    CHECK(read.running_ == max_token_count);
-    CHECK_FALSE(read.waiting_);
+}
+
+// Guards against a load told by odd figures: a part of it would be taken for the whole.
+TEST_CASE("an upstream's load is read if all its figures are numbers", "[platform][headers]")
+{
+    struct row {
+        char const* told_;
+        std::optional<reported_load> read_;
+    };
+    for (auto const& row :
+         {row{"3,1,8", reported_load{3, 1, 8, std::nullopt}},
+          row{"3, 1, 8, 150", reported_load{3, 1, 8, 1.5}},
+          row{"9223372036854775807,0,4", reported_load{max_token_count, 0, 4, std::nullopt}},
+          row{"9223372036854775807,-9223372036854775808,4", std::nullopt}, row{"3,1,0", std::nullopt},
+          row{"3,1", std::nullopt}, row{"3,1,8,100,2", std::nullopt}, row{"3,1,8,x", std::nullopt},
+          row{"3,1,8,0", std::nullopt}, row{"3,1,8,-5", std::nullopt}, row{"", std::nullopt}}) {
+        CAPTURE(row.told_);
+        response_head head;
+        head.result(200);
+        head.set("X-Server-Load", row.told_);
+        CHECK(parse_response_attributes(head).load_ == row.read_);
+    }
 }
