--- a/src/coordination/limit_order.cpp
+++ b/src/coordination/limit_order.cpp
@@ -13,7 +13,7 @@
 
 /// Part of its proportional share that each class keeps. The rules ask for a quarter of what all are served:
 /// where half of the requests are small and all pass, this holds up to five times the rate.
-constexpr double guaranteed_part = 0.8;
+constexpr double guaranteed_part = 0.85;
 
 /// Part of burst and rate that may be kept for classes that come first; the rest is for all.
 constexpr double most_reserved_part = 0.5;
