Bound what callers make an entry daemon hold, in memory and in descriptors

Cause: a body was read to its end whoever sent it and took whatever it came to, with copies for each try, so a crowd whose bodies stop short took the daemon beyond its machine's memory; nothing bounded connections. Ruled out: reserving announced lengths and timeouts by pace (docs/design/memory-budget.md). Change: bodies, whole requests and answers book what they are about to take in the process's memory_budget; what can't be allowed is answered from its head beyond 16 KiB; all tries share one body; bodies without a length grow by a quarter; an answer that a caller takes slowly may make room; connections beyond the descriptors make way by idle time; the receive buffers of callers are fixed; large blocks go back to the system.

--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -25,6 +25,7 @@
 #include <cstdlib>
 #include <docopt/docopt.h>
 #include <iostream>
+#include <malloc.h>
 #include <random>
 #include <sys/random.h>
 #include <thread>
@@ -49,6 +50,10 @@
 /// How long callers keep a directory answer; a VM that stops is forgotten within that time.
 constexpr millis directory_lifetime{2'000};
 
+/// Blocks from this size on, in bytes, go back to the system when they are freed. The library's own bound
+/// grows with the blocks that it meets, so that bodies would leave gaps that count as the process's memory.
+constexpr int mapped_block_bytes = 128 * 1024;
+
 /// Longest time between two notes that the loop turns.
 constexpr millis turn_interval{20};
 
@@ -107,6 +112,12 @@
                                  static_cast<double>(open_requests(*node.sessions_)));
             node.counters_.gauge("auburnchute_open_connections", "",
                                  static_cast<double>(node.sessions_->size()));
+            node.counters_.gauge("auburnchute_held_bytes", "reading",
+                                 static_cast<double>(node.memory_->held(memory_purpose::reading)));
+            node.counters_.gauge("auburnchute_held_bytes", "request",
+                                 static_cast<double>(node.memory_->held(memory_purpose::request)));
+            node.counters_.gauge("auburnchute_held_bytes", "answer",
+                                 static_cast<double>(node.memory_->held(memory_purpose::answer)));
             return page(200, node.counters_.text(), "text/plain; version=0.0.4");
         });
     }
@@ -321,6 +332,7 @@
     auto const arguments =
         docopt::docopt(usage, {argv + 1, argv + argc}, true, "auburnchute-entry " AUBURNCHUTE_VERSION);
     std::signal(SIGPIPE, SIG_IGN);
+    mallopt(M_MMAP_THRESHOLD, mapped_block_bytes);
     init_decision_log();
     init_crash_report(STDOUT_FILENO, [](std::string_view what) {
         log_failure("terminated", {{"fault", what}});
--- a/include/auburnchute/memory_budget.hpp
+++ b/include/auburnchute/memory_budget.hpp
@@ -45,12 +45,23 @@
 /// \brief Memory of a process whose settings state none, in bytes (DEVELOPERS.md, "Target").
 inline constexpr std::size_t default_process_bytes = std::size_t{256} * 1024 * 1024;
 
+/// \brief What an idle connection takes in a process, in bytes: its state and its smallest buffers.
+inline constexpr std::size_t connection_bytes = std::size_t{8} * 1024;
+
+/// \brief Descriptors of a process that are not for connections: files, listeners, timers and the like.
+inline constexpr std::size_t other_descriptors = 200;
+
 /// \brief Divides the memory of a process among its purposes.
 /// \param process_bytes That the process may take; 0: `default_process_bytes`.
 /// \returns Shares that together leave the process its own part, and a third of the rest for what an
 /// allocator holds beside what was asked of it. Thread safety: pure.
 [[nodiscard]] memory_limits divide_memory(std::size_t process_bytes) noexcept;
 
+/// \returns How many connections callers may have at once: as many as their share of the memory holds, and
+/// four fifths of the descriptors, as requests need connections to upstreams, too. \param descriptors That
+/// the process may open; 0: not stated. Thread safety: pure.
+[[nodiscard]] std::size_t connection_limit(memory_limits const& limits, std::size_t descriptors) noexcept;
+
 /// \brief A part of the budget as the choice of what is given up sees it.
 struct held_memory {
     std::size_t bytes_{};
@@ -101,6 +112,9 @@
         /// \returns False if it was given up before.
         [[nodiscard]] bool keep();
 
+        /// \brief From now on this may be given up (again). \param give_up As in the constructor.
+        void allow_giving_up(std::function<void()> give_up);
+
         /// \returns Whether it was given up for others.
         [[nodiscard]] bool given_up() const;
 
--- a/src/coordination/memory_budget.cpp
+++ b/src/coordination/memory_budget.cpp
@@ -13,11 +13,23 @@
     auto const own = std::min(own_process_bytes, stated / 2);
     auto const shared = (stated - own) / 3 * 2;
     memory_limits limits;
-    limits.shares_.fill(shared / memory_purposes);
+    // Answers are the largest, and those of upstreams have no limit that the operator sets.
+    limits.shares_ = {shared / 5, shared / 5, shared / 5 * 2, shared / 5};
     limits.spared_ = spared_bytes;
     return limits;
 }
 
+std::size_t connection_limit(memory_limits const& limits, std::size_t descriptors) noexcept
+{
+    auto const in_memory = limits.share(memory_purpose::connection) / connection_bytes;
+    if (descriptors == 0) {
+        return in_memory;
+    }
+    auto const usable =
+        descriptors > 2 * other_descriptors ? descriptors - other_descriptors : descriptors / 2;
+    return std::min(in_memory, usable / 5 * 4);
+}
+
 std::optional<std::size_t> choose_given_up(std::span<held_memory const> held, millis now) noexcept
 {
     std::optional<std::size_t> chosen;
@@ -69,6 +81,12 @@
     return !given_up_;
 }
 
+void memory_budget::holding::allow_giving_up(std::function<void()> give_up)
+{
+    std::lock_guard const lock{budget_.mutex_};
+    give_up_ = std::move(give_up);
+}
+
 bool memory_budget::holding::given_up() const
 {
     std::lock_guard const lock{budget_.mutex_};
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/headers.hpp"
 #include "protocol/decision_log.hpp"
+#include "transport/entry/body_room.hpp"
 #include "transport/entry/event_stream.hpp"
 #include "transport/entry/forward_job.hpp"
 #include "transport/entry/listen.hpp"
@@ -17,6 +18,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <limits>
 #include <sstream>
@@ -77,6 +79,10 @@
 /// and plans are read within this time.
 constexpr millis version_retry_after{1'000};
 
+/// When a caller may come back whose request found no room in memory: stopped bodies make way at once, and
+/// requests that are served end within about this time.
+constexpr millis no_room_retry_after{500};
+
 /// Longest wait told to a caller whose request found no upstream that takes any.
 constexpr millis longest_retry_after{60'000};
 
@@ -95,6 +101,13 @@
 /// Least time that an engine takes for the first token.
 constexpr millis first_token_time{100};
 
+/// Receive buffer of a caller's connection, in bytes; the kernel takes twice as much. The platform counts
+/// what it holds, and its own choice may be some MB.
+constexpr int caller_receive_buffer = 64 * 1024;
+
+/// Buffer that an idle connection of a caller keeps, in bytes; see `connection_bytes`.
+constexpr std::size_t idle_buffer_bytes = 4'096;
+
 /// Waiting requests look at the view again at least this often.
 constexpr millis wait_round{250};
 
@@ -182,15 +195,28 @@
     return socket.available(ignored) > 0;
 }
 
+/// A request with the memory that it takes.
+struct held_request {
+    std::shared_ptr<memory_budget> budget_;
+    std::unique_ptr<memory_budget::holding> memory_; ///< Null for one without a body.
+    caller_request message_;
+};
+
+/// What is written to an upstream: all tries of a request share its body.
+struct sent_request {
+    std::shared_ptr<held_request const> origin_;
+    http::request<http::span_body<char const>> message_;
+};
+
 /// How one try at an upstream ended.
 struct try_outcome {
     try_result result_{try_result::not_sent};
-    std::optional<upstream_answer> answer_;      ///< A whole answer, if it is not a stream.
-    std::unique_ptr<answer_ledger::entry> held_; ///< What the answer takes until the caller has it.
-    bool streamed_{};                            ///< The whole stream has gone to the caller.
-    int status_{};                               ///< Of the upstream's answer; 0: none.
-    bool upstream_gone_{};                       ///< The upstream stopped listening, before or after the try.
-    bool withdrawn_{}; ///< It was not sent, as the upstream wanted no more requests by then.
+    std::optional<upstream_answer> answer_;        ///< A whole answer, if it is not a stream.
+    std::unique_ptr<memory_budget::holding> held_; ///< What the answer takes until the caller has it.
+    bool streamed_{};                              ///< The whole stream has gone to the caller.
+    int status_{};                                 ///< Of the upstream's answer; 0: none.
+    bool upstream_gone_{}; ///< The upstream stopped listening, before or after the try.
+    bool withdrawn_{};     ///< It was not sent, as the upstream wanted no more requests by then.
     std::string fault_;
 };
 
@@ -282,13 +308,16 @@
     void end_request() override;
     void end_late_upload() override;
     void abort() override;
+    void make_way() override;
 
 private:
     [[nodiscard]] caller_limits limits_in_force() const;
     /// Waits for a request on an idle connection. \returns False if none comes in the time that is in force.
     net::awaitable<bool> read_first_bytes();
-    net::awaitable<bool> read_request(caller_request& request);
+    net::awaitable<bool> read_request(held_request& request);
     net::awaitable<void> refuse_unread(own_answer answer, std::string request_id);
+    /// As above, for a request of which a part was read: that part is let go first.
+    net::awaitable<void> refuse_part(own_answer answer, body_parser& parser, held_request& request);
     net::awaitable<void> close_connection();
     net::awaitable<bool> serve(caller_request& request);
     net::awaitable<std::optional<own_answer>> dispatch(forward_job& job, caller_request const& request);
@@ -305,9 +334,10 @@
                                       answer_parser& parser, try_outcome& outcome);
     /// Reads the rest of an answer that is held until it is whole.
     net::awaitable<void> read_whole(upstream_connection& connection, whole_answer_parser& parser,
-                                    answer_ledger::entry& held, error_code& fault);
-    /// \returns An entry for an answer on the connection, which is closed if the answer is given up.
-    std::unique_ptr<answer_ledger::entry> hold_answer(upstream_connection& connection);
+                                    memory_budget::holding& held, error_code& fault);
+    void note_answer_given_up(std::string_view upstream);
+    /// \returns The account of an answer on the connection, which is closed if the answer is given up.
+    std::unique_ptr<memory_budget::holding> hold_answer(upstream_connection& connection);
     net::awaitable<bool> pass_events(forward_job& job, answer_parser& parser, std::string_view events,
                                      event_sequence& sequence, bool& in_order);
     net::awaitable<bool> write_caller(std::string bytes);
@@ -327,7 +357,10 @@
         return is_closing(node_) && fault == net::error::operation_aborted;
     }
     /// Reads the rest of a request whose head was read. \returns False if it is not to be served.
-    net::awaitable<bool> read_body(body_parser& parser, caller_limits const& limits);
+    net::awaitable<bool> read_body(body_parser& parser, caller_limits const& limits, held_request& request);
+    /// Books room for the next part of a body. \returns The refusal, or none if it may be read.
+    std::optional<own_answer> book_next_part(body_parser& parser, caller_limits const& limits,
+                                             held_request& request, bool& authorized);
     void start_watch();
     void end_watch();
     void note_result(forward_job const& job, chosen_upstream const& upstream, try_outcome const& outcome);
@@ -346,7 +379,9 @@
     millis next_began_at_{}; ///< The same for a request behind it that has come already; 0: none has.
     /// Of the present request, while its body is read.
     std::optional<millis> upload_deadline_;
-    std::uint64_t upload_{};    ///< Counts the bodies, so that the end of one does not end the next.
+    std::uint64_t upload_{}; ///< Counts the bodies, so that the end of one does not end the next.
+    bool writing_{};         ///< A part of a stream is being written to the caller.
+    std::shared_ptr<held_request> request_; ///< The present one.
     bool head_only_{};          ///< The present request is a HEAD, so that its answers have no body.
     std::string request_id_;    ///< Of the present request.
     std::string last_upstream_; ///< Of the present request, for its log line.
@@ -364,11 +399,16 @@
     set_liveness(stream_.socket(), millis{6'000});
     while (true) {
         enter(session_state::idle);
-        caller_request request;
-        if (!co_await read_request(request) || !co_await serve(request)) {
+        request_ = std::make_shared<held_request>();
+        request_->budget_ = node_.memory_;
+        if (!co_await read_request(*request_) || !co_await serve(request_->message_)) {
             break;
         }
+        if (buffer_.size() == 0 && buffer_.capacity() > idle_buffer_bytes) {
+            buffer_.shrink_to_fit();
+        }
     }
+    request_.reset();
     co_await close_connection();
 }
 
@@ -425,6 +465,13 @@
     stream_.close();
 }
 
+void caller_session::make_way()
+{
+    gone_ = true; // nothing is written any more, so nothing has to be read out
+    enter(session_state::closing);
+    stream_.close();
+}
+
 caller_limits caller_session::limits_in_force() const
 {
     auto const config = current_view(node_).config_;
@@ -459,7 +506,7 @@
     co_return !fault;
 }
 
-net::awaitable<bool> caller_session::read_request(caller_request& request)
+net::awaitable<bool> caller_session::read_request(held_request& request)
 {
     request_id_.clear();
     last_upstream_.clear();
@@ -509,18 +556,54 @@
         co_return false;
     }
     parser.body_limit(limits_of_body.body_bytes_);
-    if (!co_await read_body(parser, limits_of_body)) {
+    if (!co_await read_body(parser, limits_of_body, request)) {
         co_return false;
     }
     keep_ = parser.keep_alive();
-    request = parser.release();
+    request.message_ = parser.release();
     if (buffer_.size() > 0) {
         next_began_at_ = boot_now();
     }
     co_return true;
 }
 
-net::awaitable<bool> caller_session::read_body(body_parser& parser, caller_limits const& limits)
+std::optional<own_answer> caller_session::book_next_part(body_parser& parser, caller_limits const& limits,
+                                                         held_request& request, bool& authorized)
+{
+    auto const now = boot_now();
+    body_bounds const bounds{.announced_ = parser.content_length() ? std::optional{*parser.content_length()}
+                                                                   : std::nullopt,
+                             .limit_ = limits.body_bytes_};
+    auto const room = next_room(parser.get().body(), bounds);
+    // What is small is read, so that its refusal need not end the connection.
+    if (!authorized && std::max<std::uint64_t>(room, bounds.announced_.value_or(0)) > spared_bytes) {
+        authorized = true;
+        forward_job job;
+        job.arrived_ = began_at_;
+        job.config_ = current_view(node_).config_;
+        job.call_ = platform::parse_request_attributes(parser.get().base());
+        if (auto refusal = authorize(node_, job, now)) {
+            return refusal;
+        }
+    }
+    if (!request.memory_->grow_to(room + buffer_.capacity(), now)) {
+        node_.counters_.count("auburnchute_no_room_total", "reading");
+        return own_answer{unavailable, "no-room", no_room_retry_after};
+    }
+    make_room(parser.get().body(), room, bounds);
+    return std::nullopt;
+}
+
+net::awaitable<void> caller_session::refuse_part(own_answer answer, body_parser& parser,
+                                                 held_request& request)
+{
+    std::string{}.swap(parser.get().body());
+    request.memory_.reset();
+    co_await refuse_unread(answer, request_id_);
+}
+
+net::awaitable<bool> caller_session::read_body(body_parser& parser, caller_limits const& limits,
+                                               held_request& request)
 {
     bool const asked = boost::beast::iequals(parser.get()[http::field::expect], "100-continue");
     if (parser.is_done() && !asked) {
@@ -534,6 +617,14 @@
         route != nullptr ? std::optional{deadline_of(*route, call, began_at_)} : std::nullopt;
     auto const is_late = [&] { return deadline && !may_begin(node_, *deadline); };
     auto const is_over = [&] { return deadline && boot_now() >= *deadline; };
+    request.memory_ = std::make_unique<memory_budget::holding>(*request.budget_, memory_purpose::reading,
+                                                               began_at_, [this] { stream_.cancel(); });
+    bool authorized = false;
+    auto refusal = book_next_part(parser, limits, request, authorized);
+    if (refusal) {
+        co_await refuse_part(*refusal, parser, request);
+        co_return false;
+    }
     if (asked && !is_late() && !co_await write_caller("HTTP/1.1 100 Continue\r\n\r\n")) {
         co_return false;
     }
@@ -554,18 +645,30 @@
         // What has come is read, so that a further request behind it is not dropped.
         bool const must_wait = buffer_.size() == 0 && !has_input(stream_.socket());
         in_time = !must_wait || !(is_late() || is_over());
+        refusal = in_time ? book_next_part(parser, limits, request, authorized) : std::nullopt;
+        if (refusal) {
+            break;
+        }
         if (in_time) {
             co_await http::async_read_some(stream_, buffer_, parser, outcome_in(fault));
         }
     }
     upload_deadline_.reset();
+    if (!refusal && request.memory_->given_up()) {
+        node_.counters_.count("auburnchute_requests_given_up_total");
+        refusal = own_answer{unavailable, "no-room", no_room_retry_after};
+    }
+    if (refusal) {
+        co_await refuse_part(*refusal, parser, request);
+        co_return false;
+    }
     bool const given_up = !in_time || fault == net::error::operation_aborted;
     if (given_up && (is_late() || is_closing(node_))) {
-        co_await refuse_unread(refuse_for_stop(node_, boot_now()), request_id_);
+        co_await refuse_part(refuse_for_stop(node_, boot_now()), parser, request);
         co_return false;
     }
     if (given_up && is_over()) {
-        co_await refuse_unread({unavailable, "deadline", least_retry_after}, request_id_);
+        co_await refuse_part({unavailable, "deadline", least_retry_after}, parser, request);
         co_return false;
     }
     if (fault == http::error::buffer_overflow) {
@@ -576,7 +679,18 @@
         co_await refuse_unread({413, "body-too-large", millis{-1}}, request_id_);
         co_return false;
     }
-    co_return !fault;
+    if (fault) {
+        co_return false;
+    }
+    auto const whole = parser.get().body().capacity();
+    bool const has_room = request.memory_->grow_to(whole, boot_now()) &&
+                          request.memory_->move_to(memory_purpose::request, boot_now()) &&
+                          request.memory_->keep();
+    if (!has_room) {
+        node_.counters_.count("auburnchute_no_room_total", "request");
+        co_await refuse_part({unavailable, "no-room", no_room_retry_after}, parser, request);
+    }
+    co_return has_room;
 }
 
 net::awaitable<void> caller_session::refuse_unread(own_answer answer, std::string request_id)
@@ -745,6 +859,12 @@
                                acquire_retry(retries, try_result::refused, true,
                                              static_cast<int>(job.used_.size()), boot_now(), job.deadline_);
             if (!again) {
+                if (outcome.held_) { // a caller that takes it slowly may have to make room
+                    outcome.held_->allow_giving_up([this, id = last_upstream_] {
+                        note_answer_given_up(id);
+                        stream_.close();
+                    });
+                }
                 if (!co_await send_answer(std::move(*outcome.answer_))) {
                     gone_ = true;
                 }
@@ -881,11 +1001,13 @@
     if (job.engine_ != nullptr) {
         plan.urgency_ = static_cast<int>(std::clamp<std::int64_t>(job.urgency_, 0, 9));
     }
-    auto sent = std::make_shared<caller_request>(platform::make_upstream_request_head(request.base(), plan));
-    sent->body() = request.body();
+    auto sent = std::make_shared<sent_request>();
+    sent->origin_ = request_;
+    sent->message_.base() = platform::make_upstream_request_head(request.base(), plan);
+    sent->message_.body() = {request.body().data(), request.body().size()};
     // A request without a body carries no length, as the caller sent none.
-    if (!sent->body().empty() || request.find(http::field::content_length) != request.end()) {
-        sent->prepare_payload();
+    if (!request.body().empty() || request.find(http::field::content_length) != request.end()) {
+        sent->message_.prepare_payload();
     }
     log_decision("forward",
                  {{"id", from.request_id_},
@@ -916,7 +1038,7 @@
         node_.loop_,
         [connection, sent, written]() -> net::awaitable<void> {
             error_code fault; // the reader meets the same fault
-            co_await http::async_write(connection->stream_, *sent, outcome_in(fault));
+            co_await http::async_write(connection->stream_, sent->message_, outcome_in(fault));
             *written = !fault;
         },
         report_failure);
@@ -1076,18 +1198,27 @@
     outcome.result_ = try_result::wrong_answer;
 }
 
-std::unique_ptr<answer_ledger::entry> caller_session::hold_answer(upstream_connection& connection)
+std::unique_ptr<memory_budget::holding> caller_session::hold_answer(upstream_connection& connection)
 {
-    return std::make_unique<answer_ledger::entry>(node_.answers_, [this, &connection] {
-        node_.counters_.count("auburnchute_answers_given_up_total");
-        log_failure("answer-given-up", {{"id", request_id_}, {"upstream", connection.upstream_id_}});
-        error_code ignored; // its reader notices
-        connection.stream_.socket().close(ignored);
-    });
+    return std::make_unique<memory_budget::holding>(*request_->budget_, memory_purpose::answer, boot_now(),
+                                                    [this, &connection] {
+                                                        note_answer_given_up(connection.upstream_id_);
+                                                        error_code ignored; // its reader notices
+                                                        connection.stream_.socket().close(ignored);
+                                                        if (writing_) {
+                                                            stream_.close();
+                                                        }
+                                                    });
+}
+
+void caller_session::note_answer_given_up(std::string_view upstream)
+{
+    node_.counters_.count("auburnchute_answers_given_up_total");
+    log_failure("answer-given-up", {{"id", request_id_}, {"upstream", upstream}});
 }
 
 net::awaitable<void> caller_session::read_whole(upstream_connection& connection, whole_answer_parser& parser,
-                                                answer_ledger::entry& held, error_code& fault)
+                                                memory_budget::holding& held, error_code& fault)
 {
     // A length that was announced is not compared with a limit set after the head was read.
     if (parser.content_length().value_or(0) > max_answer_bytes) {
@@ -1096,11 +1227,22 @@
     }
     parser.body_limit(max_answer_bytes);
     parser.eager(true);
+    body_bounds const bounds{.announced_ = parser.content_length() ? std::optional{*parser.content_length()}
+                                                                   : std::nullopt,
+                             .limit_ = max_answer_bytes};
     while (!parser.is_done() && !fault) {
+        auto const room = next_room(parser.get().body(), bounds);
+        if (!held.grow_to(room, boot_now())) {
+            if (!held.given_up()) {
+                note_answer_given_up(connection.upstream_id_);
+            }
+            fault = net::error::no_buffer_space;
+            co_return;
+        }
+        make_room(parser.get().body(), room, bounds);
         co_await http::async_read_some(connection.stream_, connection.buffer_, parser, outcome_in(fault));
-        held.hold(parser.get().body().capacity());
     }
-    if (!held.finish()) {
+    if (!held.keep()) {
         fault = net::error::no_buffer_space;
     }
 }
@@ -1127,7 +1269,14 @@
         }
         auto const size = chunk.size() - body.size;
         auto events = feed_events(cutter, {chunk.data(), size});
-        held->hold(cutter.pending_.capacity());
+        // What is passed on is copied twice on its way.
+        if (!held->grow_to(cutter.pending_.capacity() + 3 * events.size(), boot_now())) {
+            if (!held->given_up()) {
+                note_answer_given_up(connection.upstream_id_);
+            }
+            outcome.fault_ = "stream: no room in memory";
+            co_return;
+        }
         if (parser.is_done() && !fault && !holds_events(parser.get())) {
             events += std::exchange(cutter.pending_, {}); // has no events that could be cut short
         }
@@ -1229,7 +1378,9 @@
 {
     error_code fault;
     stream_.expires_after(to_chrono(write_limit));
+    writing_ = true;
     co_await net::async_write(stream_, net::buffer(bytes), outcome_in(fault));
+    writing_ = false;
     co_return !fault;
 }
 
@@ -1351,11 +1502,24 @@
 
 void serve_callers(entry_node& node, std::string const& address)
 {
-    accept_connections(node.loop_, address, [&node](tcp::socket socket) {
+    auto const limit = connection_limit(
+        node.memory_->limits(), static_cast<std::size_t>(std::max(0.0, node.settings_.max_descriptors_)));
+    auto const take = [&node, limit](tcp::socket socket) {
+        if (node.sessions_->size() >= limit) {
+            auto* const makes_way = choose_to_make_way(*node.sessions_);
+            node.counters_.count("auburnchute_connections_closed_total",
+                                 makes_way ? "for-others" : "refused");
+            log_failure("connections-full", {{"connections", node.sessions_->size()}, {"limit", limit}});
+            if (makes_way == nullptr) {
+                return; // all are served; the socket closes
+            }
+            makes_way->make_way();
+        }
         auto session = std::make_shared<caller_session>(node, std::move(socket));
         net::co_spawn(
             node.loop_, [session] { return session->run(); }, report_failure);
-    });
+    };
+    accept_connections(node.loop_, address, take, caller_receive_buffer);
 }
 
 } // namespace auburnchute
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -7,9 +7,9 @@
 #include "transport/entry/open_session.hpp"
 #include "transport/entry/upstream_pool.hpp"
 
-#include <auburnchute/answer_ledger.hpp>
 #include <auburnchute/crash_evidence.hpp>
 #include <auburnchute/fleet_exchange.hpp>
+#include <auburnchute/memory_budget.hpp>
 #include <auburnchute/model_need.hpp>
 #include <auburnchute/placement_table.hpp>
 #include <auburnchute/request_attributes.hpp>
@@ -97,7 +97,9 @@
     shared_view& shared_;
     metrics& counters_;
     upstream_pool pool_;
-    answer_ledger answers_; ///< What the answers of upstreams take.
+    /// What requests and answers take; shared, as coroutines may outlive the node.
+    std::shared_ptr<memory_budget> memory_{std::make_shared<memory_budget>(
+        divide_memory(static_cast<std::size_t>(settings_.memory_mb_ * 1024 * 1024)))};
     fleet_exchange exchange_;
     std::map<std::string, net::ip::udp::endpoint, std::less<>> endpoints_; ///< Of the members, by VM.
     std::uint64_t announced_config_{};  ///< `config_next_` of the newest configuration that was announced to
--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -140,14 +140,12 @@
     return arrived + (call.time_left_ ? std::min(allowed, *call.time_left_) : allowed);
 }
 
-std::optional<own_answer> admit(entry_node& node, forward_job& job, caller_request const& request)
+std::optional<own_answer> authorize(entry_node const& node, forward_job& job, millis now)
 {
-    auto const now = boot_now();
     // Without the members, this VM does not know which part of the rates is its own.
     if (!job.config_ || !current_view(node).members_read_) {
         return own_answer{unavailable, "starting", start_retry_after};
     }
-    follow_limits(node, *job.config_, now);
     bool const fresh = keys_are_fresh(node, now);
     job.route_ = match_route(*job.config_, job.call_.host_, job.call_.path_);
     if (job.route_ == nullptr) {
@@ -168,7 +166,16 @@
         }
         job.workspace_ = &job.config_->workspaces_[key->second];
     }
-    if (auto refusal = refuse_take_up(node, job, now)) {
+    return refuse_take_up(node, job, now);
+}
+
+std::optional<own_answer> admit(entry_node& node, forward_job& job, caller_request const& request)
+{
+    auto const now = boot_now();
+    if (job.config_ && current_view(node).members_read_) {
+        follow_limits(node, *job.config_, now);
+    }
+    if (auto refusal = authorize(node, job, now)) {
         return refusal;
     }
     // A stream goes on at the service that began it.
--- a/src/transport/entry/forward_job.hpp
+++ b/src/transport/entry/forward_job.hpp
@@ -51,6 +51,10 @@
 /// Thread safety: pure.
 [[nodiscard]] millis deadline_of(request_route const& route, request_attributes const& call, millis arrived);
 
+/// \brief Checks key, route and age of knowledge, by the request's head alone.
+/// \returns The refusal, or none if the rest of the request is worth reading.
+[[nodiscard]] std::optional<own_answer> authorize(entry_node const& node, forward_job& job, millis now);
+
 /// \brief Checks key, route, limits and age of knowledge, and charges the workspace.
 /// \returns The refusal, or none if the request may go on.
 [[nodiscard]] std::optional<own_answer> admit(entry_node& node, forward_job& job,
--- a/src/transport/entry/listen.cpp
+++ b/src/transport/entry/listen.cpp
@@ -32,13 +32,16 @@
 } // namespace
 
 void accept_connections(net::io_context& loop, std::string const& address,
-                        std::function<void(tcp::socket)> take)
+                        std::function<void(tcp::socket)> take, int receive_buffer)
 {
     auto const endpoint = parse_endpoint(address);
     auto acceptor = std::make_shared<tcp::acceptor>(loop);
     try {
         acceptor->open(endpoint.protocol());
         acceptor->set_option(net::socket_base::reuse_address{true});
+        if (receive_buffer > 0) {
+            acceptor->set_option(net::socket_base::receive_buffer_size{receive_buffer}); // for all it accepts
+        }
         acceptor->bind(endpoint);
         acceptor->listen(net::socket_base::max_listen_connections);
     } catch (boost::system::system_error const& failure) {
--- a/src/transport/entry/open_session.hpp
+++ b/src/transport/entry/open_session.hpp
@@ -61,6 +61,9 @@
     /// \brief Closes the connection, whatever its state; the session ends in the loop's next turns.
     virtual void abort() = 0;
 
+    /// \brief Closes the connection as others need its room. \pre It is idle, or reads a request.
+    virtual void make_way() = 0;
+
 protected:
     open_session() = default;
     open_session(open_session const&) = default;
@@ -103,6 +106,25 @@
     return session.state() == session_state::reading || session.state() == session_state::serving;
 }
 
+/// \returns The session that makes way for a further caller: the one that has been idle for longest, else the
+/// one that has read the same request for longest; null if all are served or end. Thread safety: pure.
+[[nodiscard]] inline open_session* choose_to_make_way(session_set const& sessions) noexcept
+{
+    open_session* chosen = nullptr;
+    for (auto* const session : sessions) {
+        if (session->state() != session_state::idle && session->state() != session_state::reading) {
+            continue;
+        }
+        auto const is_idle = [](open_session const& one) { return one.state() == session_state::idle; };
+        bool const first = chosen == nullptr || (is_idle(*session) && !is_idle(*chosen));
+        bool const same = chosen != nullptr && session->state() == chosen->state();
+        if (first || (same && session->state_since() < chosen->state_since())) {
+            chosen = session;
+        }
+    }
+    return chosen;
+}
+
 /// \returns How many sessions owe their callers an answer. Thread safety: pure.
 [[nodiscard]] inline std::int64_t open_requests(session_set const& sessions) noexcept
 {
