--- a/tests/transport/entry/standin_platform.hpp
+++ b/tests/transport/entry/standin_platform.hpp
@@ -146,6 +146,7 @@
         server_.Get("/auburnchute/log-newest",
                     [this](auto const& request, auto& response) { newest(request, response); });
         server_.set_pre_routing_handler([this](auto const&, auto& response) {
+            ++calls_;
             if (auto const slow = slow_ms_.load(); slow > 0) {
                 std::unique_lock lock{mutex_};
                 changed_.wait_for(lock, std::chrono::milliseconds{slow}, [this] { return slow_ms_ == 0; });
@@ -234,6 +235,33 @@
         changed_.notify_all();
     }
 
+    struct stored_topic {
+        std::uint64_t first_{}; ///< Offset of the oldest record that is kept.
+        std::vector<std::string> records_;
+        std::map<std::string, std::pair<std::string, std::uint64_t>> newest_; ///< Value and offset by key.
+
+        [[nodiscard]] std::uint64_t end() const { return first_ + records_.size(); }
+    };
+
+    /// \returns All that the store holds now.
+    [[nodiscard]] std::map<std::string, stored_topic> copy()
+    {
+        std::scoped_lock const lock{mutex_};
+        return topics_;
+    }
+
+    /// \brief Comes back from the copy: what was written since is lost, and its offsets are given out again.
+    void return_to(std::map<std::string, stored_topic> copy)
+    {
+        std::scoped_lock const lock{mutex_};
+        topics_ = std::move(copy);
+        ++era_;
+        changed_.notify_all();
+    }
+
+    /// \returns How many calls came so far.
+    [[nodiscard]] int calls() const noexcept { return calls_; }
+
 private:
     static std::string to_base64(std::string const& bytes)
     {
@@ -254,14 +282,6 @@
         return text;
     }
 
-    struct stored_topic {
-        std::uint64_t first_{}; ///< Offset of the oldest record that is kept.
-        std::vector<std::string> records_;
-        std::map<std::string, std::pair<std::string, std::uint64_t>> newest_; ///< Value and offset by key.
-
-        [[nodiscard]] std::uint64_t end() const { return first_ + records_.size(); }
-    };
-
     static void add(stored_topic& topic, std::string record)
     {
         auto const size = static_cast<std::size_t>(static_cast<unsigned char>(record[0]));
@@ -274,9 +294,16 @@
         topic.records_.push_back(std::move(record));
     }
 
+    /// \pre The store is locked.
+    void state_era(httplib::Response& response) const
+    {
+        response.set_header("Store-Era", std::to_string(era_));
+    }
+
     void append(httplib::Request const& request, httplib::Response& response)
     {
         std::scoped_lock const lock{mutex_};
+        state_era(response);
         auto& topic = topics_[request.get_param_value("topic")];
         bool const conflict =
             request.has_param("at") && std::stoull(request.get_param_value("at")) != topic.end();
@@ -295,13 +322,16 @@
         auto const name = request.get_param_value("topic");
         auto const from = std::stoull(request.get_param_value("from"));
         auto const wait = std::chrono::milliseconds{std::stoll(request.get_param_value("wait_ms"))};
-        changed_.wait_for(lock, wait, [&] { return down_ || topics_[name].end() > from; });
+        auto const era = era_;
+        changed_.wait_for(lock, wait,
+                          [&] { return down_ || era_ != era || topics_[name].end() > from; });
+        state_era(response);
         if (down_) {
             response.status = 503;
             return;
         }
         auto const& topic = topics_[name];
-        if (from < topic.first_) {
+        if (from < topic.first_ || from > topic.end()) {
             response.status = 410;
             response.set_content(nlohmann::json{{"first", topic.first_}}.dump(), "application/json");
             return;
@@ -322,6 +352,7 @@
     void newest(httplib::Request const& request, httplib::Response& response)
     {
         std::scoped_lock const lock{mutex_};
+        state_era(response);
         auto const name = request.get_param_value("topic");
         auto const after = request.get_param_value("after");
         auto const& topic = topics_[name];
@@ -359,6 +390,8 @@
     std::atomic<std::int64_t> slow_ms_{0};
     std::map<std::string, stored_topic> topics_;
     std::map<std::string, int> newest_reads_;
+    std::uint64_t era_{1};
+    std::atomic<int> calls_{0};
 };
 
 /// \brief A request as an upstream got it.
