--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -265,7 +265,7 @@
     };
     demand_sender demand{node, keeper};
     node.need_changed_ = [&demand] { demand.send(); };
-    node.lease_end_changed_ = [&keeper](std::uint64_t end) {
+    node.lease_end_changed_ = [&keeper](store_position end) {
         net::post(keeper.loop_, [&keeper, end] { take_lease_end(keeper, end); });
     };
     reader.leave_learned_ = [&](message_targets untold) {
--- a/include/auburnchute/entry_feed.hpp
+++ b/include/auburnchute/entry_feed.hpp
@@ -50,6 +50,7 @@
 
 /// \brief The latest changes of the entries, for VMs that lack them.
 struct entry_log {
+    std::uint64_t era_{};  ///< Era of the store in which all its offsets are stated.
     std::uint64_t from_{}; ///< Offset from which on no change is missing.
     std::uint64_t to_{};   ///< Offset up to which this VM has the entries; 0: it has not read them.
     std::deque<logged_update> updates_;
@@ -87,6 +88,10 @@
 [[nodiscard]] std::vector<std::string> doubtful_vms(std::optional<end_claim> const& claim,
                                                     told_offset const& told, std::uint64_t end);
 
+/// \returns The offset up to which the sender of a message has the entries in an era of the store; 0: it has not
+/// read them in that era.
+[[nodiscard]] std::uint64_t seen_news_in(std::uint64_t era, fleet_message const& message) noexcept;
+
 /// \brief How long a VM whose word did not hold is not heeded on the entries: long enough that reading all of
 /// them again costs next to nothing.
 inline constexpr millis distrust_time{60'000};
--- a/include/auburnchute/fleet_exchange.hpp
+++ b/include/auburnchute/fleet_exchange.hpp
@@ -37,6 +37,8 @@
 /// \brief The state of this VM that its messages carry; the fields are described at `fleet_message`.
 struct local_status {
     bool ready_{};
+    std::uint64_t store_era_{};
+    std::uint64_t config_version_{};
     std::uint64_t config_next_{};
     std::int64_t config_age_{-1};
     std::vector<spend_row> spent_;
@@ -93,6 +95,7 @@
     std::uint64_t incarnation_{};
     millis started_at_{};
     bool first_start_{};                ///< First start of the whole fleet; no usage precedes it.
+    std::uint64_t store_era_{};         ///< Newest era of the store that this VM has seen.
     bool must_relay_{};                 ///< Holds the order lease or reads the store for the fleet.
     std::vector<entry_member> members_; ///< Sorted by name; as registered in the store.
     std::map<std::string, peer_state, std::less<>> peers_;             ///< By VM.
--- a/include/auburnchute/fleet_message.hpp
+++ b/include/auburnchute/fleet_message.hpp
@@ -110,7 +110,11 @@
     std::vector<short_hash> young_;  ///< Those of both that have just started.
     std::vector<short_hash> relays_; ///< Other relays from which the sender receives messages.
 
-    std::uint64_t config_next_{}; ///< Offset after the newest configuration record in force.
+    /// Era of the store in which all offsets of this message are stated. The sender leaves out (0 and -1) what
+    /// it has not read in that era.
+    std::uint64_t store_era_{};
+    std::uint64_t config_version_{}; ///< Of the configuration in force; 0: none.
+    std::uint64_t config_next_{};    ///< Offset after the newest configuration record in force.
     std::int64_t config_age_{-1}; ///< Milliseconds since the sender last knew it to be the newest; -1: never.
 
     std::vector<spend_row> spent_;
--- a/include/auburnchute/order_lease.hpp
+++ b/include/auburnchute/order_lease.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <auburnchute/clock.hpp>
+#include <auburnchute/store_position.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -29,6 +30,8 @@
     std::uint64_t incarnation_{};
     std::uint64_t epoch_{}; ///< Rises with each change of holder; fencing token of its orders.
     millis orders_from_{};  ///< When the holder may send its first order, in the boot clock of its VM.
+    std::uint64_t store_era_{}; ///< Era of the store in which it was written. In a later one, it is from a
+                                ///< copy, and newer ones may be lost.
 
     friend bool operator==(lease_record const&, lease_record const&) = default;
 };
@@ -45,19 +48,23 @@
     std::string vm_; ///< Name and address; the address tells apart a VM that reuses a name, as its boot clock
                      ///< differs.
     std::uint64_t incarnation_{};
-    std::uint64_t end_{};                ///< End offset of the topic as last read.
+    store_position end_{};               ///< End of the topic as last read.
     std::optional<lease_record> newest_; ///< Last record of the topic; none if it has never had one.
     millis seen_at_{};                   ///< When `end_` was first seen; 0 if the topic was never read.
     std::uint64_t epoch_{};              ///< Epoch of the lease that this VM holds; 0 if none.
     millis held_until_{};                ///< End of the validity of the lease that this VM holds.
     millis orders_from_{};               ///< When this VM may send its first order as holder.
+    std::uint64_t highest_epoch_{};      ///< Of all that records or messages have named.
 };
 
 /// \brief Updates the view with the end and the newest record of the topic, as read from the store or
 /// reported by a message of the holder or a relay. Drops the lease that this VM holds if the newest record is
-/// not its own. \param read_at When the store's answer or the message arrived. Thread safety of all functions
+/// not its own, unless its own was lost when the store came back from a copy. \param read_at When the store's answer or the message arrived. Thread safety of all functions
 /// that change a view: the caller owns it.
-void observe_lease(lease_view& view, std::uint64_t end, std::optional<lease_record> newest, millis read_at);
+void observe_lease(lease_view& view, store_position end, std::optional<lease_record> newest, millis read_at);
+
+/// \brief Notes the epoch of a holder that a message named.
+void note_epoch(lease_view& view, std::uint64_t epoch) noexcept;
 
 /// \returns Whether this VM may try to take the lease now. Thread safety: pure.
 [[nodiscard]] bool may_take_lease(lease_view const& view, millis now) noexcept;
@@ -68,7 +75,7 @@
 
 /// \brief Updates the view after the store has accepted the record; this VM then holds the lease.
 /// \param sent_at When the append was sent. \param end End of the topic after the append.
-void record_lease_append(lease_view& view, lease_record const& record, millis sent_at, std::uint64_t end);
+void record_lease_append(lease_view& view, lease_record const& record, millis sent_at, store_position end);
 
 /// \brief Marks the lease as not held by this VM, because another VM has taken it or it cannot be renewed.
 void drop_lease(lease_view& view) noexcept;
--- a/include/auburnchute/upstream_registry.hpp
+++ b/include/auburnchute/upstream_registry.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <auburnchute/clock.hpp>
+#include <auburnchute/store_position.hpp>
 #include <auburnchute/upstream.hpp>
 
 #include <cstdint>
@@ -32,8 +33,9 @@
 /// \brief The newest record applied for an id. That of a removed entry is kept for a while, so that a message
 /// which is older than the removal does not bring the entry back.
 struct applied_record {
-    std::uint64_t offset_{};
-    millis removed_at_{}; ///< 0: the entry is there.
+    store_position position_;
+    millis removed_at_{};          ///< 0: the entry is there.
+    std::int64_t removed_start_{}; ///< Start of the process whose entry was removed; 0: none was known.
 };
 
 /// \brief The known upstreams by their entries in the store. Outages of the store do not remove them.
@@ -45,6 +47,9 @@
                                                         ///< dropped.
     bool store_unreachable_{};                          ///< The store does not answer.
     millis store_recovered_at_{}; ///< End of the store's last outage; 0 if there was none.
+    /// Where the topic ended when it was first read in the store's present era: records before may be older
+    /// than what was known.
+    store_position copy_end_{};
 };
 
 /// \brief Effect of a record of the store on the registry. All but `none` must be forwarded to the other VMs;
@@ -66,14 +71,24 @@
 /// \brief Records that the store answers; ends an outage.
 void mark_store_reachable(upstream_registry& registry, millis now) noexcept;
 
-/// \brief Adds or updates an upstream's entry. An entry of an earlier start under the same id is ignored. One
-/// that leaves is noticed. \param offset Of the record in the store's topic.
-entry_change apply_entry(upstream_registry& registry, upstream entry, std::uint64_t offset, millis now);
+/// \brief Records that the store came back from an older copy, which ends at this position. What lapses soon
+/// after it may return, as after an outage.
+void mark_store_returned(upstream_registry& registry, store_position copy_end, millis now) noexcept;
+
+/// \brief Adds or updates an upstream's entry. An entry of an earlier start under the same id is ignored, and
+/// so is one from the store's copy whose process was known to be gone. One that leaves is noticed.
+/// \param position Of the record in the store's topic.
+entry_change apply_entry(upstream_registry& registry, upstream entry, store_position position, millis now);
+
+/// \brief Processes that the store has no entry of the upstream after its return from an older copy: the
+/// upstream is dropped unless its entry comes back in time, as after an outage.
+/// \returns `lapsed`, or `none` if there is no such entry.
+entry_change lapse_entry(upstream_registry& registry, std::string_view id, millis now);
 
 /// \brief Processes the removal of an upstream's entry. The upstream is dropped at once, or, if the removal
 /// falls into or soon after an outage of the store, once live upstreams must have written their entries
-/// again. \param offset Of the record in the store's topic.
-entry_change apply_removal(upstream_registry& registry, std::string_view id, std::uint64_t offset,
+/// again. \param position Of the record in the store's topic.
+entry_change apply_removal(upstream_registry& registry, std::string_view id, store_position position,
                            millis now);
 
 /// \brief Takes over that a process of an upstream leaves. \returns Whether it was not known to.
--- a/src/coordination/entry_feed.cpp
+++ b/src/coordination/entry_feed.cpp
@@ -69,6 +69,11 @@
            claim.seen_ < told.to_;
 }
 
+std::uint64_t seen_news_in(std::uint64_t era, fleet_message const& message) noexcept
+{
+    return message.store_era_ == era ? message.seen_news_ : 0;
+}
+
 std::vector<std::string> doubtful_vms(std::optional<end_claim> const& claim, told_offset const& told,
                                       std::uint64_t end)
 {
@@ -140,7 +145,8 @@
         }
         auto const& last = peer->second.last_;
         auto const age = millis{last.entries_age_} + (now - peer->second.received_at_);
-        return last.kind_ == message_kind::mesh && last.news_to_ > 0 && last.entries_age_ >= 0 &&
+        return last.kind_ == message_kind::mesh && last.news_to_ > 0 &&
+               last.store_era_ >= exchange.store_era_ && last.entries_age_ >= 0 &&
                age < budget.proof_limit_ && is_preferred_over(candidate_of(member), own);
     });
 }
@@ -155,12 +161,13 @@
         return true;
     }
     auto const peer = exchange.peers_.find(target.vm_);
-    if (peer == exchange.peers_.end() || peer->second.last_.seen_news_ == 0) {
+    auto const seen = peer == exchange.peers_.end() ? 0 : seen_news_in(log.era_, peer->second.last_);
+    if (seen == 0) {
         return false; // it has not read the entries yet, and changes alone are of no use to it
     }
     auto const lacking =
         std::find_if(log.updates_.begin(), log.updates_.end(), [&](logged_update const& logged) {
-            return logged.update_.offset_ >= peer->second.last_.seen_news_;
+            return logged.update_.offset_ >= seen;
         });
     return lacking != log.updates_.end() &&
            now - lacking->learned_at_ > send_interval(exchange) * catch_up_rounds;
--- a/src/coordination/fleet_exchange.cpp
+++ b/src/coordination/fleet_exchange.cpp
@@ -657,6 +657,8 @@
     message.term_ = kind == message_kind::report ? 0 : exchange.term_;
     message.sent_at_ = now.count_;
     message.send_interval_ = send_interval(exchange);
+    message.store_era_ = own.store_era_;
+    message.config_version_ = own.config_version_;
     message.config_next_ = own.config_next_;
     message.config_age_ = own.config_age_;
     message.wants_levels_ = may_have_missed_updates(exchange, now);
--- a/src/coordination/order_lease.cpp
+++ b/src/coordination/order_lease.cpp
@@ -4,7 +4,32 @@
 
 namespace auburnchute {
 
-void observe_lease(lease_view& view, std::uint64_t end, std::optional<lease_record> newest, millis read_at)
+namespace {
+
+/// Whether the topic may have held newer records than it has now.
+bool may_lack_records(lease_view const& view) noexcept
+{
+    return view.newest_ ? view.newest_->store_era_ < view.end_.era_ : view.highest_epoch_ > 0;
+}
+
+/// Whether the lease that this VM holds is the newest, as far as the topic shows.
+bool is_own(lease_view const& view) noexcept
+{
+    auto const& newest = view.newest_;
+    if (newest && newest->incarnation_ == view.incarnation_ && newest->epoch_ == view.epoch_) {
+        return true;
+    }
+    return may_lack_records(view) && (!newest || newest->epoch_ < view.epoch_);
+}
+
+} // namespace
+
+void note_epoch(lease_view& view, std::uint64_t epoch) noexcept
+{
+    view.highest_epoch_ = std::max(view.highest_epoch_, epoch);
+}
+
+void observe_lease(lease_view& view, store_position end, std::optional<lease_record> newest, millis read_at)
 {
     bool const unchanged = view.seen_at_ != millis{0} && view.end_ == end;
     if (!unchanged) {
@@ -12,9 +37,8 @@
     }
     view.end_ = end;
     view.newest_ = std::move(newest);
-    bool const still_own = view.newest_ && view.newest_->incarnation_ == view.incarnation_ &&
-                           view.newest_->epoch_ == view.epoch_;
-    if (view.epoch_ != 0 && !still_own) {
+    note_epoch(view, view.newest_ ? view.newest_->epoch_ : 0);
+    if (view.epoch_ != 0 && !is_own(view)) {
         drop_lease(view);
     }
 }
@@ -24,11 +48,9 @@
     if (view.seen_at_ == millis{0}) {
         return false;
     }
-    if (!view.newest_) {
-        return true;
-    }
-    // The record is of an earlier process on this VM. That has ended, as its address could be bound again.
-    if (view.newest_->vm_ == view.vm_) {
+    bool const certain = !may_lack_records(view);
+    // One of this VM is of an earlier process. That has ended, as its address could be bound again.
+    if (certain && (!view.newest_ || view.newest_->vm_ == view.vm_)) {
         return true;
     }
     return now - view.seen_at_ > lease_lifetime + lease_clock_margin;
@@ -37,11 +59,14 @@
 lease_record next_lease_record(lease_view const& view, millis handover_gap, millis now)
 {
     if (view.epoch_ != 0) {
-        return {view.vm_, view.incarnation_, view.epoch_, view.orders_from_};
+        return {view.vm_, view.incarnation_, view.epoch_, view.orders_from_, view.end_.era_};
     }
-    lease_record record{view.vm_, view.incarnation_, view.end_ + 1, now};
-    if (view.newest_) {
-        auto const after_gap = now + handover_gap + lease_clock_margin;
+    auto const epoch = std::max(view.end_.offset_, view.highest_epoch_) + 1;
+    lease_record record{view.vm_, view.incarnation_, epoch, now, view.end_.era_};
+    auto const after_gap = now + handover_gap + lease_clock_margin;
+    if (may_lack_records(view)) {
+        record.orders_from_ = after_gap;
+    } else if (view.newest_) {
         // After a restart on the same VM, the handover gap of the earlier process continues; it does not
         // start anew.
         record.orders_from_ = view.newest_->vm_ == view.vm_
@@ -51,8 +76,9 @@
     return record;
 }
 
-void record_lease_append(lease_view& view, lease_record const& record, millis sent_at, std::uint64_t end)
+void record_lease_append(lease_view& view, lease_record const& record, millis sent_at, store_position end)
 {
+    note_epoch(view, record.epoch_);
     view.orders_from_ = record.orders_from_;
     view.epoch_ = record.epoch_;
     view.held_until_ = sent_at + lease_lifetime;
--- a/src/coordination/upstream_registry.cpp
+++ b/src/coordination/upstream_registry.cpp
@@ -10,10 +10,27 @@
 
 namespace {
 
-bool is_newer(upstream_registry const& registry, std::string_view id, std::uint64_t offset)
+bool is_newer(upstream_registry const& registry, std::string_view id, store_position position)
 {
     auto const applied = registry.applied_.find(id);
-    return applied == registry.applied_.end() || applied->second.offset_ < offset;
+    return applied == registry.applied_.end() || supersedes(position, applied->second.position_);
+}
+
+/// Whether an entry is an old one of a process that was removed after the store's copy was made.
+bool is_gone(upstream_registry const& registry, upstream const& entry, store_position position)
+{
+    auto const applied = registry.applied_.find(entry.id_);
+    return applied != registry.applied_.end() && applied->second.removed_at_ > millis{0} &&
+           applied->second.position_.era_ < position.era_ &&
+           !registry.lapsed_.contains(entry.id_) && entry.started_at_ <= applied->second.removed_start_ &&
+           order_of(position, registry.copy_end_) < 0;
+}
+
+void let_lapse(upstream_registry& registry, std::string_view id, millis now)
+{
+    registry.lapsed_.try_emplace(std::string{id},
+                                 std::max(registry.store_recovered_at_, now - lapsed_entry_grace) +
+                                     lapsed_entry_grace);
 }
 
 } // namespace
@@ -30,12 +47,18 @@
     }
 }
 
-entry_change apply_entry(upstream_registry& registry, upstream entry, std::uint64_t offset, millis now)
+void mark_store_returned(upstream_registry& registry, store_position copy_end, millis now) noexcept
+{
+    registry.copy_end_ = copy_end;
+    registry.store_recovered_at_ = now;
+}
+
+entry_change apply_entry(upstream_registry& registry, upstream entry, store_position position, millis now)
 {
-    if (!is_newer(registry, entry.id_, offset)) {
+    if (!is_newer(registry, entry.id_, position) || is_gone(registry, entry, position)) {
         return entry_change::none;
     }
-    registry.applied_[entry.id_] = {.offset_ = offset};
+    registry.applied_[entry.id_] = {.position_ = position};
     if (entry.leaving_) {
         (void)note_leave(registry, {entry.id_, entry.started_at_, now});
     }
@@ -57,13 +80,30 @@
     return leaves ? entry_change::leaving : entry_change::changed;
 }
 
-entry_change apply_removal(upstream_registry& registry, std::string_view id, std::uint64_t offset, millis now)
+entry_change lapse_entry(upstream_registry& registry, std::string_view id, millis now)
+{
+    auto const known = registry.entries_.find(id);
+    if (known == registry.entries_.end()) {
+        return entry_change::none;
+    }
+    auto& applied = registry.applied_[known->first]; // any record of the store's present era replaces it
+    applied.removed_at_ = now;
+    applied.removed_start_ = known->second.started_at_;
+    let_lapse(registry, id, now);
+    return entry_change::lapsed;
+}
+
+entry_change apply_removal(upstream_registry& registry, std::string_view id, store_position position,
+                           millis now)
 {
-    if (!is_newer(registry, id, offset)) {
+    if (!is_newer(registry, id, position)) {
         return entry_change::none;
     }
-    registry.applied_.insert_or_assign(std::string{id}, applied_record{offset, now});
     auto const known = registry.entries_.find(id);
+    auto& applied = registry.applied_[std::string{id}];
+    auto const started_at =
+        known != registry.entries_.end() ? known->second.started_at_ : applied.removed_start_;
+    applied = {.position_ = position, .removed_at_ = now, .removed_start_ = started_at};
     if (known == registry.entries_.end()) {
         return entry_change::removed; // other VMs may still know the upstream
     }
@@ -71,9 +111,7 @@
         registry.store_unreachable_ ||
         (registry.store_recovered_at_ > millis{0} && now < registry.store_recovered_at_ + lapsed_entry_grace);
     if (after_outage) {
-        registry.lapsed_.try_emplace(std::string{id},
-                                     std::max(registry.store_recovered_at_, now - lapsed_entry_grace) +
-                                         lapsed_entry_grace);
+        let_lapse(registry, id, now);
         return entry_change::lapsed;
     }
     registry.entries_.erase(known);
--- a/src/protocol/fleet_codec.cpp
+++ b/src/protocol/fleet_codec.cpp
@@ -301,6 +301,8 @@
     message.plans_from_ = from.plans_from();
     message.seen_plans_ = from.seen_plans();
     message.plans_age_ = checked(from.plans_age_ms());
+    message.store_era_ = from.store_era();
+    message.config_version_ = from.config_version();
 }
 
 } // namespace
@@ -346,6 +348,8 @@
     into.set_plans_from(message.plans_from_);
     into.set_seen_plans(message.seen_plans_);
     into.set_plans_age_ms(message.plans_age_);
+    into.set_store_era(message.store_era_);
+    into.set_config_version(message.config_version_);
     write_tables(message, into);
     std::vector<std::uint8_t> bytes(into.ByteSizeLong());
     into.SerializeWithCachedSizesToArray(bytes.data());
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -100,7 +100,7 @@
     answer_ledger answers_; ///< What the answers of upstreams take.
     fleet_exchange exchange_;
     std::map<std::string, net::ip::udp::endpoint, std::less<>> endpoints_; ///< Of the members, by VM.
-    std::uint64_t announced_config_{};  ///< `config_next_` of the newest configuration that was announced to
+    store_position announced_config_{}; ///< `config_next_` of the newest configuration that was announced to
                                         ///< the peers at once.
     std::optional<shutdown_plan> stop_; ///< Of the planned stop that is under way.
     std::shared_ptr<session_set> sessions_{std::make_shared<session_set>()}; ///< Callers' connections.
@@ -119,13 +119,14 @@
     std::map<std::string, retry_budget, std::less<>> retries_; ///< By service; this VM's parts.
     placement_table placements_;
     std::uint64_t own_lease_epoch_{};    ///< Of the lease while this VM holds it; 0: it does not.
-    std::uint64_t lease_end_{};          ///< End offset of the lease's topic, as the holder last reported.
+    store_position lease_end_{};         ///< End of the lease's topic, as the holder last reported.
+    store_position config_hint_{};       ///< Largest `config_next_` that any peer has in the newest era.
     millis orders_from_{};               ///< When the holder may give orders; boot clock.
     millis handed_freshness_{};          ///< Proof of freshness that a peer handed over; boot clock.
     std::function<void()> need_changed_; ///< Called when a request starts to wait for a model.
     std::function<void(message_targets)> send_state_;      ///< Sends this daemon's state to peers now.
-    std::function<void(std::uint64_t)> lease_end_changed_; ///< Called with the end offset of the lease's
-                                                           ///< topic when a holder reports a new one.
+    std::function<void(store_position)> lease_end_changed_; ///< Called with the end of the lease's topic when
+                                                            ///< a holder reports a new one.
     std::function<void(entry_report)>
         entries_reported_; ///< Called with what a peer's message says of the upstreams' entries.
     std::function<void(leave_notice)> leave_noticed_; ///< Called when an upstream says that it leaves.
@@ -157,7 +158,7 @@
 struct request_view {
     std::shared_ptr<fleet_config const> config_;
     std::shared_ptr<upstream_map const> upstreams_;
-    std::uint64_t config_next_{};
+    store_position config_next_{};
     bool members_read_{};
 };
 [[nodiscard]] request_view current_view(entry_node const& node);
--- a/src/transport/entry/entry_view.hpp
+++ b/src/transport/entry/entry_view.hpp
@@ -6,6 +6,7 @@
 #include <auburnchute/fleet_config.hpp>
 #include <auburnchute/fleet_message.hpp>
 #include <auburnchute/rcu_cell.hpp>
+#include <auburnchute/store_position.hpp>
 #include <auburnchute/upstream.hpp>
 #include <auburnchute/version_plan.hpp>
 
@@ -30,6 +31,9 @@
 struct entry_report {
     std::string told_by_;
     message_kind kind_{};
+    std::uint64_t store_era_{}; ///< Of all offsets of the report.
+    std::uint64_t config_version_{};
+    std::uint64_t config_next_{}; ///< As in `fleet_message`.
     entry_updates updates_;
     std::uint64_t seen_{};               ///< Offset up to which the peer has the entries.
     std::optional<millis> proof_at_{};   ///< When they were known to be the newest; this VM's boot clock.
@@ -43,11 +47,11 @@
 /// \brief What the control thread knows; replaced as a whole.
 struct entry_view {
     std::shared_ptr<fleet_config const> config_; ///< Null until one was read.
-    std::uint64_t config_next_{};                ///< Offset after the newest record of it that was read.
+    store_position config_next_;                 ///< After the newest record of it that was read.
     std::shared_ptr<upstream_map const> upstreams_{
         std::make_shared<upstream_map const>()}; ///< See `usable_entries`.
-    std::uint64_t
-        upstreams_next_{};     ///< Offset up to which the upstreams' entries are known; 0: not read yet.
+    store_position
+        upstreams_next_;       ///< Up to which the upstreams' entries are known; offset 0: not read yet.
     std::uint64_t registry_{}; ///< Digest of the upstreams; see `registry_digest`.
     std::vector<entry_member> members_;
     bool members_read_{}; ///< The members were read at least once.
@@ -57,7 +61,7 @@
     std::shared_ptr<version_plans const> plans_{std::make_shared<version_plans const>()};
     std::shared_ptr<std::vector<plan_update> const> plan_updates_{
         std::make_shared<std::vector<plan_update> const>()}; ///< The plans as stored, for the peers.
-    std::uint64_t seen_plans_{};                             ///< As in `fleet_message`.
+    store_position seen_plans_;                              ///< Its offset is as in `fleet_message`.
 };
 
 /// \brief What the control thread shares with the thread that serves requests.
@@ -69,8 +73,13 @@
     std::atomic<std::int64_t> config_read_at_{0};
     /// The same as a peer handed over; see `take_freshness`.
     std::atomic<std::int64_t> config_proof_at_{0};
-    /// Largest offset after the configuration's newest record that any peer has in force.
-    std::atomic<std::uint64_t> config_hint_{0};
+    /// Newest era of the store that any of its answers to this VM stated.
+    std::atomic<std::uint64_t> store_era_{0};
+    /// Highest epoch of the order lease that any message named.
+    std::atomic<std::uint64_t> highest_epoch_{0};
+    /// Until when this VM may lack version plans that were lost when the store came back from a copy; boot
+    /// clock.
+    std::atomic<std::int64_t> plans_unsettled_until_{0};
     /// When the upstreams' entries that this VM has were last known to be the newest, by a read of its own or
     /// by a peer; boot clock. 0: never.
     std::atomic<std::int64_t> entries_proof_at_{0};
--- a/src/transport/entry/order_keeper.cpp
+++ b/src/transport/entry/order_keeper.cpp
@@ -82,7 +82,8 @@
     return nlohmann::json{{"vm", record.vm_},
                           {"incarnation", record.incarnation_},
                           {"epoch", record.epoch_},
-                          {"orders_from", record.orders_from_.count_}}
+                          {"orders_from", record.orders_from_.count_},
+                          {"store_era", record.store_era_}}
         .dump();
 }
 
@@ -95,7 +96,8 @@
         return {fields.at("vm").get<std::string>(),
                 static_cast<std::uint64_t>(platform::integer_field(fields, "incarnation", 0, counts)),
                 static_cast<std::uint64_t>(platform::integer_field(fields, "epoch")),
-                millis{platform::integer_field(fields, "orders_from")}};
+                millis{platform::integer_field(fields, "orders_from")},
+                static_cast<std::uint64_t>(platform::integer_field(fields, "store_era", 0, counts))};
     } catch (std::exception const& failure) {
         log_failure("lease-unreadable", {{"fault", failure.what()}});
         return {.vm_ = "unreadable", .incarnation_ = 0, .epoch_ = 0};
@@ -137,25 +139,33 @@
             record = read_lease(*stored.value_);
         }
     }
-    observe_lease(keeper.lease_, newest.next_offset_, std::move(record), boot_now());
+    observe_lease(keeper.lease_, newest.next_, std::move(record), boot_now());
 }
 
 net::awaitable<void> append_lease(order_keeper& keeper, platform::store_client& store)
 {
     auto const sent_at = boot_now();
+    note_epoch(keeper.lease_, keeper.shared_.highest_epoch_.load(std::memory_order_acquire));
     auto const record = next_lease_record(keeper.lease_, keeper.settings_.order_lease_, sent_at);
     bool const taking = keeper.lease_.epoch_ == 0;
     auto const outcome = co_await store.append(
         platform::lease_topic, platform::encode_keyed_record(lease_key, lease_document(record)),
         keeper.lease_.end_);
     if (outcome.result_ == platform::append_result::stored) {
-        record_lease_append(keeper.lease_, record, sent_at, outcome.end_offset_);
+        record_lease_append(keeper.lease_, record, sent_at, outcome.end_);
         tell_daemons(keeper);
         if (taking) {
             log_decision("lease-taken", {{"epoch", record.epoch_},
                                          {"orders_in_ms", (record.orders_from_ - sent_at).count_}});
         }
-    } else if (outcome.result_ == platform::append_result::conflict) {
+    } else if (outcome.result_ != platform::append_result::refused) {
+        bool const misplaced =
+            outcome.result_ == platform::append_result::other_era && outcome.end_.offset_ > 0;
+        if (misplaced) { // another VM's record may lie before it
+            log_failure("lease-misplaced", {{"epoch", record.epoch_}, {"era", outcome.end_.era_}});
+            drop_lease(keeper.lease_);
+            tell_daemons(keeper);
+        }
         co_await read_lease_topic(keeper, store);
     }
 }
@@ -171,7 +181,8 @@
 
 net::awaitable<void> keep_lease(order_keeper& keeper)
 {
-    platform::store_client store{keeper.loop_, keeper.settings_.store_address_, lease_call_limit};
+    platform::store_client store{keeper.loop_, keeper.settings_.store_address_, lease_call_limit,
+                                 keeper.shared_.store_era_};
     co_await pause_for(lease_start_pause);
     millis deferred_since{0}; // 0: it defers to nobody
     while (true) {
@@ -650,11 +661,11 @@
     keeper.wake_->notify();
 }
 
-void take_lease_end(order_keeper& keeper, std::uint64_t end)
+void take_lease_end(order_keeper& keeper, store_position end)
 {
-    if (keeper.lease_.epoch_ == 0 && end > keeper.lease_.end_) {
+    if (keeper.lease_.epoch_ == 0 && supersedes(end, keeper.lease_.end_)) {
         // Another VM's record; who wrote it does not matter until this VM reads the topic.
-        observe_lease(keeper.lease_, end, lease_record{.vm_ = "told", .incarnation_ = 0, .epoch_ = 0},
+        observe_lease(keeper.lease_, end, lease_record{.vm_ = "told", .incarnation_ = 0, .epoch_ = 0, .store_era_ = end.era_},
                       boot_now());
     }
 }
--- a/src/transport/entry/order_keeper.hpp
+++ b/src/transport/entry/order_keeper.hpp
@@ -36,7 +36,7 @@
 /// \brief What the holder of the lease tells the daemons.
 struct placement_report {
     std::uint64_t epoch_{}; ///< 0: this VM does not hold the lease.
-    std::uint64_t lease_end_{};
+    store_position lease_end_{};
     millis orders_from_{}; ///< Boot clock.
     std::vector<upstream_placement> placements_;
 };
@@ -92,7 +92,7 @@
 
 /// \brief Applies the end offset of the lease's topic that the holder reported in a message. Thread safety:
 /// the control loop's thread.
-void take_lease_end(order_keeper& keeper, std::uint64_t end);
+void take_lease_end(order_keeper& keeper, store_position end);
 
 /// \brief Takes over what the VMs ask for. Thread safety: the control loop's thread.
 void take_demand(order_keeper& keeper, std::shared_ptr<fleet_demand const> demand);
--- a/src/transport/entry/peer_exchange.cpp
+++ b/src/transport/entry/peer_exchange.cpp
@@ -121,8 +121,13 @@
     // The proof first: the control thread may publish a newer configuration between the two reads, and a
     // proof of that one must not be sent with the older offset.
     auto const fresh = fresh_at(node);
-    own.config_next_ = current_view(node).config_next_;
-    own.config_age_ = fresh > millis{0} ? (now - fresh).count_ : -1;
+    auto const view = current_view(node);
+    own.store_era_ = node.shared_.store_era_.load(std::memory_order_acquire);
+    own.config_version_ = view.config_ ? view.config_->version_ : 0;
+    if (view.config_next_.era_ == own.store_era_) {
+        own.config_next_ = view.config_next_.offset_;
+        own.config_age_ = fresh > millis{0} ? (now - fresh).count_ : -1;
+    }
     own.spent_ = own_spending(node);
     for (auto const& [name, use] : node.workspaces_) {
         own.levels_.push_back({use.hash_, static_cast<std::int64_t>(use.bucket_.level_)});
@@ -136,7 +141,7 @@
     own.holds_lease_ = node.own_lease_epoch_ != 0;
     if (own.holds_lease_ || is_holder_responsive(node, now)) {
         own.lease_epoch_ = own.holds_lease_ ? node.own_lease_epoch_ : node.placements_.epoch_;
-        own.lease_end_ = node.lease_end_;
+        own.lease_end_ = node.lease_end_.era_ == own.store_era_ ? node.lease_end_.offset_ : 0;
         own.orders_in_ = std::max<std::int64_t>(0, (node.orders_from_ - now).count_);
     }
     own.seen_epoch_ = node.placements_.epoch_;
@@ -144,11 +149,15 @@
     auto const proof =
         millis{node.shared_.entries_proof_at_.load(std::memory_order_acquire)}; // before the offsets
     auto const plans_proof = millis{node.shared_.plans_proof_at_.load(std::memory_order_acquire)};
-    std::tie(own.seen_news_, own.registry_, own.leaves_digest_, own.seen_plans_) =
-        node.shared_.cell_.read([](entry_view const& view) {
-            return std::tuple{view.upstreams_next_, view.registry_, leaves_digest(*view.leaves_),
-                              view.seen_plans_};
+    auto const [upstreams_next, registry, leaves, seen_plans] =
+        node.shared_.cell_.read([](entry_view const& current) {
+            return std::tuple{current.upstreams_next_, current.registry_, leaves_digest(*current.leaves_),
+                              current.seen_plans_};
         });
+    own.seen_news_ = upstreams_next.era_ == own.store_era_ ? upstreams_next.offset_ : 0;
+    own.seen_plans_ = seen_plans.era_ == own.store_era_ ? seen_plans.offset_ : 0;
+    own.registry_ = registry;
+    own.leaves_digest_ = leaves;
     own.entries_age_ = proof > millis{0} && own.seen_news_ > 0 ? (now - proof).count_ : -1;
     own.plans_age_ = plans_proof > millis{0} && own.seen_plans_ > 0 ? (now - plans_proof).count_ : -1;
     return own;
@@ -181,8 +190,8 @@
     if (!known || peer->second.last_.leaves_digest_ != message.leaves_digest_) {
         message.leaves_ = *leaves;
     }
-    if (carries_updates(node.exchange_, *log, target, tells, now)) {
-        auto updates = updates_after(*log, known ? peer->second.last_.seen_news_ : 0);
+    if (log->era_ == message.store_era_ && carries_updates(node.exchange_, *log, target, tells, now)) {
+        auto updates = updates_after(*log, known ? seen_news_in(log->era_, peer->second.last_) : 0);
         message.news_from_ = updates.from_;
         message.news_to_ = updates.to_;
         message.news_ = std::move(updates.changes_);
@@ -193,7 +202,9 @@
 void add_plans(entry_node const& node, message_target const& target, fleet_message& message)
 {
     auto const peer = node.exchange_.peers_.find(target.vm_);
-    auto const seen = peer == node.exchange_.peers_.end() ? 0 : peer->second.last_.seen_plans_;
+    bool const same_era = peer != node.exchange_.peers_.end() &&
+                          peer->second.last_.store_era_ == message.store_era_;
+    auto const seen = same_era ? peer->second.last_.seen_plans_ : 0;
     if (seen >= message.seen_plans_) {
         return;
     }
@@ -257,6 +268,7 @@
         }
         if (!state) {
             state = own_state(node, now);
+            node.exchange_.store_era_ = state->store_era_;
         }
         auto known = common.find(target.kind_);
         if (known == common.end()) {
@@ -308,7 +320,9 @@
 /// Takes over the sender's proof that no newer configuration exists, if this daemon has what the sender has.
 void take_freshness(entry_node& node, fleet_message const& message, std::optional<millis> proof)
 {
-    if (proof && current_view(node).config_next_ >= message.config_next_) {
+    auto const view = current_view(node);
+    if (proof && view.config_ && view.config_->version_ >= message.config_version_ &&
+        reaches(view.config_next_, {message.store_era_, message.config_next_})) {
         node.handed_freshness_ = std::max(node.handed_freshness_, *proof);
         node.shared_.config_proof_at_.store(node.handed_freshness_.count_, std::memory_order_release);
     }
@@ -316,9 +330,10 @@
 
 void take_config_hint(exchange_socket& own, fleet_message const& message)
 {
-    auto& hint = own.node_.shared_.config_hint_;
-    if (message.config_next_ > hint.load(std::memory_order_acquire)) {
-        hint.store(message.config_next_, std::memory_order_release);
+    auto& hint = own.node_.config_hint_;
+    store_position const told{message.store_era_, message.config_next_};
+    if (message.config_next_ > 0 && supersedes(told, hint)) {
+        hint = told;
         ask_urgently(own, {.leaves_ = true}); // they learn of it from this VM
     }
 }
@@ -330,7 +345,8 @@
     auto const [offset, registry] = node.shared_.cell_.read([](entry_view const& view) {
         return std::pair{view.upstreams_next_, view.registry_};
     });
-    if (message.kind_ == message_kind::report || message.seen_news_ != offset || offset == 0) {
+    if (message.kind_ == message_kind::report || offset.offset_ == 0 ||
+        offset != store_position{message.store_era_, message.seen_news_}) {
         return;
     }
     if (message.registry_ == registry) {
@@ -347,7 +363,7 @@
     own.differing_ = 0;
     own.next_reread_ = now + own.reread_pause_;
     own.reread_pause_ = std::min(own.reread_pause_ * 2, longest_reread_pause);
-    log_failure("upstreams-differ", {{"vm", message.vm_}, {"offset", offset}});
+    log_failure("upstreams-differ", {{"vm", message.vm_}, {"offset", offset.offset_}});
     node.reread_upstreams_();
 }
 
@@ -359,6 +375,9 @@
     }
     node.entries_reported_({.told_by_ = message.vm_,
                             .kind_ = message.kind_,
+                            .store_era_ = message.store_era_,
+                            .config_version_ = message.config_version_,
+                            .config_next_ = message.config_next_,
                             .updates_ = {message.news_from_, message.news_to_, std::move(message.news_)},
                             .seen_ = message.seen_news_,
                             .proof_at_ = effects.entries_confirmed_at_,
@@ -381,6 +400,16 @@
     }
 }
 
+/// Notes the highest epoch that the message names: one that the store may have lost.
+void note_epoch(entry_node& node, fleet_message const& message)
+{
+    auto& highest = node.shared_.highest_epoch_; // only this thread writes it
+    auto const named = std::max(message.lease_epoch_, message.seen_epoch_);
+    if (named > highest.load(std::memory_order_acquire)) {
+        highest.store(named, std::memory_order_release);
+    }
+}
+
 void take_placements(exchange_socket& own, fleet_message const& message, millis now)
 {
     auto& node = own.node_;
@@ -392,9 +421,10 @@
     if (message.lease_epoch_ > known_epoch) {
         log_decision("placement-holder", {{"told_by", message.vm_}, {"epoch", message.lease_epoch_}});
     }
-    if (message.lease_end_ != node.lease_end_) {
-        node.lease_end_ = message.lease_end_;
-        node.lease_end_changed_(message.lease_end_);
+    store_position const end{message.store_era_, message.lease_end_};
+    if (end.offset_ > 0 && end != node.lease_end_ && end.era_ >= node.lease_end_.era_) {
+        node.lease_end_ = end;
+        node.lease_end_changed_(end);
     }
     node.orders_from_ = now + millis{message.orders_in_};
     apply_placements(node.placements_, message.lease_epoch_, message.placements_from_, message.placements_to_,
@@ -435,6 +465,7 @@
         log_decision("peer-heard", {{"vm", message.vm_}, {"silent_ms", silent.count_}});
     }
     book_spending(node, effects, now);
+    note_epoch(node, message);
     take_config_hint(own, message);
     take_freshness(node, message, effects.config_confirmed_at_);
     compare_registries(own, message);
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -7,6 +7,7 @@
 #include "transport/entry/plan_reader.hpp"
 
 #include <auburnchute/error.hpp>
+#include <auburnchute/store_return.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -65,6 +66,28 @@
     reader.counters_.count("auburnchute_store_changes_total", reachable ? "regained" : "lost");
 }
 
+std::uint64_t newest_era(store_reader const& reader)
+{
+    return reader.shared_.store_era_.load(std::memory_order_acquire);
+}
+
+/// Logs an era that is new to this VM.
+void note_era(store_reader& reader)
+{
+    auto const era = newest_era(reader);
+    if (era == reader.logged_era_) {
+        return;
+    }
+    log_decision("store-era", {{"era", era}, {"before", reader.logged_era_}});
+    reader.counters_.gauge("auburnchute_store_era", "", static_cast<double>(era));
+    reader.logged_era_ = era;
+}
+
+platform::store_client make_client(store_reader& reader)
+{
+    return {reader.loop_, reader.settings_.store_address_, store_call_limit, reader.shared_.store_era_};
+}
+
 /// Pauses that double while calls keep failing.
 class growing_pause {
 public:
@@ -78,9 +101,18 @@
     millis pause_{failure_pause};
 };
 
-/// Books a proof that the configuration in force was the newest when a read was sent.
+std::uint64_t config_version(store_reader const& reader)
+{
+    return reader.draft_.config_ ? reader.draft_.config_->version_ : 0;
+}
+
+/// Books a proof that the configuration in force was the newest when a read was sent. There is none while a peer
+/// has a newer one, which the store may have lost: keys may be withdrawn there.
 void note_fresh(store_reader& reader, millis sent_at)
 {
+    if (config_version(reader) < reader.told_config_version_) {
+        return;
+    }
     reader.shared_.config_read_at_.store(sent_at.count_, std::memory_order_release);
 }
 
@@ -109,23 +141,31 @@
     }
 }
 
-net::awaitable<std::uint64_t> read_all_config(store_reader& reader, platform::store_client& store)
+/// Notes up to where the configuration was read.
+void reach_config(store_reader& reader, store_position next)
+{
+    reader.config_next_ = next;
+    if (supersedes(next, reader.draft_.config_next_)) {
+        reader.draft_.config_next_ = next;
+    }
+    publish(reader);
+}
+
+net::awaitable<void> read_all_config(store_reader& reader, platform::store_client& store)
 {
     auto const sent_at = boot_now();
     auto const newest = co_await store.read_newest(platform::config_topic);
     for (auto const& record : newest.records_) {
         if (record.key_ == platform::config_key && record.value_) {
-            (void)take_config(reader, *record.value_, newest.next_offset_); // no other is kept
+            (void)take_config(reader, *record.value_, newest.next_.offset_); // no other is kept
         }
     }
-    reader.draft_.config_next_ = std::max(reader.draft_.config_next_, newest.next_offset_);
-    publish(reader);
+    reach_config(reader, newest.next_);
     note_fresh(reader, sent_at);
-    co_return newest.next_offset_;
 }
 
 /// Whether peers prove often enough that this VM has the newest configuration, so that it need not read.
-bool proof_suffices(store_reader const& reader, std::uint64_t next)
+bool proof_suffices(store_reader const& reader, store_position next)
 {
     auto const& shared = reader.shared_;
     auto const proof = std::max(shared.config_read_at_.load(std::memory_order_acquire),
@@ -133,21 +173,22 @@
     auto const enough = std::min(freshness_bound(reader.settings_.key_withdrawal_) * 7 / 10,
                                  reader.settings_.config_in_force_ * proof_quarters / 4);
     return !shared.reads_for_all_.load(std::memory_order_acquire) &&
-           shared.config_hint_.load(std::memory_order_acquire) <= next && boot_now() - millis{proof} < enough;
+           !supersedes(reader.config_hint_, next) && boot_now() - millis{proof} < enough;
 }
 
 net::awaitable<void> follow_config(store_reader& reader)
 {
-    platform::store_client store{reader.loop_, reader.settings_.store_address_, store_call_limit};
-    std::optional<std::uint64_t> next;
+    auto store = make_client(reader);
+    auto& next = reader.config_next_;
     millis wait{0};
     growing_pause after_failure;
     while (true) {
         std::string fault;
         try {
             if (!next) {
-                next = co_await read_all_config(reader, store);
+                co_await read_all_config(reader, store);
             }
+            note_era(reader);
             if (proof_suffices(reader, *next)) {
                 wait = millis{0}; // a read that becomes necessary should end at once
                 co_await pause_for(passive_pause);
@@ -162,19 +203,17 @@
                 next.reset();
                 continue;
             }
-            next = page.next_offset_;
             for (auto stored = page.records_.rbegin(); stored != page.records_.rend(); ++stored) {
                 auto const record = platform::parse_keyed_record(stored->bytes_);
                 bool const is_config = record && record->key_ == platform::config_key && record->value_;
-                if (is_config && take_config(reader, *record->value_, stored->offset_ + 1)) {
+                if (is_config && take_config(reader, *record->value_, stored->position_.offset_ + 1)) {
                     break; // the newest one that can be read
                 }
             }
             if (!page.records_.empty()) {
-                reader.draft_.config_next_ = std::max(reader.draft_.config_next_, page.next_offset_);
-                publish(reader);
+                reach_config(reader, page.next_);
             }
-            if (page.next_offset_ >= page.end_offset_) {
+            if (reaches(page.next_, page.end_)) {
                 note_fresh(reader, sent_at);
             }
             continue;
@@ -195,13 +234,15 @@
 
 /// Takes a record of an upstream. One that cannot be read names no upstream to use, whatever the id named
 /// before; it becomes a removal in `update`, so that all VMs take it alike.
+/// \param era Of the store in which the record has its offset.
 /// \param told_by The VM that told it, or empty for the store.
 /// \returns Whether the record must be forwarded to other VMs: it says something new, or did so when it was
 /// taken before its turn.
-bool take_upstream(store_reader& reader, upstream_entry_update& update, std::string const& told_by,
-                   entry_changes& changes)
+bool take_upstream(store_reader& reader, upstream_entry_update& update, std::uint64_t era,
+                   std::string const& told_by, entry_changes& changes)
 {
     auto const& id = update.id_;
+    store_position const position{era, update.offset_};
     auto entry = update.document_ ? platform::parse_upstream(id, *update.document_) : std::nullopt;
     bool const unreadable = update.document_ && !entry;
     if (unreadable) {
@@ -213,15 +254,15 @@
     auto const now = boot_now();
     bool const known = reader.registry_.entries_.contains(id);
     auto const applied = reader.registry_.applied_.find(id);
-    if (applied != reader.registry_.applied_.end() && applied->second.offset_ >= update.offset_) {
+    if (applied != reader.registry_.applied_.end() && !supersedes(position, applied->second.position_)) {
         return true;
     }
     if (unreadable) {
         reader.counters_.count("auburnchute_unreadable_entries_total");
         log_failure("upstream-unreadable", {{"upstream", id}, {"in_use", known}, {"told_by", told_by}});
     }
-    auto const change = entry ? apply_entry(reader.registry_, std::move(*entry), update.offset_, now)
-                              : apply_removal(reader.registry_, id, update.offset_, now);
+    auto const change = entry ? apply_entry(reader.registry_, std::move(*entry), position, now)
+                              : apply_removal(reader.registry_, id, position, now);
     if (unreadable && !known) {
         return false; // VMs that lack it do not know the id either, or learn of its removal in turn
     }
@@ -328,29 +369,62 @@
     return reader.distrusted_.contains(vm);
 }
 
+/// Begins with the entries anew: the store came back from an older copy, which ends there.
+void begin_era(store_reader& reader, store_position copy_end)
+{
+    mark_store_returned(reader.registry_, copy_end, boot_now());
+    reader.log_ = entry_log{};
+    reader.upstreams_next_.reset();
+    reader.told_ = {};
+    reader.doubt_.reset();
+}
+
+/// Takes that an entry is not among all that the store has.
+void take_missing(store_reader& reader, std::string const& id, store_position end, bool returned,
+                  entry_changes& changes)
+{
+    if (returned) {
+        changes.any_ = true;
+        if (lapse_entry(reader.registry_, id, boot_now()) == entry_change::lapsed) {
+            log_decision("upstream-lapsed", {{"upstream", id}, {"told_by", ""}});
+        }
+    } else if (end.offset_ > 0) {
+        upstream_entry_update removal{end.offset_ - 1, id, std::nullopt};
+        (void)take_upstream(reader, removal, end.era_, "", changes);
+    }
+}
+
 net::awaitable<void> read_all_upstreams(store_reader& reader, platform::store_client& store)
 {
     auto const told = reader.told_;
     auto const newest = co_await store.read_newest(platform::upstream_topic);
+    auto const end = newest.next_;
     mark_store_reachable(reader.registry_, boot_now());
-    settle_doubt(reader, told, newest.next_offset_);
+    bool const returned = reader.entries_era_ && *reader.entries_era_ != end.era_;
+    if (returned) {
+        begin_era(reader, end);
+    } else {
+        settle_doubt(reader, told, end.offset_);
+    }
+    reader.entries_era_ = end.era_;
+    reader.log_.era_ = end.era_;
     entry_changes changes;
     std::set<std::string, std::less<>> there;
     for (auto const& record : newest.records_) {
-        upstream_entry_update update{record.offset_, record.key_, record.value_};
-        (void)take_upstream(reader, update, "", changes);
+        upstream_entry_update update{record.position_.offset_, record.key_, record.value_};
+        (void)take_upstream(reader, update, end.era_, "", changes);
         there.insert(record.key_);
     }
     auto const known = reader.registry_.entries_;
     for (auto const& [id, entry] : known) {
-        if (!there.contains(id) && newest.next_offset_ > 0) {
-            upstream_entry_update removal{newest.next_offset_ - 1, id, std::nullopt};
-            (void)take_upstream(reader, removal, "", changes);
+        if (!there.contains(id)) {
+            take_missing(reader, id, end, returned, changes);
         }
     }
-    auto const next = std::max(reader.upstreams_next_.value_or(0), newest.next_offset_);
+    auto const next = reader.upstreams_next_ && reaches(*reader.upstreams_next_, end) ? *reader.upstreams_next_
+                                                                                      : end;
     // The changes before are not known one by one, so the log begins anew.
-    append_updates(reader.log_, next, next, {}, boot_now());
+    append_updates(reader.log_, next.offset_, next.offset_, {}, boot_now());
     reader.upstreams_next_ = next;
     reader.reads_all_upstreams_ = false;
     reader.plans_.due_ = true; // versions may have come and gone unseen
@@ -365,26 +439,28 @@
     return due ? std::clamp(*due - boot_now(), millis{1}, longest) : longest;
 }
 
-/// Takes records that lead from one offset to another; those after it are taken, too, but not counted on.
-void take_updates(store_reader& reader, entry_updates updates, std::string const& told_by,
+/// Takes records that lead from one offset to another; those after it are taken, too, but not counted on, and
+/// so are all of a later era than this VM has read the entries in.
+void take_updates(store_reader& reader, entry_updates updates, std::uint64_t era, std::string const& told_by,
                   message_targets untold)
 {
     entry_changes changes;
     std::vector<upstream_entry_update> forwarded;
-    auto const next = *reader.upstreams_next_;
+    auto const next = reader.upstreams_next_->offset_;
     for (auto& update : updates.changes_) {
-        if (take_upstream(reader, update, told_by, changes) && update.offset_ >= next &&
+        if (take_upstream(reader, update, era, told_by, changes) && update.offset_ >= next &&
             update.offset_ < updates.to_) {
             forwarded.push_back(std::move(update));
         }
     }
-    bool const leads_on = updates.from_ <= next && next < updates.to_;
+    bool const leads_on =
+        era == reader.upstreams_next_->era_ && updates.from_ <= next && next < updates.to_;
     if (leads_on && !told_by.empty()) {
         reader.told_ = {told_by, updates.to_, boot_now()};
     }
     if (leads_on) {
         append_updates(reader.log_, next, updates.to_, std::move(forwarded), boot_now());
-        reader.upstreams_next_ = updates.to_;
+        reader.upstreams_next_ = {era, updates.to_};
     }
     changes.any_ = drop_lapsed(reader.registry_, boot_now()) || changes.any_;
     if (leads_on || changes.any_) {
@@ -395,7 +471,8 @@
 /// Reads once, one page at most. \returns Whether more records are known to follow.
 net::awaitable<bool> read_upstreams_once(store_reader& reader, platform::store_client& store)
 {
-    if (!reader.upstreams_next_ || reader.reads_all_upstreams_) {
+    if (!reader.upstreams_next_ || reader.reads_all_upstreams_ ||
+        reader.upstreams_next_->era_ != newest_era(reader)) {
         co_await read_all_upstreams(reader, store);
     }
     auto const sent_at = boot_now();
@@ -409,19 +486,19 @@
         reader.reads_all_upstreams_ = true;
         co_return false;
     }
-    if (page.end_offset_ < from) {
-        log_failure("upstreams-beyond-end", {{"offset", from}, {"end", page.end_offset_}});
+    if (!reaches(page.end_, from)) {
+        log_failure("upstreams-beyond-end", {{"offset", from.offset_}, {"end", page.end_.offset_}});
         reader.upstreams_next_.reset(); // told by a peer; the entries between were never read
         co_return false;
     }
-    entry_updates updates{from, page.next_offset_, {}};
+    entry_updates updates{from.offset_, page.next_.offset_, {}};
     for (auto const& stored : page.records_) {
         if (auto record = platform::parse_keyed_record(stored.bytes_)) {
-            updates.changes_.push_back({stored.offset_, std::move(record->key_), std::move(record->value_)});
+            updates.changes_.push_back({stored.position_.offset_, std::move(record->key_), std::move(record->value_)});
         }
     }
-    take_updates(reader, std::move(updates), "", message_targets::all);
-    if (page.next_offset_ >= page.end_offset_) {
+    take_updates(reader, std::move(updates), from.era_, "", message_targets::all);
+    if (reaches(page.next_, page.end_)) {
         note_entries_proof(reader, sent_at);
         co_await follow_plans(reader, store, sent_at);
         co_return false;
@@ -436,6 +513,9 @@
         return millis{0};
     }
     auto const budget = leave_budget_of(reader.settings_.leave_in_force_);
+    if (reader.upstreams_next_->era_ != std::max(reader.told_era_, newest_era(reader))) {
+        return look_interval - (boot_now() - read_at); // the store came back from an older copy
+    }
     if (reader.shared_.reads_for_all_.load(std::memory_order_acquire)) {
         return budget.read_interval_ - (boot_now() - read_at);
     }
@@ -461,13 +541,15 @@
         std::string fault;
         read_at = boot_now();
         if (!store || read_at - idle_since > budget.longest_idle_) {
-            store.emplace(reader.loop_, reader.settings_.store_address_, store_call_limit);
+            store.emplace(reader.loop_, reader.settings_.store_address_, store_call_limit,
+                          reader.shared_.store_era_);
         }
         try {
             more_follows = false;
             more_follows = co_await read_upstreams_once(reader, *store);
             idle_since = boot_now();
             after_failure.reset();
+            note_era(reader);
             continue;
         } catch (std::exception const& failure) {
             fault = failure.what();
@@ -518,8 +600,10 @@
 
 /// How far the members were read, and whether this VM is among them.
 struct member_feed {
-    std::optional<std::uint64_t> next_; ///< Offset of the next read; none: all are read.
+    std::optional<store_position> next_; ///< Of the next read; none: all are read.
     bool registered_{};
+    millis registered_at_{};        ///< When its record was last written or found.
+    std::optional<millis> look_at_{}; ///< When to look for it after a return of the store.
 };
 
 /// Takes a record of a member. One that names none leaves the member in force; if it is this VM's own, it is
@@ -560,16 +644,20 @@
                 changed = take_member(reader, feed, *record) || changed;
             }
         }
-        feed.next_ = page.next_offset_;
-        if (page.records_.empty() || page.next_offset_ >= page.end_offset_) {
+        feed.next_ = page.next_;
+        if (page.records_.empty() || reaches(page.next_, page.end_)) {
             co_return changed;
         }
     }
     auto const newest = co_await store.read_newest(platform::member_topic);
+    if (feed.next_ && feed.next_->era_ != newest.next_.era_) {
+        feed.registered_ = false; // unless the copy has this VM's record
+        feed.look_at_.reset();
+    }
     for (auto const& record : newest.records_) {
         changed = take_member(reader, feed, record) || changed;
     }
-    feed.next_ = newest.next_offset_;
+    feed.next_ = newest.next_;
     co_return changed;
 }
 
@@ -580,7 +668,7 @@
     auto stored_records = newest.records_;
     // What was left behind by VMs that are gone must not displace what is new.
     std::sort(stored_records.begin(), stored_records.end(),
-              [](auto const& a, auto const& b) { return a.offset_ > b.offset_; });
+              [](auto const& a, auto const& b) { return supersedes(a.position_, b.position_); });
     stored_records.resize(std::min(stored_records.size(), max_trait_records));
     for (auto const& stored : stored_records) {
         if (auto record = stored.value_ ? decode_evidence(*stored.value_) : std::nullopt) {
@@ -601,6 +689,7 @@
     while (!reader.evidence_due_.empty()) {
         auto const [trait, record] = *reader.evidence_due_.begin();
         reader.evidence_written_.insert(trait); // also if the answer is lost
+        reader.evidence_lately_.insert_or_assign(trait, written_evidence{record, boot_now()});
         auto const outcome = co_await store.append(
             platform::evidence_topic, platform::encode_keyed_record(trait_name(trait), record.value_or("")),
             std::nullopt);
@@ -619,13 +708,39 @@
     co_return true;
 }
 
+/// Has what this VM wrote lately written again after the store came back from an older copy.
+void restore_evidence(store_reader& reader)
+{
+    std::size_t restored = 0;
+    for (auto const& [trait, written] : reader.evidence_lately_) {
+        if (may_be_lost(boot_now() - written.written_at_)) {
+            restored += reader.evidence_due_.try_emplace(trait, written.document_).second ? 1U : 0U;
+        }
+    }
+    if (restored > 0) {
+        log_decision("store-rewritten", {{"what", "crash-records"}, {"records", restored}});
+    }
+}
+
+void forget_old_evidence(store_reader& reader)
+{
+    std::erase_if(reader.evidence_lately_, [](auto const& written) {
+        return !may_be_lost(boot_now() - written.second.written_at_);
+    });
+}
+
 /// Evidence has a connection of its own: a crash may be the last thing that a VM learns before it is lost.
 net::awaitable<void> follow_evidence(store_reader& reader)
 {
-    platform::store_client store{reader.loop_, reader.settings_.store_address_, store_call_limit};
+    auto store = make_client(reader);
     growing_pause after_failure;
+    auto era = newest_era(reader);
     while (true) {
         std::string fault;
+        forget_old_evidence(reader);
+        if (era != std::exchange(era, newest_era(reader))) {
+            restore_evidence(reader);
+        }
         try {
             bool const written = co_await write_evidence(reader, store);
             if (written) {
@@ -641,9 +756,21 @@
     }
 }
 
+/// Whether it is time to look for this VM's record after the store came back from an older copy.
+bool must_look(store_reader const& reader, member_feed& feed)
+{
+    if (!feed.next_ || feed.next_->era_ == newest_era(reader)) {
+        return false;
+    }
+    if (!feed.look_at_) {
+        feed.look_at_ = boot_now() + rejoin_delay(reader.settings_.vm_, boot_now() - feed.registered_at_);
+    }
+    return boot_now() >= *feed.look_at_;
+}
+
 net::awaitable<void> follow_members(store_reader& reader)
 {
-    platform::store_client store{reader.loop_, reader.settings_.store_address_, store_call_limit};
+    auto store = make_client(reader);
     growing_pause after_failure;
     member_feed feed;
     bool evidence_read = false;
@@ -669,10 +796,12 @@
                     platform::encode_keyed_record(reader.settings_.vm_, member_document(reader)),
                     std::nullopt);
                 feed.registered_ = outcome.result_ == platform::append_result::stored;
+                log_decision("member-written", {{"stored", feed.registered_}, {"era", outcome.end_.era_}});
+                feed.registered_at_ = boot_now();
             }
             bool const unknown_sender_seen =
                 reader.shared_.unknown_sender_seen_.load(std::memory_order_acquire);
-            if (unknown_sender_seen || boot_now() - read_at > member_refresh) {
+            if (unknown_sender_seen || must_look(reader, feed) || boot_now() - read_at > member_refresh) {
                 reader.shared_.unknown_sender_seen_.store(false, std::memory_order_release);
                 read_at = boot_now();
                 if (co_await read_members(reader, store, feed)) {
@@ -693,6 +822,23 @@
     }
 }
 
+/// Takes what a peer says of the configuration. A version stands for its content, so one that has the same
+/// version vouches for a position of a later era.
+void take_config_report(store_reader& reader, entry_report const& report)
+{
+    reader.told_config_version_ = std::max(reader.told_config_version_, report.config_version_);
+    store_position const told{report.store_era_, report.config_next_};
+    if (report.config_next_ == 0 || !reader.config_next_) {
+        return;
+    }
+    bool const later_era = told.era_ > reader.config_next_->era_;
+    if (later_era && report.config_version_ == config_version(reader)) {
+        reach_config(reader, told);
+    } else if (supersedes(told, reader.config_hint_)) {
+        reader.config_hint_ = told;
+    }
+}
+
 } // namespace
 
 void take_report(store_reader& reader, entry_report const& report)
@@ -708,9 +854,17 @@
     if (new_leave) {
         publish_changes(reader, {.any_ = true, .leaving_ = true}, untold);
     }
-    if (!reader.upstreams_next_ || is_distrusted(reader, report.told_by_)) {
+    take_config_report(reader, report);
+    if (!reader.upstreams_next_ || is_distrusted(reader, report.told_by_) ||
+        report.store_era_ < reader.upstreams_next_->era_) {
         return; // changes say nothing of the entries before them
     }
+    if (report.store_era_ > reader.upstreams_next_->era_) {
+        reader.told_era_ = std::max(reader.told_era_, report.store_era_); // all entries are read
+        take_updates(reader, report.updates_, report.store_era_, report.told_by_, untold);
+        take_plans(reader, report);
+        return;
+    }
     end_claim const claim{report.told_by_, report.seen_, report.proof_at_};
     if (contradicts(claim, reader.told_)) {
         log_failure("upstreams-contradicted", {{"vm", claim.vm_},
@@ -721,9 +875,9 @@
         reader.upstreams_next_.reset(); // read from the store at once
         return;
     }
-    take_updates(reader, report.updates_, report.told_by_, untold);
+    take_updates(reader, report.updates_, report.store_era_, report.told_by_, untold);
     take_plans(reader, report);
-    if (report.seen_ == 0 || *reader.upstreams_next_ < report.seen_) {
+    if (report.seen_ == 0 || !reaches(*reader.upstreams_next_, {report.store_era_, report.seen_})) {
         return;
     }
     if (report.proof_at_) {
@@ -756,7 +910,7 @@
 
 void publish(store_reader& reader)
 {
-    reader.draft_.upstreams_next_ = reader.upstreams_next_.value_or(0);
+    reader.draft_.upstreams_next_ = reader.upstreams_next_.value_or(store_position{});
     reader.shared_.cell_.publish(std::make_unique<entry_view const>(reader.draft_));
     if (reader.changed_) {
         reader.changed_();
--- a/src/transport/entry/version_keeper.cpp
+++ b/src/transport/entry/version_keeper.cpp
@@ -102,7 +102,7 @@
         return std::tuple{view.config_, view.upstreams_, view.plans_, view.seen_plans_};
     });
     node.counters_.gauge("auburnchute_version_plans", "", static_cast<double>(plans->size()));
-    if (!config || seen_plans == 0) {
+    if (!config || seen_plans.offset_ == 0) {
         return;
     }
     auto const timing = timing_of(node);
@@ -117,7 +117,7 @@
         auto const census = census_of(node, *config, service, *upstreams, now);
         auto next = next_plan(plan, census, timing, longest, now);
         if (next && plan == nullptr) {
-            number_plan(*next, seen_plans); // above those of all records before
+            number_plan(*next, seen_plans.offset_); // above those of all records before
         }
         if (!next) {
             node.plans_due_since_.erase(std::string{service});
@@ -182,7 +182,9 @@
     // The proof first: one of newer plans must not count for older ones.
     auto const proof_at = millis{node.shared_.plans_proof_at_.load(std::memory_order_acquire)};
     auto const plans = node.shared_.cell_.read([](entry_view const& view) { return view.plans_; });
-    if (proof_at == millis{0} || now - proof_at > (taken_up ? timing.fence_ : timing.begin_limit_)) {
+    bool const unsettled = now < millis{node.shared_.plans_unsettled_until_.load(std::memory_order_acquire)};
+    if (proof_at == millis{0} || unsettled ||
+        now - proof_at > (taken_up ? timing.fence_ : timing.begin_limit_)) {
         return {std::nullopt, version_fault::stale};
     }
     auto const plan = plans->find(job.service_);
--- a/tests/coordination/order_lease_test.cpp
+++ b/tests/coordination/order_lease_test.cpp
@@ -28,16 +28,16 @@
     bool append(lease_view& view, millis at)
     {
         auto const record = next_lease_record(view, handover_gap, at);
-        if (view.end_ != end_) {
+        if (view.end_ != store_position{0, end_}) {
             return false;
         }
         newest_ = record;
         ++end_;
-        record_lease_append(view, record, at, end_);
+        record_lease_append(view, record, at, {0, end_});
         return true;
     }
 
-    void read(lease_view& view, millis at) const { observe_lease(view, end_, newest_, at); }
+    void read(lease_view& view, millis at) const { observe_lease(view, {0, end_}, newest_, at); }
 };
 
 } // namespace
--- a/tests/coordination/upstream_registry_test.cpp
+++ b/tests/coordination/upstream_registry_test.cpp
@@ -23,7 +23,7 @@
 upstream_registry with_one()
 {
     upstream_registry registry;
-    REQUIRE(apply_entry(registry, entry("i-1"), 1, millis{1}) == entry_change::added);
+    REQUIRE(apply_entry(registry, entry("i-1"), {0, 1}, millis{1}) == entry_change::added);
     return registry;
 }
 
@@ -33,11 +33,11 @@
 TEST_CASE("entries are added, changed, marked as leaving and removed", "[registry][promise-11]")
 {
     auto registry = with_one();
-    CHECK(apply_entry(registry, entry("i-1"), 2, millis{2}) == entry_change::none);
-    CHECK(apply_entry(registry, entry("i-1", 1, true), 3, millis{3}) == entry_change::leaving);
-    CHECK(apply_entry(registry, entry("i-1", 2), 4, millis{4}) == entry_change::changed);
-    CHECK(apply_entry(registry, entry("i-1", 1, true), 5, millis{5}) == entry_change::none);
-    CHECK(apply_removal(registry, "i-1", 6, millis{10}) == entry_change::removed);
+    CHECK(apply_entry(registry, entry("i-1"), {0, 2}, millis{2}) == entry_change::none);
+    CHECK(apply_entry(registry, entry("i-1", 1, true), {0, 3}, millis{3}) == entry_change::leaving);
+    CHECK(apply_entry(registry, entry("i-1", 2), {0, 4}, millis{4}) == entry_change::changed);
+    CHECK(apply_entry(registry, entry("i-1", 1, true), {0, 5}, millis{5}) == entry_change::none);
+    CHECK(apply_removal(registry, "i-1", {0, 6}, millis{10}) == entry_change::removed);
     CHECK(registry.entries_.empty());
 }
 
@@ -49,7 +49,7 @@
     auto registry = with_one();
     mark_store_unreachable(registry);
     mark_store_reachable(registry, millis{11'670});
-    CHECK(apply_removal(registry, "i-1", 2, millis{13'210}) == entry_change::lapsed);
+    CHECK(apply_removal(registry, "i-1", {0, 2}, millis{13'210}) == entry_change::lapsed);
     CHECK(next_drop_time(registry) == millis{11'670} + lapsed_entry_grace);
     CHECK_FALSE(drop_lapsed(registry, millis{13'800}));
     CHECK(drop_lapsed(registry, millis{11'670} + lapsed_entry_grace));
@@ -61,18 +61,18 @@
 {
     auto registry = with_one();
     mark_store_unreachable(registry);
-    CHECK(apply_removal(registry, "i-1", 2, millis{5'000}) == entry_change::lapsed);
+    CHECK(apply_removal(registry, "i-1", {0, 2}, millis{5'000}) == entry_change::lapsed);
     CHECK_FALSE(drop_lapsed(registry, millis{60'000}));
     mark_store_reachable(registry, millis{60'000});
     SECTION("it stays if it returns")
     {
-        CHECK(apply_entry(registry, entry("i-1"), 3, millis{60'010}) == entry_change::returned);
+        CHECK(apply_entry(registry, entry("i-1"), {0, 3}, millis{60'010}) == entry_change::returned);
         CHECK_FALSE(drop_lapsed(registry, millis{70'000}));
         CHECK(registry.entries_.size() == 1);
     }
     SECTION("it is dropped if it does not return")
     {
-        CHECK(apply_removal(registry, "i-1", 3, millis{60'010}) == entry_change::lapsed);
+        CHECK(apply_removal(registry, "i-1", {0, 3}, millis{60'010}) == entry_change::lapsed);
         CHECK(drop_lapsed(registry, millis{60'000} + lapsed_entry_grace + lapsed_entry_grace));
         CHECK(registry.entries_.empty());
     }
@@ -101,16 +101,16 @@
                 mark_store_reachable(reader, now);
                 continue;
             case 2:
-                change = apply_removal(reader, id, offset, now);
+                change = apply_removal(reader, id, {0, offset}, now);
                 if (change != entry_change::none) {
-                    (void)apply_removal(receiver, id, offset, now);
+                    (void)apply_removal(receiver, id, {0, offset}, now);
                 }
                 break;
             default: {
                 auto const record = entry(id, *rc::gen::inRange(1, 3), *rc::gen::arbitrary<bool>());
-                change = apply_entry(reader, record, offset, now);
+                change = apply_entry(reader, record, {0, offset}, now);
                 if (change != entry_change::none) {
-                    (void)apply_entry(receiver, record, offset, now);
+                    (void)apply_entry(receiver, record, {0, offset}, now);
                 }
             }
             }
@@ -146,9 +146,9 @@
         }
         auto const apply = [](upstream_registry& registry, stored const& record) {
             if (record.entry_) {
-                (void)apply_entry(registry, *record.entry_, record.offset_, millis{1'000});
+                (void)apply_entry(registry, *record.entry_, {0, record.offset_}, millis{1'000});
             } else {
-                (void)apply_removal(registry, record.id_, record.offset_, millis{1'000});
+                (void)apply_removal(registry, record.id_, {0, record.offset_}, millis{1'000});
             }
         };
         upstream_registry in_order;
@@ -184,7 +184,7 @@
     std::uint64_t offset = 1;
     for (auto const& row : {row{entry("i-1", 1, true), true}, row{entry("i-1", 1, false), true},
                             row{entry("i-1", 2, false), false}}) {
-        (void)apply_entry(registry, row.entry_, ++offset, millis{10});
+        (void)apply_entry(registry, row.entry_, {0, ++offset}, millis{10});
         CHECK(usable_entries(registry).at("i-1").leaving_ == row.leaving_);
     }
     CHECK_FALSE(note_leave(registry, {"i-1", 1, millis{11}}));
@@ -192,8 +192,8 @@
     SECTION("also if its entry was removed and comes back")
     {
         CHECK(note_leave(registry, {"i-1", 2, millis{12}}));
-        CHECK(apply_removal(registry, "i-1", ++offset, millis{13}) == entry_change::removed);
-        CHECK(apply_entry(registry, entry("i-1", 2), ++offset, millis{14}) == entry_change::added);
+        CHECK(apply_removal(registry, "i-1", {0, ++offset}, millis{13}) == entry_change::removed);
+        CHECK(apply_entry(registry, entry("i-1", 2), {0, ++offset}, millis{14}) == entry_change::added);
         CHECK(usable_entries(registry).at("i-1").leaving_);
     }
 }
--- a/tests/protocol/fleet_codec_test.cpp
+++ b/tests/protocol/fleet_codec_test.cpp
@@ -70,6 +70,8 @@
     message.plans_ = {{3, "s", std::string{"\0\x01", 2}}};
     message.seen_plans_ = 5;
     message.plans_age_ = 270;
+    message.store_era_ = 3;
+    message.config_version_ = 8'000'000'000;
     return message;
 }
 
@@ -133,6 +135,8 @@
     CHECK(read->plans_ == message.plans_);
     CHECK(read->seen_plans_ == message.seen_plans_);
     CHECK(read->plans_age_ == message.plans_age_);
+    CHECK(read->store_era_ == message.store_era_);
+    CHECK(read->config_version_ == message.config_version_);
 }
 
 // Guards against VMs that read another plan than the one that was stored.
--- a/tests/transport/entry/store_reader_test.cpp
+++ b/tests/transport/entry/store_reader_test.cpp
@@ -53,7 +53,7 @@
         auto const known = shared_.cell_.read([](entry_view const& view) { return view.upstreams_next_; });
         take_report(reader_, {.told_by_ = honest_vm,
                               .kind_ = message_kind::mesh,
-                              .updates_ = updates_after(log_, known),
+                              .updates_ = updates_after(log_, known.offset_),
                               .seen_ = log_.to_,
                               .proof_at_ = boot_now()});
     }
