Tell offsets of different eras of the store apart

After a drill the store comes back from an older copy: offsets go back and are given out again. Entries, removals, plans, configuration and lease compared them as if they never did, so an upstream that left after the return was sent requests for good.

--- a/tests/transport/entry/standin_platform.hpp
+++ b/tests/transport/entry/standin_platform.hpp
@@ -259,6 +259,13 @@
         changed_.notify_all();
     }
 
+    /// \returns The era that all answers state.
+    [[nodiscard]] std::uint64_t era()
+    {
+        std::scoped_lock const lock{mutex_};
+        return era_;
+    }
+
     /// \returns How many calls came so far.
     [[nodiscard]] int calls() const noexcept { return calls_; }
 
--- a/tests/transport/entry/store_era_test.cpp
+++ b/tests/transport/entry/store_era_test.cpp
@@ -73,7 +73,7 @@
     void write_records(int count, bool cut_off)
     {
         for (int i = 0; i < count; ++i) {
-            world_.put_entry(1, "ready", 1);
+            world_.put_entry(static_cast<std::size_t>(i % 2), "ready", 1);
         }
         auto const seen = std::make_shared<std::array<std::atomic<bool>, vms>>();
         world_.add_upstream([seen](received_request const& request, owned_socket& connection) {
--- a/tests/transport/entry/store_reader_test.cpp
+++ b/tests/transport/entry/store_reader_test.cpp
@@ -53,6 +53,7 @@
         auto const known = shared_.cell_.read([](entry_view const& view) { return view.upstreams_next_; });
         take_report(reader_, {.told_by_ = honest_vm,
                               .kind_ = message_kind::mesh,
+                              .store_era_ = store_.era(),
                               .updates_ = updates_after(log_, known.offset_),
                               .seen_ = log_.to_,
                               .proof_at_ = boot_now()});
@@ -63,6 +64,7 @@
     {
         take_report(reader_, {.told_by_ = false_vm,
                               .kind_ = message_kind::mesh,
+                              .store_era_ = store_.era(),
                               .updates_ = {0, to, {}},
                               .seen_ = to,
                               .proof_at_ = boot_now()});
