auburnchuted: a repeated purchase waits for the outcome of the first call

Cause: the daemon that makes the call answers its caller while the outcome is on its way to the log, and a VM that finds the claim without an outcome answered at once. Ruled out: a lost outcome, as later repeats got it. Answering only after the outcome is read back would delay every purchase by an append and still leave the other VMs behind.

Change: a repeat waits until the claim has an outcome, is freed, or its claimant is gone; for 10 s at most, until the row's deadline, or until a planned stop gives it up. Then 409 says that the call runs or that its outcome has not reached this VM. A key withdrawn meanwhile is refused.

The test holds the outcome's append until the repeat has come, at the same and at another VM.

--- a/src/transport/fleet_control.cpp
+++ b/src/transport/fleet_control.cpp
@@ -182,6 +182,16 @@
     return shared->result_;
 }
 
+std::shared_ptr<fleet_state const>
+fleet_control::wait_folded(std::function<bool(fleet_state const&)> const& holds, millis limit,
+                           std::stop_token const& stop)
+{
+    std::unique_lock lock{mutex_};
+    (void)wake_.wait_for(lock, stop, std::chrono::milliseconds{std::max<std::int64_t>(0, limit.count_)},
+                         [&] { return holds(*state_); });
+    return state_;
+}
+
 bool fleet_control::reserve_tokens(std::string const& workspace, std::int64_t tokens, millis deadline)
 {
     auto missing = shares_.try_reserve(workspace, tokens);
--- a/src/transport/fleet_control.hpp
+++ b/src/transport/fleet_control.hpp
@@ -87,6 +87,12 @@
     /// \brief Writes a record without waiting; `then`, if set, is called once with the result.
     void submit(record_body body, std::function<void(submit_result const&)> then = {});
 
+    /// \brief Waits until the folded log meets the condition, the time is over, or a stop is asked for.
+    /// \param holds Called with the lock held; it must not call back. \returns The state that was seen last.
+    [[nodiscard]] std::shared_ptr<fleet_state const>
+    wait_folded(std::function<bool(fleet_state const&)> const& holds, millis limit,
+                std::stop_token const& stop);
+
     /// \brief Reserves tokens of a workspace, borrowing from peers if needed, until `deadline`.
     [[nodiscard]] bool reserve_tokens(std::string const& workspace, std::int64_t tokens, millis deadline);
 
--- a/src/transport/service_call.cpp
+++ b/src/transport/service_call.cpp
@@ -8,6 +8,7 @@
 #include <httplib.h>
 #include <memory>
 #include <optional>
+#include <stop_token>
 #include <utility>
 
 namespace auburnchute {
@@ -17,6 +18,9 @@
 /// Longest wait of a caller for a claim to be folded.
 constexpr millis claim_wait{10'000};
 
+/// Longest wait of a repeat for the outcome of the first call, which takes the same way as a claim.
+constexpr millis outcome_wait = claim_wait;
+
 constexpr std::size_t max_key_length = 256;
 
 /// Status of an outcome whose call may or may not have run.
@@ -201,23 +205,45 @@
     }
 }
 
-/// Answers a call whose key is claimed already. \returns False if the claim is free.
+/// Waits while the call of a claim runs or its outcome is on its way here. \returns The state that was seen
+/// last.
+std::shared_ptr<fleet_state const> wait_for_outcome(request_services& services,
+                                                    request_context const& context, std::string const& key,
+                                                    std::string const& request_digest)
+{
+    auto const is_settled = [&](fleet_state const& state) {
+        auto const it = state.claims_.find(key);
+        return it == state.claims_.end() || it->second.finished_ ||
+               it->second.request_digest_ != request_digest || is_gone(state, it->second.daemon_);
+    };
+    auto const left = std::min(context.deadline_ - now(services.control_.time_source()), outcome_wait);
+    std::stop_source given_up;
+    if (!context.open_->on_give_up([&given_up] { given_up.request_stop(); })) {
+        given_up.request_stop();
+    }
+    auto state = services.control_.wait_folded(is_settled, left, given_up.get_token());
+    (void)context.open_->on_give_up({});
+    return state;
+}
+
+/// Answers a call whose key is claimed already, with the outcome as soon as it is known. \returns False if
+/// the claim is free.
 bool answer_repeat(request_services& services, request_context& context, std::string const& key,
                    std::string const& request_digest, httplib::Response& response)
 {
-    auto const found =
-        services.control_.read([&](fleet_view const& view) -> std::optional<std::pair<claim_entry, bool>> {
-            auto const it = view.state_->claims_.find(key);
-            if (it == view.state_->claims_.end()) {
-                return std::nullopt;
-            }
-            return std::pair{it->second, is_gone(*view.state_, it->second.daemon_)};
-        });
-    if (!found) {
+    auto const state = wait_for_outcome(services, context, key, request_digest);
+    auto const found = state->claims_.find(key);
+    if (found == state->claims_.end()) {
         return false;
     }
-    auto const& [claim, claimant_gone] = *found;
-    if (claim.request_digest_ != request_digest) {
+    auto const& claim = found->second;
+    bool const claimant_gone = is_gone(*state, claim.daemon_);
+    if (auto ended = must_end(services, context)) {
+        // The key may have been withdrawn while the repeat waited.
+        ended->execution_ = execution::unknown;
+        answer_problem(*ended, response);
+        end_request(services, context, "refused");
+    } else if (claim.request_digest_ != request_digest) {
         note(services, context, "claim", "other_body");
         answer_problem(make_problem(context, 422, "key-reused", "claim",
                                     "not run: the idempotency key was used with another body"),
@@ -245,7 +271,8 @@
         end_request(services, context, "unknown");
     } else {
         note(services, context, "claim", "in_progress");
-        auto refused = make_problem(context, 409, "in-progress", "claim", "the same call is still running",
+        auto refused = make_problem(context, 409, "in-progress", "claim",
+                                    "the same call is still running, or its outcome has not reached this VM",
                                     execution::unknown);
         refused.retry_after_s_ = 1;
         answer_problem(refused, response);
--- a/tests/transport/fleet_test.cpp
+++ b/tests/transport/fleet_test.cpp
@@ -93,6 +93,30 @@
     CHECK(f.runs("order-1") == 1);
 }
 
+// Guards against "still running" where the first call was answered and its outcome is on its way to the log.
+TEST_CASE("a purchase repeated at another daemon before its outcome is in the log gets the outcome",
+          "[promise-10][process]")
+{
+    auto const repeats_at = GENERATE(std::size_t{0}, std::size_t{1});
+    fleet f{{}};
+    fleet::fault(f.service_address(0), {{"delay_ms", 1'500}});
+    auto first = std::async(std::launch::async, [&f] { return f.buy(0, "order-9"); });
+    REQUIRE(eventually(10s, [&f] { return f.runs("order-9") == 1; }));
+    fleet::fault(f.log_address(), {{"append_outage", true}});
+    CHECK(first.get().status_ == 200);
+    auto again = std::async(std::launch::async, [&] { return f.buy(repeats_at, "order-9"); });
+    REQUIRE(eventually(10s, [&] {
+        return again.wait_for(0s) == std::future_status::ready ||
+               f.get(repeats_at, "/metrics").body_.find("\nauburnchute_open_requests 1") != std::string::npos;
+    }));
+    fleet::fault(f.log_address(), {{"clear", true}});
+    auto const repeat = again.get();
+    CAPTURE(repeat.body_);
+    CHECK(repeat.status_ == 200);
+    CHECK(repeat.headers_.find("Idempotency-Replayed") != repeat.headers_.end());
+    CHECK(f.runs("order-9") == 1);
+}
+
 // Guards against a second run after the daemon that made the call was killed before it stored the outcome.
 TEST_CASE("a purchase whose daemon is killed during the call is not run again",
           "[promise-10][promise-9][process]")
