Expect the demand from before a cut when links are back, and order a workspace's requests by route

Ruled out: own demand times the VMs (refuses callers that use one VM). Change: after a cut a VM expects its peers' demand from before until messages have told it; within a workspace the route's priority decides. Result: the table passes; without the change its first row fails.

--- a/include/auburnchute/limit_order.hpp
+++ b/include/auburnchute/limit_order.hpp
@@ -22,8 +22,10 @@
 /// \brief A VM's sample of what a workspace asks for, by class.
 struct limit_order {
     std::array<class_demand, limit_classes> classes_{};
-    double requests_{}; ///< Decayed as the units are.
-    double recent_{};   ///< Units asked, decayed with `demand_time_constant`.
+    double requests_{};   ///< Decayed as the units are.
+    double recent_{};     ///< Units asked, decayed with `demand_time_constant`.
+    double peers_peak_{}; ///< Largest demand at peers, units a second; decays with `limit_sample_time`.
+    millis cut_off_at_{}; ///< When this VM last did not hear of most of its peers' use; 0: never.
     millis updated_at_{};
     millis since_{}; ///< When the first request was noted; 0: none was.
 };
--- a/src/coordination/limit_order.cpp
+++ b/src/coordination/limit_order.cpp
@@ -37,6 +37,7 @@
         part.refused_ *= left;
     }
     order.requests_ *= left;
+    order.peers_peak_ *= left;
     order.recent_ *= std::exp(-age / static_cast<double>(demand_time_constant.count_));
     order.updated_at_ = std::max(now, order.updated_at_);
 }
@@ -56,6 +57,26 @@
     return time_constant * (1 - std::exp(-span / time_constant)) / 1'000.0;
 }
 
+/// Part of the members of which a VM must hear to know the demand.
+constexpr double least_heard = 0.5;
+
+/// \returns Units a second that peers are asked for. A VM that was cut off expects what they had before until
+/// their messages tell the demand again; else all VMs would spend at once when the links are back.
+double demand_at_peers(limit_order& order, shared_bucket const& bucket, bucket_request const& request,
+                       millis now) noexcept
+{
+    auto const told = peer_demand_rate(bucket, now);
+    auto const heard = request.visibility_.share_;
+    order.peers_peak_ = std::max(order.peers_peak_, told);
+    if (heard < least_heard) {
+        order.cut_off_at_ = now;
+        return told; // its share of the level bounds what it spends
+    }
+    auto const known_after = demand_time_constant + request.propagation_delay_ * 2;
+    bool const is_back = order.cut_off_at_ > millis{0} && now - order.cut_off_at_ < known_after;
+    return is_back ? order.peers_peak_ : told;
+}
+
 /// \returns When the class is expected to find room for a request.
 millis retry_after(class_demand const& own, class_part const& part, double missing, limit_room const& room,
                    double covered, double draw) noexcept
@@ -130,7 +151,7 @@
     auto const delay = static_cast<double>(request.propagation_delay_.count_) / 1'000.0;
     auto const covered = seconds_covered(order, limit_sample_time, now);
     auto const own_rate = order.recent_ / seconds_covered(order, demand_time_constant, now);
-    auto const at_peers = peer_demand_rate(bucket, now);
+    auto const at_peers = demand_at_peers(order, bucket, request, now);
     auto const level = usable_level(bucket);
     auto const required = required_level(bucket, request.units_, share);
     limit_room const room{.delay_s_ = delay,
--- a/src/transport/entry/limit_keeper.cpp
+++ b/src/transport/entry/limit_keeper.cpp
@@ -45,7 +45,8 @@
 std::optional<own_answer> charge_in_order(entry_node& node, forward_job& job, workspace_use& use,
                                           bucket_request const& wanted, millis now)
 {
-    auto const verdict = spend_in_order(use.order_, use.bucket_, wanted, job.urgency_, now);
+    // The workspace's own priority is the same for all its requests.
+    auto const verdict = spend_in_order(use.order_, use.bucket_, wanted, job.route_->priority_, now);
     log_order(job, use, verdict, now);
     if (verdict.admitted_) {
         job.charged_ = wanted.units_;
--- a/tests/coordination/limit_order_test.cpp
+++ b/tests/coordination/limit_order_test.cpp
@@ -187,3 +187,33 @@
         CHECK(got.units_ >= 0.98 * before.units_);
     }
 }
+
+// Guards against all VMs spending at once when the links between them are back: none of them knew the demand
+// then, and a workspace got 2,638,820 of 2,291,940 units in 8 s (seen on psm-frota-grown, trouble-3, QUOTA).
+TEST_CASE("a VM that was cut off expects the demand from before", "[limit-order]")
+{
+    struct row {
+        double heard_; ///< Part of the members, from 5 s to 8 s.
+        millis at_;    ///< All members are heard again from 8 s on.
+        bool expected_;
+    };
+    for (auto const& row :
+         {row{0.01, millis{8'300}, true}, row{0.01, millis{12'000}, false}, row{1.0, millis{8'300}, false}}) {
+        CAPTURE(row.heard_, row.at_.count_);
+        shared_bucket bucket;
+        limit_order order;
+        set_limit(bucket, rate, burst, millis{1});
+        bucket_request request{1'000, {}, millis{600}, 0.5};
+        for (std::int64_t at = 100; at < 5'000; at += 100) {
+            record_peer_demand(bucket, rate / 2, millis{at}); // five times the rate
+            (void)spend_in_order(order, bucket, request, 1, millis{at});
+        }
+        request.visibility_.share_ = row.heard_;
+        for (std::int64_t at = 5'000; at < 8'000; at += 500) {
+            (void)spend_in_order(order, bucket, request, 1, millis{at});
+        }
+        request.visibility_.share_ = 1.0;
+        auto const verdict = spend_in_order(order, bucket, request, 1, row.at_);
+        CHECK((verdict.demand_ > 3 * rate) == row.expected_);
+    }
+}
