--- a/src/coordination/upstream_choice.cpp
+++ b/src/coordination/upstream_choice.cpp
@@ -84,6 +84,15 @@
            static_cast<double>(std::max<std::int64_t>(candidate.slots_, 1));
 }
 
+/// \returns How long a request waits for a slot of a plain service, in ms at the usual pace. Less than by
+/// which the choice compares: a server with a free slot answers as fast as an idle one, and is not to be
+/// taken for a fast one.
+double service_queue(upstream_candidate const& candidate, choice_request const& request) noexcept
+{
+    auto const behind = std::max<std::int64_t>(candidate.running_ + 1 - candidate.slots_, 0);
+    return service_step(candidate, request) * static_cast<double>(behind);
+}
+
 /// \param unread Prompt tokens of the request that the upstream has to read.
 delay_parts usual_delay(upstream_candidate const& candidate, choice_request const& request,
                         double unread) noexcept
@@ -225,7 +234,8 @@
         auto const step =
             (each.kv_tokens_ == 0 ? service_step(each, request) : usual.work_ + delay_per_engine_request_ms) *
             each.slowness_;
-        results.push_back({i, unread_prompt_tokens(request, rank == 0), expected, usual.work_, usual.wait_});
+        results.push_back({i, unread_prompt_tokens(request, rank == 0), expected, usual.work_,
+                           each.kv_tokens_ == 0 ? service_queue(each, request) : usual.wait_});
         options.push_back(
             {i,
              expected + each.excess_latency_ms_ + (each.recently_failed_ ? recent_failure_penalty_ms : 0.0),
--- a/tests/coordination/upstream_choice_test.cpp
+++ b/tests/coordination/upstream_choice_test.cpp
@@ -368,3 +368,20 @@
     candidates[order[0]].slowness_ = 4;
     CHECK(chosen(candidates, request) != order[0]);
 }
+
+// Guards against a busy server with free slots that is taken for a fast one, and so gets busier.
+TEST_CASE("a plain service's answers are measured against its queue alone", "[choice]")
+{
+    struct row {
+        std::int64_t running_;
+        double wait_ms_;
+    };
+    for (auto const& row : {row{0, 0}, row{5, 0}, row{6, 10}, row{8, 30}}) {
+        CAPTURE(row.running_);
+        std::vector<upstream_candidate> const candidates{server("s1", row.running_)};
+        auto const best = choose_upstream(candidates, {.contested_ = true, .usual_answer_ms_ = 60});
+        REQUIRE(best);
+        CHECK(best->work_ms_ == Approx(60));
+        CHECK(best->wait_ms_ == Approx(row.wait_ms_));
+    }
+}
