--- a/src/protocol/metrics.cpp
+++ b/src/protocol/metrics.cpp
@@ -66,6 +66,8 @@
     description{"auburnchute_unreadable_entries_total", "", "Entries of upstreams that could not be read."},
     description{"auburnchute_store_changes_total", "state",
                 "Times that the platform's store was lost or regained."},
+    description{"auburnchute_store_era", "",
+                "Era of the platform's store; rises when it comes back from an older copy."},
     description{"auburnchute_orders_total", "step",
                 "Orders to engines that were accepted, by step; `refused`: the others."},
     description{"auburnchute_peer_messages_total", "result",
--- a/tests/coordination/order_lease_test.cpp
+++ b/tests/coordination/order_lease_test.cpp
@@ -168,3 +168,46 @@
         }
     }));
 }
+
+// Guards against a holder that loses its lease, and a second one beside it, as the store lost their records.
+TEST_CASE("the holder goes on after the store came back from a copy, and nobody else holds the lease",
+          "[lease][era][promise-1]")
+{
+    // Of the copy: of an earlier holder, which may take the lease at once in ordinary times, or none at all.
+    auto const copied = GENERATE(std::optional{lease_record{"b", 2, 7, millis{0}, 1}},
+                                 std::optional<lease_record>{});
+    auto holder = vm("a", 1);
+    observe_lease(holder, {1, 20}, lease_record{"b", 2, 7, millis{0}, 1}, millis{1});
+    REQUIRE(may_take_lease(holder, millis{3'000}));
+    auto const record = next_lease_record(holder, handover_gap, millis{3'000});
+    record_lease_append(holder, record, millis{3'000}, {1, 21});
+    REQUIRE(record.epoch_ == 21);
+
+    auto other = vm("b", 2);
+    observe_lease(other, {1, 20}, lease_record{"b", 2, 7, millis{0}, 1}, millis{2'900});
+    note_epoch(other, record.epoch_); // by messages
+    observe_lease(other, {2, 8}, copied, millis{3'100});
+    CHECK_FALSE(may_take_lease(other, millis{3'100} + lease_lifetime));
+
+    observe_lease(holder, {2, 8}, copied, millis{3'200});
+    REQUIRE(holds_lease(holder, millis{3'200}));
+    auto const again = next_lease_record(holder, handover_gap, millis{3'300});
+    CHECK(again.epoch_ == record.epoch_);
+    CHECK(again.store_era_ == 2);
+    record_lease_append(holder, again, millis{3'300}, {2, 9});
+    CHECK(holds_lease(holder, millis{3'300} + lease_lifetime - millis{1}));
+
+    SECTION("a successor waits for the gap, and its epoch is above all that it heard of")
+    {
+        auto const taken = millis{3'101} + lease_lifetime + lease_clock_margin;
+        REQUIRE(may_take_lease(other, taken));
+        auto const next = next_lease_record(other, handover_gap, taken);
+        CHECK(next.epoch_ > record.epoch_);
+        CHECK(next.orders_from_ == taken + handover_gap + lease_clock_margin);
+    }
+    SECTION("a record of the present era ends the lease")
+    {
+        observe_lease(holder, {2, 10}, lease_record{"b", 2, 22, millis{0}, 2}, millis{3'400});
+        CHECK_FALSE(holds_lease(holder, millis{3'400}));
+    }
+}
--- a/tests/coordination/upstream_registry_test.cpp
+++ b/tests/coordination/upstream_registry_test.cpp
@@ -29,6 +29,56 @@
 
 } // namespace
 
+// Guards against offsets of the store's earlier era that hide what is written after its return from a copy.
+TEST_CASE("records of a later era of the store replace those of an earlier one, at any offset", "[registry][era]")
+{
+    auto registry = with_one();
+    REQUIRE(apply_entry(registry, entry("i-1"), {1, 900}, millis{2}) == entry_change::none);
+    mark_store_returned(registry, {2, 10}, millis{1'000});
+    CHECK(apply_entry(registry, entry("i-1", 1, true), {2, 12}, millis{1'010}) == entry_change::leaving);
+    CHECK(apply_removal(registry, "i-1", {1, 2'000}, millis{1'020}) == entry_change::none); // came late
+    CHECK(apply_removal(registry, "i-1", {2, 13}, millis{9'000}) == entry_change::removed);
+}
+
+// Guards against a copy of the store that brings back an upstream which was gone, and against one that keeps
+// out a process which writes again.
+TEST_CASE("a copy of the store brings no process back that was gone", "[registry][era]")
+{
+    auto registry = with_one();
+    REQUIRE(apply_removal(registry, "i-1", {0, 900}, millis{10}) == entry_change::removed);
+    mark_store_returned(registry, {1, 10}, millis{1'000});
+    CHECK(apply_entry(registry, entry("i-1"), {1, 4}, millis{1'010}) == entry_change::none);
+    CHECK(registry.entries_.empty());
+    SECTION("the process writes its entry again")
+    {
+        CHECK(apply_entry(registry, entry("i-1"), {1, 10}, millis{1'020}) == entry_change::added);
+    }
+    SECTION("the copy has a later process")
+    {
+        CHECK(apply_entry(registry, entry("i-1", 2), {1, 5}, millis{1'020}) == entry_change::added);
+    }
+}
+
+// Guards against upstreams that are dropped at once, or never, because the store lost their entries.
+TEST_CASE("an upstream whose entry the store lost is used for a while and then dropped", "[registry][era]")
+{
+    auto registry = with_one();
+    mark_store_returned(registry, {1, 0}, millis{1'000});
+    REQUIRE(lapse_entry(registry, "i-1", millis{1'000}) == entry_change::lapsed);
+    CHECK(lapse_entry(registry, "i-2", millis{1'000}) == entry_change::none);
+    SECTION("it writes its entry again in time")
+    {
+        CHECK(apply_entry(registry, entry("i-1"), {1, 0}, millis{2'000}) == entry_change::returned);
+        CHECK_FALSE(drop_lapsed(registry, millis{60'000}));
+    }
+    SECTION("it does not")
+    {
+        CHECK_FALSE(drop_lapsed(registry, millis{1'000} + lapsed_entry_grace - millis{1}));
+        CHECK(drop_lapsed(registry, millis{1'000} + lapsed_entry_grace));
+        CHECK(registry.entries_.empty());
+    }
+}
+
 // Guards against entries of an earlier start that overwrite those of a later one.
 TEST_CASE("entries are added, changed, marked as leaving and removed", "[registry][promise-11]")
 {
--- a/tests/soak/fault_driver.hpp
+++ b/tests/soak/fault_driver.hpp
@@ -420,10 +420,10 @@
 
     void disturb_store()
     {
-        if (is_busy(&world_.store_)) {
+        if (is_busy(&world_.store_) || is_busy(&store_away_)) {
             return;
         }
-        switch (random_() % 3) {
+        switch (random_() % 4) {
         case 0:
             losses_.begin_fault(loss_check::store);
             world_.store_.set_down(true);
@@ -440,12 +440,35 @@
                 losses_.end_fault(loss_check::store);
             });
             break;
+        case 2:
+            // What is written until it goes away is lost.
+            schedule(&world_.store_, "writes that are lost",
+                     [this, copy = world_.store_.copy()] { return_store(copy, 1 + random_() % 2); });
+            break;
         default:
             world_.store_.forget_history();
             say("store forgets its history");
         }
     }
 
+    /// Has the store go away for a moment and come back from the copy, so many times in a row.
+    void return_store(std::map<std::string, standin_store::stored_topic> const& copy, std::uint64_t times)
+    {
+        losses_.begin_fault(loss_check::store);
+        world_.store_.set_down(true);
+        ++store_away_;
+        schedule(&store_away_, "store comes back from a copy", [this, copy, times] {
+            world_.return_to(copy);
+            losses_.end_fault(loss_check::store);
+            if (times > 1) {
+                schedule(&world_.store_, "writes that are lost again",
+                         [this, copy, times] { return_store(copy, times - 1); });
+            }
+        });
+    }
+
+    int store_away_{}; ///< How often it went away to come back from a copy.
+
     void disturb_upstream()
     {
         auto& upstream = *world_.upstreams_[random_() % world_.upstreams_.size()];
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -267,7 +267,20 @@
                {"burst", oracle::limited_burst}},
               // Another one in each version, so that no two are alike.
               {{"name", "other"}, {"api_keys", {"k" + std::to_string(version_) + "-other"}}}}}};
-        store_.put("keyed.op", "config", config.dump());
+        config_ = config.dump();
+        store_.put("keyed.op", "config", config_);
+    }
+
+    /// \brief The store comes back from the copy; operator and upstreams write again what they wrote.
+    void return_to(std::map<std::string, standin_store::stored_topic> copy)
+    {
+        store_.return_to(std::move(copy));
+        store_.set_down(false);
+        store_.put("keyed.op", "config", config_);
+        std::scoped_lock const lock{mutex_};
+        for (auto const& upstream : upstreams_) {
+            write_entry(*upstream);
+        }
     }
 
     /// \brief Takes the oldest key away and adds a new one.
@@ -346,6 +359,8 @@
     std::vector<std::unique_ptr<soak_vm>> vms_;
 
 private:
+    std::string config_; ///< As last published.
+
     /// \pre The lock is held.
     void write_entry(soak_upstream const& upstream)
     {
