--- a/include/auburnchute/entry_feed.hpp
+++ b/include/auburnchute/entry_feed.hpp
@@ -88,8 +88,8 @@
 [[nodiscard]] std::vector<std::string> doubtful_vms(std::optional<end_claim> const& claim,
                                                     told_offset const& told, std::uint64_t end);
 
-/// \returns The offset up to which the sender of a message has the entries in an era of the store; 0: it has not
-/// read them in that era.
+/// \returns The offset up to which the sender of a message has the entries in an era of the store; 0: it has
+/// not read them in that era.
 [[nodiscard]] std::uint64_t seen_news_in(std::uint64_t era, fleet_message const& message) noexcept;
 
 /// \brief How long a VM whose word did not hold is not heeded on the entries: long enough that reading all of
--- a/include/auburnchute/fleet_message.hpp
+++ b/include/auburnchute/fleet_message.hpp
@@ -110,8 +110,8 @@
     std::vector<short_hash> young_;  ///< Those of both that have just started.
     std::vector<short_hash> relays_; ///< Other relays from which the sender receives messages.
 
-    /// Era of the store in which all offsets of this message are stated. The sender leaves out (0 and -1) what
-    /// it has not read in that era.
+    /// Era of the store in which all offsets of this message are stated. The sender leaves out (0 and -1)
+    /// what it has not read in that era.
     std::uint64_t store_era_{};
     std::uint64_t config_version_{}; ///< Of the configuration in force; 0: none.
     std::uint64_t config_next_{};    ///< Offset after the newest configuration record in force.
--- a/include/auburnchute/order_lease.hpp
+++ b/include/auburnchute/order_lease.hpp
@@ -28,8 +28,8 @@
 struct lease_record {
     std::string vm_;
     std::uint64_t incarnation_{};
-    std::uint64_t epoch_{}; ///< Rises with each change of holder; fencing token of its orders.
-    millis orders_from_{};  ///< When the holder may send its first order, in the boot clock of its VM.
+    std::uint64_t epoch_{};     ///< Rises with each change of holder; fencing token of its orders.
+    millis orders_from_{};      ///< When the holder may send its first order, in the boot clock of its VM.
     std::uint64_t store_era_{}; ///< Era of the store in which it was written. In a later one, it is from a
                                 ///< copy, and newer ones may be lost.
 
@@ -59,8 +59,8 @@
 
 /// \brief Updates the view with the end and the newest record of the topic, as read from the store or
 /// reported by a message of the holder or a relay. Drops the lease that this VM holds if the newest record is
-/// not its own, unless its own was lost when the store came back from a copy. \param read_at When the store's answer or the message arrived. Thread safety of all functions
-/// that change a view: the caller owns it.
+/// not its own, unless its own was lost when the store came back from a copy. \param read_at When the store's
+/// answer or the message arrived. Thread safety of all functions that change a view: the caller owns it.
 void observe_lease(lease_view& view, store_position end, std::optional<lease_record> newest, millis read_at);
 
 /// \brief Notes the epoch of a holder that a message named.
--- a/include/auburnchute/store_return.hpp
+++ b/include/auburnchute/store_return.hpp
@@ -36,7 +36,8 @@
     other,
 };
 
-/// \returns How long after a return a VM waits before it stores a lost plan again, so that one does so for all.
+/// \returns How long after a return a VM waits before it stores a lost plan again, so that one does so for
+/// all.
 [[nodiscard]] millis plan_restore_delay(plan_writer writer) noexcept;
 
 } // namespace auburnchute
--- a/src/coordination/entry_feed.cpp
+++ b/src/coordination/entry_feed.cpp
@@ -166,9 +166,8 @@
         return false; // it has not read the entries yet, and changes alone are of no use to it
     }
     auto const lacking =
-        std::find_if(log.updates_.begin(), log.updates_.end(), [&](logged_update const& logged) {
-            return logged.update_.offset_ >= seen;
-        });
+        std::find_if(log.updates_.begin(), log.updates_.end(),
+                     [&](logged_update const& logged) { return logged.update_.offset_ >= seen; });
     return lacking != log.updates_.end() &&
            now - lacking->learned_at_ > send_interval(exchange) * catch_up_rounds;
 }
--- a/src/coordination/store_return.cpp
+++ b/src/coordination/store_return.cpp
@@ -11,8 +11,8 @@
 constexpr millis old_begin{10'000};
 constexpr millis old_spread{30'000};
 
-/// A lost plan is stored by the first VM at once; by others if it is still lost after these times. Each is longer
-/// than a call, and the last ends before `plan_settle_time`.
+/// A lost plan is stored by the first VM at once; by others if it is still lost after these times. Each is
+/// longer than a call, and the last ends before `plan_settle_time`.
 constexpr millis reader_restore_delay{700};
 constexpr millis other_restore_delay{1'400};
 
--- a/src/coordination/upstream_registry.cpp
+++ b/src/coordination/upstream_registry.cpp
@@ -21,9 +21,8 @@
 {
     auto const applied = registry.applied_.find(entry.id_);
     return applied != registry.applied_.end() && applied->second.removed_at_ > millis{0} &&
-           applied->second.position_.era_ < position.era_ &&
-           !registry.lapsed_.contains(entry.id_) && entry.started_at_ <= applied->second.removed_start_ &&
-           order_of(position, registry.copy_end_) < 0;
+           applied->second.position_.era_ < position.era_ && !registry.lapsed_.contains(entry.id_) &&
+           entry.started_at_ <= applied->second.removed_start_ && order_of(position, registry.copy_end_) < 0;
 }
 
 void let_lapse(upstream_registry& registry, std::string_view id, millis now)
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -124,7 +124,7 @@
     millis orders_from_{};               ///< When the holder may give orders; boot clock.
     millis handed_freshness_{};          ///< Proof of freshness that a peer handed over; boot clock.
     std::function<void()> need_changed_; ///< Called when a request starts to wait for a model.
-    std::function<void(message_targets)> send_state_;      ///< Sends this daemon's state to peers now.
+    std::function<void(message_targets)> send_state_;       ///< Sends this daemon's state to peers now.
     std::function<void(store_position)> lease_end_changed_; ///< Called with the end of the lease's topic when
                                                             ///< a holder reports a new one.
     std::function<void(entry_report)>
--- a/src/transport/entry/entry_view.hpp
+++ b/src/transport/entry/entry_view.hpp
@@ -50,9 +50,8 @@
     store_position config_next_;                 ///< After the newest record of it that was read.
     std::shared_ptr<upstream_map const> upstreams_{
         std::make_shared<upstream_map const>()}; ///< See `usable_entries`.
-    store_position
-        upstreams_next_;       ///< Up to which the upstreams' entries are known; offset 0: not read yet.
-    std::uint64_t registry_{}; ///< Digest of the upstreams; see `registry_digest`.
+    store_position upstreams_next_; ///< Up to which the upstreams' entries are known; offset 0: not read yet.
+    std::uint64_t registry_{};      ///< Digest of the upstreams; see `registry_digest`.
     std::vector<entry_member> members_;
     bool members_read_{}; ///< The members were read at least once.
     std::shared_ptr<entry_log const> log_{std::make_shared<entry_log const>()};
--- a/src/transport/entry/order_keeper.cpp
+++ b/src/transport/entry/order_keeper.cpp
@@ -665,7 +665,8 @@
 {
     if (keeper.lease_.epoch_ == 0 && supersedes(end, keeper.lease_.end_)) {
         // Another VM's record; who wrote it does not matter until this VM reads the topic.
-        observe_lease(keeper.lease_, end, lease_record{.vm_ = "told", .incarnation_ = 0, .epoch_ = 0, .store_era_ = end.era_},
+        observe_lease(keeper.lease_, end,
+                      lease_record{.vm_ = "told", .incarnation_ = 0, .epoch_ = 0, .store_era_ = end.era_},
                       boot_now());
     }
 }
--- a/src/transport/entry/peer_exchange.cpp
+++ b/src/transport/entry/peer_exchange.cpp
@@ -202,8 +202,8 @@
 void add_plans(entry_node const& node, message_target const& target, fleet_message& message)
 {
     auto const peer = node.exchange_.peers_.find(target.vm_);
-    bool const same_era = peer != node.exchange_.peers_.end() &&
-                          peer->second.last_.store_era_ == message.store_era_;
+    bool const same_era =
+        peer != node.exchange_.peers_.end() && peer->second.last_.store_era_ == message.store_era_;
     auto const seen = same_era ? peer->second.last_.seen_plans_ : 0;
     if (seen >= message.seen_plans_) {
         return;
--- a/src/transport/entry/plan_reader.cpp
+++ b/src/transport/entry/plan_reader.cpp
@@ -46,7 +46,8 @@
     auto const now = boot_now();
     reader.plans_.returned_at_ = now;
     if (plans_age(reader) > reader.settings_.leave_in_force_) {
-        reader.shared_.plans_unsettled_until_.store((now + plan_settle_time).count_, std::memory_order_release);
+        reader.shared_.plans_unsettled_until_.store((now + plan_settle_time).count_,
+                                                    std::memory_order_release);
     }
 }
 
@@ -243,7 +244,8 @@
         return;
     }
     bool const returned = report.store_era_ > feed.next_->era_ && report.plans_from_ == 0; // all are told
-    bool const leads_on = report.store_era_ == feed.next_->era_ && report.plans_from_ <= feed.next_->offset_ &&
+    bool const leads_on = report.store_era_ == feed.next_->era_ &&
+                          report.plans_from_ <= feed.next_->offset_ &&
                           report.seen_plans_ > feed.next_->offset_ + 1;
     if (!returned && !leads_on) {
         return;
@@ -319,8 +321,8 @@
         auto const document = encode_plan(plan);
         std::string fault;
         try {
-            auto const outcome = co_await store.append(
-                platform::plan_topic, platform::encode_keyed_record(service, document), at);
+            auto const outcome = co_await store.append(platform::plan_topic,
+                                                       platform::encode_keyed_record(service, document), at);
             if (outcome.result_ == platform::append_result::stored) {
                 take_plan(reader, service, document, at, "itself");
                 reach_plans(feed, outcome.end_);
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -106,8 +106,8 @@
     return reader.draft_.config_ ? reader.draft_.config_->version_ : 0;
 }
 
-/// Books a proof that the configuration in force was the newest when a read was sent. There is none while a peer
-/// has a newer one, which the store may have lost: keys may be withdrawn there.
+/// Books a proof that the configuration in force was the newest when a read was sent. There is none while a
+/// peer has a newer one, which the store may have lost: keys may be withdrawn there.
 void note_fresh(store_reader& reader, millis sent_at)
 {
     if (config_version(reader) < reader.told_config_version_) {
@@ -172,8 +172,8 @@
                                 shared.config_proof_at_.load(std::memory_order_acquire));
     auto const enough = std::min(freshness_bound(reader.settings_.key_withdrawal_) * 7 / 10,
                                  reader.settings_.config_in_force_ * proof_quarters / 4);
-    return !shared.reads_for_all_.load(std::memory_order_acquire) &&
-           !supersedes(reader.config_hint_, next) && boot_now() - millis{proof} < enough;
+    return !shared.reads_for_all_.load(std::memory_order_acquire) && !supersedes(reader.config_hint_, next) &&
+           boot_now() - millis{proof} < enough;
 }
 
 net::awaitable<void> follow_config(store_reader& reader)
@@ -421,8 +421,8 @@
             take_missing(reader, id, end, returned, changes);
         }
     }
-    auto const next = reader.upstreams_next_ && reaches(*reader.upstreams_next_, end) ? *reader.upstreams_next_
-                                                                                      : end;
+    auto const next =
+        reader.upstreams_next_ && reaches(*reader.upstreams_next_, end) ? *reader.upstreams_next_ : end;
     // The changes before are not known one by one, so the log begins anew.
     append_updates(reader.log_, next.offset_, next.offset_, {}, boot_now());
     reader.upstreams_next_ = next;
@@ -453,8 +453,7 @@
             forwarded.push_back(std::move(update));
         }
     }
-    bool const leads_on =
-        era == reader.upstreams_next_->era_ && updates.from_ <= next && next < updates.to_;
+    bool const leads_on = era == reader.upstreams_next_->era_ && updates.from_ <= next && next < updates.to_;
     if (leads_on && !told_by.empty()) {
         reader.told_ = {told_by, updates.to_, boot_now()};
     }
@@ -494,7 +493,8 @@
     entry_updates updates{from.offset_, page.next_.offset_, {}};
     for (auto const& stored : page.records_) {
         if (auto record = platform::parse_keyed_record(stored.bytes_)) {
-            updates.changes_.push_back({stored.position_.offset_, std::move(record->key_), std::move(record->value_)});
+            updates.changes_.push_back(
+                {stored.position_.offset_, std::move(record->key_), std::move(record->value_)});
         }
     }
     take_updates(reader, std::move(updates), from.era_, "", message_targets::all);
@@ -602,7 +602,7 @@
 struct member_feed {
     std::optional<store_position> next_; ///< Of the next read; none: all are read.
     bool registered_{};
-    millis registered_at_{};        ///< When its record was last written or found.
+    millis registered_at_{};          ///< When its record was last written or found.
     std::optional<millis> look_at_{}; ///< When to look for it after a return of the store.
 };
 
@@ -724,9 +724,8 @@
 
 void forget_old_evidence(store_reader& reader)
 {
-    std::erase_if(reader.evidence_lately_, [](auto const& written) {
-        return !may_be_lost(boot_now() - written.second.written_at_);
-    });
+    std::erase_if(reader.evidence_lately_,
+                  [](auto const& written) { return !may_be_lost(boot_now() - written.second.written_at_); });
 }
 
 /// Evidence has a connection of its own: a crash may be the last thing that a VM learns before it is lost.
--- a/src/transport/entry/store_reader.hpp
+++ b/src/transport/entry/store_reader.hpp
@@ -35,14 +35,13 @@
     std::function<void(message_targets)> leave_learned_{};
     entry_view draft_{};
     upstream_registry registry_{};
-    std::uint64_t logged_era_{}; ///< Of the store, as last logged.
-    std::uint64_t told_era_{};   ///< Newest era of the store that a peer told.
+    std::uint64_t logged_era_{};                  ///< Of the store, as last logged.
+    std::uint64_t told_era_{};                    ///< Newest era of the store that a peer told.
+    std::optional<store_position> config_next_{}; ///< From which it is read next; none: all of it.
+    store_position config_hint_{};                ///< Largest end of it that peers told in the newest era.
+    std::uint64_t told_config_version_{};         ///< Highest version that a peer has in force.
     std::optional<store_position>
-        config_next_{};                   ///< From which it is read next; none: all of it.
-    store_position config_hint_{};        ///< Largest end of it that peers told in the newest era.
-    std::uint64_t told_config_version_{}; ///< Highest version that a peer has in force.
-    std::optional<store_position>
-        upstreams_next_{};             ///< From which entries are read next; none: none were read yet.
+        upstreams_next_{}; ///< From which entries are read next; none: none were read yet.
     std::optional<std::uint64_t> entries_era_{}; ///< Era of the store in which all entries were last read.
     bool reads_all_upstreams_{};       ///< Entries may have been missed, so the next read takes all of them.
     entry_log log_{};                  ///< Their latest changes, for the peers.
@@ -55,7 +54,8 @@
         evidence_read_{}; ///< Called once with the crash evidence that the store holds.
     std::map<trait_hash, std::optional<std::string>> evidence_due_{}; ///< Records to write; none: to delete.
     std::set<trait_hash> evidence_written_{}; ///< Records that this VM wrote and the store may hold.
-    std::map<trait_hash, written_evidence> evidence_lately_{}; ///< What it wrote in the time of `oldest_copy`.
+    std::map<trait_hash, written_evidence>
+        evidence_lately_{}; ///< What it wrote in the time of `oldest_copy`.
     plan_feed plans_{};
     std::function<void()> plans_changed_{}; ///< Called when this VM has stored a plan.
 };
--- a/tests/coordination/order_lease_test.cpp
+++ b/tests/coordination/order_lease_test.cpp
@@ -174,8 +174,8 @@
           "[lease][era][promise-1]")
 {
     // Of the copy: of an earlier holder, which may take the lease at once in ordinary times, or none at all.
-    auto const copied = GENERATE(std::optional{lease_record{"b", 2, 7, millis{0}, 1}},
-                                 std::optional<lease_record>{});
+    auto const copied =
+        GENERATE(std::optional{lease_record{"b", 2, 7, millis{0}, 1}}, std::optional<lease_record>{});
     auto holder = vm("a", 1);
     observe_lease(holder, {1, 20}, lease_record{"b", 2, 7, millis{0}, 1}, millis{1});
     REQUIRE(may_take_lease(holder, millis{3'000}));
--- a/tests/coordination/store_return_test.cpp
+++ b/tests/coordination/store_return_test.cpp
@@ -18,12 +18,11 @@
         bool reaches_;
         bool supersedes_;
     };
-    for (auto const& row :
-         {row{{1, 5}, {1, 5}, std::partial_ordering::equivalent, true, false},
-          row{{1, 6}, {1, 5}, std::partial_ordering::greater, true, true},
-          row{{1, 4}, {1, 5}, std::partial_ordering::less, false, false},
-          row{{2, 0}, {1, 900}, std::partial_ordering::unordered, false, true},
-          row{{1, 900}, {2, 0}, std::partial_ordering::unordered, false, false}}) {
+    for (auto const& row : {row{{1, 5}, {1, 5}, std::partial_ordering::equivalent, true, false},
+                            row{{1, 6}, {1, 5}, std::partial_ordering::greater, true, true},
+                            row{{1, 4}, {1, 5}, std::partial_ordering::less, false, false},
+                            row{{2, 0}, {1, 900}, std::partial_ordering::unordered, false, true},
+                            row{{1, 900}, {2, 0}, std::partial_ordering::unordered, false, false}}) {
         CAPTURE(row.a_.era_, row.a_.offset_, row.b_.era_, row.b_.offset_);
         CHECK(order_of(row.a_, row.b_) == row.order_);
         CHECK(reaches(row.a_, row.b_) == row.reaches_);
--- a/tests/coordination/upstream_registry_test.cpp
+++ b/tests/coordination/upstream_registry_test.cpp
@@ -30,7 +30,8 @@
 } // namespace
 
 // Guards against offsets of the store's earlier era that hide what is written after its return from a copy.
-TEST_CASE("records of a later era of the store replace those of an earlier one, at any offset", "[registry][era]")
+TEST_CASE("records of a later era of the store replace those of an earlier one, at any offset",
+          "[registry][era]")
 {
     auto registry = with_one();
     REQUIRE(apply_entry(registry, entry("i-1"), {1, 900}, millis{2}) == entry_change::none);
--- a/tests/transport/entry/standin_platform.hpp
+++ b/tests/transport/entry/standin_platform.hpp
@@ -330,8 +330,7 @@
         auto const from = std::stoull(request.get_param_value("from"));
         auto const wait = std::chrono::milliseconds{std::stoll(request.get_param_value("wait_ms"))};
         auto const era = era_;
-        changed_.wait_for(lock, wait,
-                          [&] { return down_ || era_ != era || topics_[name].end() > from; });
+        changed_.wait_for(lock, wait, [&] { return down_ || era_ != era || topics_[name].end() > from; });
         state_era(response);
         if (down_) {
             response.status = 503;
--- a/tests/transport/entry/store_era_test.cpp
+++ b/tests/transport/entry/store_era_test.cpp
@@ -21,8 +21,8 @@
 
 /// What happens when the store comes back from a copy.
 struct drill {
-    int lost_{};    ///< Records of upstreams that are lost, besides few others.
-    int returns_{}; ///< Of the store, each from the same copy.
+    int lost_{};     ///< Records of upstreams that are lost, besides few others.
+    int returns_{};  ///< Of the store, each from the same copy.
     bool cut_off_{}; ///< One VM does not reach the store meanwhile.
 };
 
@@ -119,7 +119,8 @@
     [[nodiscard]] nlohmann::json lease()
     {
         auto const values = world_.store_.values("keyed.auburnchute-lease");
-        return values.empty() ? nlohmann::json{{"vm", ""}, {"epoch", 0}} : nlohmann::json::parse(values.front());
+        return values.empty() ? nlohmann::json{{"vm", ""}, {"epoch", 0}}
+                              : nlohmann::json::parse(values.front());
     }
 
     std::atomic<int> at_first_{0}; ///< Requests that the first upstream got.
@@ -136,8 +137,8 @@
 TEST_CASE("an upstream that leaves after the store came back from a copy gets nothing in time",
           "[entry][era][promise-11]")
 {
-    auto const row = GENERATE(drill{3, 1, false}, drill{1'000, 1, false}, drill{1'000, 2, false},
-                              drill{1'000, 1, true});
+    auto const row =
+        GENERATE(drill{3, 1, false}, drill{1'000, 1, false}, drill{1'000, 2, false}, drill{1'000, 1, true});
     CAPTURE(row.lost_, row.returns_, row.cut_off_);
     returning_world world;
     auto const copy = world.world_.store_.copy();
@@ -206,3 +207,22 @@
     CHECK(all_say("key", refused));
     CHECK(all_say("key-v", served));
 }
+
+// Guards against a storm of calls when all VMs notice that the store came back.
+TEST_CASE("a return of the store costs at most twice the usual calls in the ten seconds after it",
+          "[entry][era]")
+{
+    constexpr std::chrono::seconds span{10};
+    returning_world world;
+    world.write_records(100, false);
+    auto const copy = world.world_.store_.copy();
+    auto const begin = world.world_.store_.calls();
+    returning_world::pass(span);
+    auto const usual = world.world_.store_.calls() - begin;
+    world.write_records(100, false);
+    auto const at_return = world.world_.store_.calls();
+    world.come_back(copy, {100, 1, false});
+    returning_world::pass(span);
+    CHECK(world.world_.store_.calls() - at_return <= 2 * usual);
+    CHECK(world.world_.store_.values("keyed.auburnchute-members").size() == returning_world::vms);
+}
