--- a/tests/transport/entry/standin_platform.hpp
+++ b/tests/transport/entry/standin_platform.hpp
@@ -441,6 +441,10 @@
             }
             received_request request{unread.substr(0, end + 2), {}};
             unread.erase(0, end + 4);
+            bool const early = !request.field("X-Early").empty(); // answered before its body is read
+            if (early && !answer_(request, connection)) {
+                return;
+            }
             auto const length = request.field("Content-Length");
             auto const size = length.empty() ? 0U : std::stoul(length);
             while (unread.size() < size) {
@@ -456,7 +460,7 @@
                 std::scoped_lock const lock{mutex_};
                 requests_.push_back(request);
             }
-            if (!answer_(request, connection)) {
+            if (!early && !answer_(request, connection)) {
                 return;
             }
         }
