Take no part of an answer, and no status that there is not, for an answer of an upstream

Cause: the kernel reports a reset once. While an upload was being written, its writer got the report, and the reader of an answer without a length then saw a proper end; so a part passed as the whole. Statuses below 100 counted as interim answers, and those above 599 as answers. Ruled out: asking the socket for its error, which the writer has taken by then. Change: an answer that ends with its connection counts as whole once the request was written without a fault; a status outside 100 to 599 is a wrong answer.

--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -208,6 +208,15 @@
     http::request<http::span_body<char const>> message_;
 };
 
+/// The writing of a request to an upstream, which may go on while the answer comes.
+struct upload_state {
+    explicit upload_state(net::io_context& loop) : changed_{loop} {}
+
+    bool written_{};
+    bool failed_{};
+    wake_event changed_;
+};
+
 /// How one try at an upstream ended.
 struct try_outcome {
     try_result result_{try_result::not_sent};
@@ -336,6 +345,9 @@
     net::awaitable<void> read_whole(upstream_connection& connection, whole_answer_parser& parser,
                                     memory_budget::holding& held, error_code& fault);
     void note_answer_given_up(std::string_view upstream);
+    /// Tells whether an answer that ended with its connection is whole. A reset is reported once, to a read
+    /// or a write, and the reader sees a proper end if it was the writer's.
+    net::awaitable<bool> ended_properly(millis deadline);
     /// \returns The account of an answer on the connection, which is closed if the answer is given up.
     std::unique_ptr<memory_budget::holding> hold_answer(upstream_connection& connection);
     net::awaitable<bool> pass_events(forward_job& job, answer_parser& parser, std::string_view events,
@@ -379,8 +391,10 @@
     millis next_began_at_{}; ///< The same for a request behind it that has come already; 0: none has.
     /// Of the present request, while its body is read.
     std::optional<millis> upload_deadline_;
-    std::uint64_t upload_{}; ///< Counts the bodies, so that the end of one does not end the next.
-    bool writing_{};         ///< A part of a stream is being written to the caller.
+    std::uint64_t upload_{};             ///< Counts the bodies, so that the end of one does not end the next.
+    std::shared_ptr<upload_state> sent_; ///< Of the present try.
+    millis answer_deadline_{};           ///< Of the present request, as its present try has it.
+    bool writing_{};                     ///< A part of a stream is being written to the caller.
     std::shared_ptr<held_request> request_; ///< The present one.
     bool head_only_{};          ///< The present request is a HEAD, so that its answers have no body.
     std::string request_id_;    ///< Of the present request.
@@ -1032,14 +1046,18 @@
     job.sent_at_ = boot_now();
     job.answer_began_at_ = {};
     // The answer may come before a long body is written, so both run at the same time.
-    auto written = std::make_shared<bool>(false);
+    auto const upload = std::make_shared<upload_state>(node_.loop_);
+    sent_ = upload;
+    answer_deadline_ = job.deadline_;
     connection->stream_.expires_after(to_chrono(left));
     net::co_spawn(
         node_.loop_,
-        [connection, sent, written]() -> net::awaitable<void> {
-            error_code fault; // the reader meets the same fault
+        [connection, sent, upload]() -> net::awaitable<void> {
+            error_code fault;
             co_await http::async_write(connection->stream_, sent->message_, outcome_in(fault));
-            *written = !fault;
+            upload->written_ = !fault;
+            upload->failed_ = static_cast<bool>(fault);
+            upload->changed_.notify();
         },
         report_failure);
     bool reusable = false;
@@ -1058,7 +1076,7 @@
     if (outcome.result_ == try_result::answered) {
         note_survival(job, request);
     }
-    if (reusable && *written && !gone_) {
+    if (reusable && upload->written_ && !gone_) {
         node_.pool_.keep(connection, keep_alive);
     } else {
         error_code ignored; // a broken connection may be closed already
@@ -1113,6 +1131,11 @@
             co_return;
         }
         auto const status = static_cast<int>(head->get().result_int());
+        if (status < 100 || status > 599) {
+            outcome.fault_ = "no status of an answer: " + std::to_string(status);
+            outcome.result_ = try_result::wrong_answer;
+            co_return;
+        }
         if (status < 200) {
             if (++interim > max_interim_answers) {
                 outcome.fault_ = "too many interim answers";
@@ -1211,6 +1234,15 @@
                                                     });
 }
 
+net::awaitable<bool> caller_session::ended_properly(millis deadline)
+{
+    auto const upload = sent_;
+    while (!upload->written_ && !upload->failed_ && boot_now() < deadline) {
+        co_await upload->changed_.wait_for(deadline - boot_now());
+    }
+    co_return upload->written_;
+}
+
 void caller_session::note_answer_given_up(std::string_view upstream)
 {
     node_.counters_.count("auburnchute_answers_given_up_total");
@@ -1244,6 +1276,8 @@
     }
     if (!held.keep()) {
         fault = net::error::no_buffer_space;
+    } else if (!fault && parser.need_eof() && !co_await ended_properly(answer_deadline_)) {
+        fault = net::error::connection_reset;
     }
 }
 
@@ -1300,6 +1334,10 @@
             co_return;
         }
     }
+    if (parser.need_eof() && !co_await ended_properly(job.deadline_)) {
+        outcome.fault_ = "stream: reset";
+        co_return;
+    }
     if (!cutter.pending_.empty()) {
         outcome.fault_ = "stream: ended inside an event";
         co_return;
