auburnchuted: an answer without a length that is reset while the upload is written is cut

Cause: the write of the upload fails by the reset and takes the socket's error with it, so the read behind it sees the part and then an end, which ends an answer without a length. Ruled out: a reset after the whole upload, which the read sees; answers with a length or chunks, which know their own end.

Change: if the request could not be sent whole, an answer that ends with its connection counts as broken. An early answer that is whole by its own length counts still.

A test of 7 rows with a reset in the middle of an upload of 32 MiB: before, 3 failed (no length, HTTP/1.0, events: taken as whole); after, all passed.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -185,7 +185,7 @@
         error_code fault;
         http::write(stream, message, fault);
         // One that refuses a long body may have answered before it was read.
-        answer = read_answer(request.method_ == "HEAD", receiver);
+        answer = read_answer(request.method_ == "HEAD", !fault, receiver);
     }
     std::lock_guard const lock{mutex_};
     error_code ignored; // the other side may have closed first
@@ -193,7 +193,7 @@
     return answer;
 }
 
-call_answer http_client::read_answer(bool head_only, call_receiver const& receiver)
+call_answer http_client::read_answer(bool head_only, bool sent, call_receiver const& receiver)
 {
     call_answer answer;
     timed_stream stream{socket_, limits_};
@@ -247,7 +247,8 @@
             receiver.held_(answer.body_.capacity());
         }
     }
-    answer.fault_ = call_fault::none;
+    // The failed write has taken the socket's error, so a reset reads like the end of an answer.
+    answer.fault_ = parser->need_eof() && !sent ? call_fault::broken : call_fault::none;
     return answer;
 }
 
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -76,7 +76,8 @@
 
 private:
     bool connect();
-    [[nodiscard]] call_answer read_answer(bool head_only, call_receiver const& receiver);
+    /// \param sent Whether the whole request was sent.
+    [[nodiscard]] call_answer read_answer(bool head_only, bool sent, call_receiver const& receiver);
 
     boost::asio::io_context loop_{1};
     boost::asio::ip::tcp::socket socket_{loop_};
--- a/tests/transport/http_client_test.cpp
+++ b/tests/transport/http_client_test.cpp
@@ -80,6 +80,45 @@
     CHECK(answer.body_ == r.body_);
 }
 
+// Guards against a part that is taken for a whole answer: without a length its end is the connection's, and a
+// failed write takes the socket's error, so that the reset then looks like an end.
+TEST_CASE("an answer that is cut while the upload is written is whole only by its own length",
+          "[transport][mixed]")
+{
+    struct row {
+        char const* what_;
+        std::string answer_;
+        call_fault fault_;
+    };
+    std::string const head = "HTTP/1.1 200 OK\r\n";
+    std::string const chunk = "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n";
+    auto const r = GENERATE_COPY(
+        row{"no length", head + "\r\npart", call_fault::broken},
+        row{"no length, HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\npart", call_fault::broken},
+        row{"events", head + "Content-Type: text/event-stream\r\n\r\ndata: a\n\n", call_fault::broken},
+        row{"short of its length", head + "Content-Length: 5\r\n\r\npart", call_fault::broken},
+        row{"short of its last chunk", head + chunk, call_fault::broken},
+        row{"whole by its length", head + "Content-Length: 4\r\n\r\npart", call_fault::none},
+        row{"whole by its chunks", head + chunk + "0\r\n\r\n", call_fault::none});
+    CAPTURE(r.what_);
+    boost::asio::io_context loop;
+    boost::asio::ip::tcp::acceptor acceptor{loop, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    std::string const upload(std::size_t{32} * 1024 * 1024, 'u'); // more than the kernel holds
+    std::thread upstream{[&] {
+        auto connection = acceptor.accept();
+        std::string request;
+        boost::system::error_code ignored;
+        boost::asio::read_until(connection, boost::asio::dynamic_buffer(request), "\r\n\r\n", ignored);
+        boost::asio::write(connection, boost::asio::buffer(r.answer_), ignored);
+        connection.set_option(boost::asio::socket_base::linger{true, 0}); // the close is a reset
+    }};
+    http_client client{"127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+                       {{1'000}, {5'000}, {5'000}, largest_answer}};
+    auto const answer = client.call({.method_ = "POST", .target_ = "/", .body_ = upload});
+    upstream.join();
+    CHECK(answer.fault_ == r.fault_);
+}
+
 // Guards against a call that goes on after it was ended, or that ends late.
 TEST_CASE("a call ends when it is stopped or its time is over", "[transport]")
 {
