--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -27,6 +27,10 @@
 
 namespace {
 
+/// Statuses of HTTP (RFC 9110, section 15).
+constexpr unsigned least_status = 100;
+constexpr unsigned largest_status = 599;
+
 constexpr std::size_t read_size = std::size_t{16} * 1024;
 
 /// \returns Whether the socket got ready, or ended, in time.
@@ -213,6 +217,11 @@
             answer.fault_ = fault_of(fault);
             return answer;
         }
+        auto const status = parser->get().result_int();
+        if (status < least_status || status > largest_status) {
+            answer.fault_ = call_fault::wrong_answer;
+            return answer;
+        }
     }
     answer.status_ = static_cast<int>(parser->get().result_int());
     for (auto const& field : parser->get()) {
--- a/tests/transport/http_client_test.cpp
+++ b/tests/transport/http_client_test.cpp
@@ -119,6 +119,18 @@
     CHECK(answer.fault_ == r.fault_);
 }
 
+// Guards against an upstream in trouble whose answer has no status of HTTP.
+TEST_CASE("an answer with a status outside 100 to 599 is none", "[transport][mixed]")
+{
+    auto const* const status = GENERATE("000", "001", "099", "600", "999");
+    auto const* const interim = GENERATE("", "HTTP/1.1 103 X\r\n\r\n");
+    CAPTURE(status, interim);
+    endless_service service{
+        std::string{interim} + "HTTP/1.1 " + status + " X\r\nContent-Length: 4\r\n\r\nbody", ""};
+    http_client client{service.address(), {{1'000}, {5'000}, {1'000}, largest_answer}};
+    CHECK(client.call({.target_ = "/"}).fault_ == call_fault::wrong_answer);
+}
+
 // Guards against a call that goes on after it was ended, or that ends late.
 TEST_CASE("a call ends when it is stopped or its time is over", "[transport]")
 {
