--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -36,7 +36,7 @@
         auto const root = load(text);
         check_keys(root, "",
                    {"vm", "availability_zone", "callers", "peers", "admin", "log", "vm_list", "key_salt",
-                    "operator_token", "order_key", "traces", "log_level", "stop_grace_ms"});
+                    "operator_token", "order_key", "traces", "log_level", "stop_grace_ms", "memory_mb"});
         settings own;
         own.vm_ = name(root, "vm");
         own.availability_zone_ = name(root, "availability_zone");
@@ -60,6 +60,7 @@
         }
         read_amount<std::int64_t>(root, "", "stop_grace_ms", "milliseconds", 3'600'000,
                                   own.stop_grace_.count_);
+        read_amount(root, "", "memory_mb", "megabytes", 1'000'000, own.memory_mb_);
         return own;
     }
 
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -47,6 +47,7 @@
     std::string peers_authority_;
     int max_open_streams_{2000};
     std::int64_t max_body_bytes_{4194304};
+    int memory_mb_{};            ///< That the process may take; 0: that of the machine.
     millis entry_ttl_{10'000};   ///< How long callers may keep the answer of `GET /v1/entries`.
     millis stop_grace_{140'000}; ///< From the signal of a planned stop to the end of the process, at most.
 };
--- a/tests/protocol/settings_test.cpp
+++ b/tests/protocol/settings_test.cpp
@@ -55,6 +55,7 @@
     CHECK(own.max_body_bytes_ == 4'194'304);
     CHECK(own.entry_ttl_ == millis{10'000});
     CHECK(own.stop_grace_ == millis{140'000});
+    CHECK(own.memory_mb_ == 0);
 }
 
 // Guards against keys that are accepted but not used.
@@ -80,9 +81,11 @@
 traces: {file: spans.jsonl}
 log_level: warning
 stop_grace_ms: 8000
+memory_mb: 300
 )");
 
     CHECK(own.stop_grace_ == millis{8'000});
+    CHECK(own.memory_mb_ == 300);
     CHECK(own.callers_ == listen_address{"0.0.0.0", 0});
     CHECK(own.advertised_callers_ == "127.0.0.2:80");
     CHECK(own.callers_certificate_ == "c.pem");
@@ -148,6 +151,8 @@
          "trace, debug, info, warning or error"},
         {"vm: entry-a1", "stop_grace_ms: 0\nvm: entry-a1", "entry.yaml:1:16",
          "`stop_grace_ms`: expected a whole number of milliseconds from 1"},
+        {"vm: entry-a1", "memory_mb: 0\nvm: entry-a1", "entry.yaml:1:12",
+         "`memory_mb`: expected a whole number of megabytes from 1"},
         {"vm: entry-a1", "stop_grace_ms: 8s\nvm: entry-a1", "entry.yaml:1:16",
          "`stop_grace_ms`: expected a whole number of milliseconds from 1"},
         {"vm: entry-a1", "stop_grace_ms: 3600001\nvm: entry-a1", "entry.yaml:1:16",
--- a/tests/transport/fleet.hpp
+++ b/tests/transport/fleet.hpp
@@ -89,6 +89,8 @@
     std::int64_t burst_{1'000'000'000};
     std::vector<std::string> log_arguments_{};
     std::string daemon_settings_{}; ///< Further lines of the daemons' settings.
+    std::string own_service_{};     ///< Address of a service of the test's own, beside those of `services_`.
+    std::string caller_settings_{}; ///< Further fields of `callers`, each with a comma before it.
     bool tls_{};                    ///< Callers speak TLS to the daemons.
     bool show_errors_{};            ///< The daemons' log lines come with their output.
 };
@@ -122,6 +124,9 @@
             service_addresses_.push_back(services_.back()->wait_listening());
             add_vm(name, service_addresses_.back(), 1'000);
         }
+        if (!options_.own_service_.empty()) {
+            add_vm("desk-own", options_.own_service_, 1'000);
+        }
         publish_list();
         if (options_.tls_) {
             write_certificate(folder_ / "callers.pem", folder_ / "callers.key");
@@ -322,6 +327,7 @@
             auto const callers = "127.0.0.1:" + std::to_string(free_port());
             std::ofstream{path} << "vm: " << vm << "\navailability_zone: occ-a\ncallers: {listen: \""
                                 << callers << "\", entry_ttl_ms: 500" << tls_settings()
+                                << options_.caller_settings_
                                 << "}\npeers: {listen: \"127.0.0.1:" << free_port()
                                 << "\"}\nadmin: {listen: \"" << admin_.back() << "\"}\nlog: {address: \""
                                 << log_address_ << "\"}\nvm_list: {address: \"" << list_address_
