auburnchuted: one budget of memory for what callers send and take, and bounds before the library reads

Cause: the library's server collects heads and the lines of chunks without a bound, takes chunked bodies beyond the limit, and reads bodies before a key or a route is looked at; answers counted until they were whole only, and connections waited for a thread without a bound. Ruled out: bounds in the stream below the library, which would still unpack bodies, cut answers by the caller's ranges and copy forms; its content receivers, which leave heads unbounded.

Change: Beast's parser reads each request within bounds and books it with memory_budget while it is read, waits and is served; the library answers it from memory. What has no room is refused as not run (503, Retry-After); without key or route, or over the limit, it is answered before the body is read. Answers count until their callers have taken them. Threads are bounded by max_open_streams and the connections' share, 64 connections wait, and the slowest without a whole request ends for them. The C library's pools give large blocks back. The library no longer compresses answers, and bodies of model requests with Content-Encoding are refused.

--- a/apps/auburnchuted.cpp
+++ b/apps/auburnchuted.cpp
@@ -14,7 +14,9 @@
 #include <cstdlib>
 #include <docopt/docopt.h>
 
+#include <fstream>
 #include <iostream>
+#include <malloc.h>
 #include <mutex>
 #include <pthread.h>
 #include <string>
@@ -50,6 +52,12 @@
 /// Connection threads hold little on their stacks; 8 MiB each would count against the VM's address space.
 constexpr std::size_t thread_stack_bytes = 512 * 1024;
 
+/// Larger blocks are mapped on their own. The C library's first value; it would grow with the blocks.
+constexpr int largest_pooled_bytes = 128 * 1024;
+
+/// Pools of memory that threads share, as each keeps what its threads freed.
+constexpr int max_pools = 4;
+
 /// Longest time for the fleet to take over this VM's share, after the last answer.
 constexpr millis leave_limit{10'000};
 
@@ -160,6 +168,20 @@
     return hurried;
 }
 
+/// \returns Bytes that the process may take: as stated, or what its machine has.
+std::size_t memory_of(settings const& config)
+{
+    constexpr std::size_t megabyte = std::size_t{1024} * 1024;
+    if (config.memory_mb_ > 0) {
+        return static_cast<std::size_t>(config.memory_mb_) * megabyte;
+    }
+    auto const machine =
+        static_cast<std::size_t>(sysconf(_SC_PHYS_PAGES)) * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+    std::size_t group = 0; // stays 0 where the file is missing or says `max`
+    std::ifstream{"/sys/fs/cgroup/memory.max"} >> group;
+    return group > 0 ? std::min(group, machine) : machine;
+}
+
 /// Serves until a planned stop has ended.
 [[noreturn]] void serve(settings const& config, sigset_t const& signals)
 {
@@ -170,8 +192,8 @@
     fleet_control control{config, clk, counters, trails};
     stop_gate stop{clk};
     request_queue queue{control, counters, stop};
-    answer_ledger answers;
-    request_services const services{config, control, queue, counters, trails, spans, stop, answers};
+    memory_budget memory{divide_memory(memory_of(config))};
+    request_services const services{config, control, queue, counters, trails, spans, stop, memory};
     http_front callers{services};
     admin_front operators{services};
     auto const callers_port = callers.start();
@@ -224,6 +246,9 @@
         std::cout << file << ": no faults\n";
         return 0;
     }
+    // Freed bodies go back to the kernel, where the library would keep them in the pools of all threads.
+    mallopt(M_MMAP_THRESHOLD, largest_pooled_bytes);
+    mallopt(M_ARENA_MAX, max_pools);
     sigset_t signals;
     block_signals(signals);
     pthread_attr_t attributes;
--- a/src/protocol/openai.cpp
+++ b/src/protocol/openai.cpp
@@ -139,6 +139,31 @@
 
 } // namespace
 
+std::size_t json_memory(std::string_view text) noexcept
+{
+    // As the library and its allocator take them: a value with an empty object or list, a member's node with
+    // a short name, and a list's element with the room that a growing list keeps.
+    constexpr std::size_t container_bytes = 96;
+    constexpr std::size_t member_bytes = 112;
+    constexpr std::size_t element_bytes = 48;
+    std::size_t sum = text.size(); // of the texts themselves
+    bool quoted = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        char const c = text[i];
+        if (quoted) {
+            quoted = c != '"';
+            i += c == '\\' ? 1 : 0;
+            continue;
+        }
+        quoted = c == '"';
+        sum += c == '{' || c == '[' ? container_bytes
+               : c == ':'           ? member_bytes
+               : c == ','           ? element_bytes
+                                    : 0;
+    }
+    return sum;
+}
+
 chat_request parse_chat_request(std::string_view body)
 {
     chat_request request;
--- a/src/protocol/openai.hpp
+++ b/src/protocol/openai.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -25,6 +26,10 @@
 /// pure.
 [[nodiscard]] chat_request parse_chat_request(std::string_view body);
 
+/// \returns Bytes that the values of a JSON text take once it is parsed, at most; small values take many
+/// times their text. Thread safety: pure.
+[[nodiscard]] std::size_t json_memory(std::string_view text) noexcept;
+
 /// \returns The tokens that one chunk of a stream carries: 1 for each choice with a non-empty delta.
 /// Chunks of any other form count 0. Thread safety: pure.
 [[nodiscard]] std::int64_t count_tokens(nlohmann::json const& chunk);
--- a/src/transport/caller_connections.cpp
+++ b/src/transport/caller_connections.cpp
@@ -4,6 +4,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace auburnchute {
 
@@ -15,6 +16,10 @@
 /// Longest wait for the first bytes on a connection that was accepted while the others end.
 constexpr std::chrono::milliseconds last_idle_limit{100};
 
+/// A connection that has not been without a whole request for longer is not ended for others: an ordinary
+/// request comes within it.
+constexpr std::chrono::seconds spared_time{1};
+
 thread_local bool ends_after_answer = false;
 
 /// \returns True if the socket has bytes, or has ended.
@@ -52,8 +57,8 @@
 {
     ending_.store(true);
     std::lock_guard const lock{mutex_};
-    for (auto const& [socket, busy] : sockets_) {
-        if (!busy) {
+    for (auto const& [socket, open] : sockets_) {
+        if (!open.busy_) {
             ::shutdown(socket, SHUT_RD);
         }
     }
@@ -62,11 +67,35 @@
 void caller_connections::cut()
 {
     std::lock_guard const lock{mutex_};
-    for (auto const& [socket, busy] : sockets_) {
+    for (auto const& [socket, open] : sockets_) {
         ::shutdown(socket, SHUT_RDWR);
     }
 }
 
+void caller_connections::begin_answer(socket_t socket)
+{
+    std::lock_guard const lock{mutex_};
+    sockets_[socket].answers_ = true;
+}
+
+void caller_connections::end_slowest()
+{
+    std::lock_guard const lock{mutex_};
+    auto const time = std::chrono::steady_clock::now();
+    auto slowest = sockets_.end();
+    for (auto it = sockets_.begin(); it != sockets_.end(); ++it) {
+        auto const& open = it->second;
+        bool const may_end = !open.answers_ && !open.ended_ && time - open.since_ >= spared_time;
+        if (may_end && (slowest == sockets_.end() || open.since_ < slowest->second.since_)) {
+            slowest = it;
+        }
+    }
+    if (slowest != sockets_.end()) {
+        slowest->second.ended_ = true;
+        ::shutdown(slowest->first, SHUT_RD);
+    }
+}
+
 void caller_connections::close_after_answer() noexcept
 {
     ends_after_answer = true;
@@ -76,13 +105,17 @@
 {
     {
         std::lock_guard const lock{mutex_};
-        sockets_[socket] = true;
+        sockets_[socket].busy_ = true;
     }
     busy_.fetch_add(1);
     bool const sound = step();
     busy_.fetch_sub(1);
     std::lock_guard const lock{mutex_};
-    sockets_[socket] = false;
+    auto& open = sockets_[socket];
+    open.busy_ = false;
+    if (std::exchange(open.answers_, false)) {
+        open.since_ = std::chrono::steady_clock::now();
+    }
     return sound;
 }
 
@@ -130,7 +163,7 @@
 {
     {
         std::lock_guard const lock{mutex_};
-        sockets_.emplace(socket, false);
+        sockets_.emplace(socket, connection{});
     }
     bool const sound = serve_requests(socket, channel, limits, answer);
     channel.close_();
--- a/src/transport/caller_connections.hpp
+++ b/src/transport/caller_connections.hpp
@@ -54,6 +54,12 @@
     /// \brief Ends all connections.
     void cut();
 
+    /// \brief The request on the connection is whole. \pre Called within the answer function.
+    void begin_answer(socket_t socket);
+
+    /// \brief Ends the connection that has been without a whole request for longest, to make room for others.
+    void end_slowest();
+
     /// \brief Closes the connection of the calling handler after its answer.
     static void close_after_answer() noexcept;
 
@@ -66,8 +72,16 @@
     /// Runs a step during which the connection is not idle.
     bool run_busy(socket_t socket, std::function<bool()> const& step);
 
+    struct connection {
+        bool busy_{};
+        bool answers_{}; ///< A whole request has come and its answer has not gone.
+        bool ended_{};   ///< By `end_slowest`.
+        std::chrono::steady_clock::time_point since_{
+            std::chrono::steady_clock::now()}; ///< Without a request.
+    };
+
     mutable std::mutex mutex_;
-    std::map<socket_t, bool> sockets_; ///< With whether the connection is busy.
+    std::map<socket_t, connection> sockets_;
     std::atomic<int> busy_{};
     std::atomic<bool> ending_{};
 };
--- a/src/transport/connection_threads.cpp
+++ b/src/transport/connection_threads.cpp
@@ -9,18 +9,40 @@
 
 constexpr std::chrono::seconds idle_thread_lifetime{30};
 
+/// Connections that wait for a thread; each takes a descriptor.
+constexpr std::size_t max_waiting = 64;
+
+thread_local bool refuses_connection = false;
+
 } // namespace
 
 void connection_threads::enqueue(std::function<void()> connection)
 {
-    std::lock_guard const lock{mutex_};
-    waiting_.push_back(std::move(connection));
-    if (idle_ >= waiting_.size() || threads_ >= limit_) {
-        wake_.notify_one();
-        return;
+    std::unique_lock lock{mutex_};
+    bool const waits = idle_ <= waiting_.size() && threads_ >= limit_;
+    if (waits && waiting_.size() >= max_waiting) {
+        lock.unlock();
+        refuses_connection = true;
+        connection();
+        refuses_connection = false;
+    } else {
+        waiting_.push_back(std::move(connection));
+        if (idle_ >= waiting_.size() || threads_ >= limit_) {
+            wake_.notify_one();
+        } else {
+            ++threads_;
+            std::thread{[this] { run(); }}.detach();
+        }
+        lock.unlock();
+    }
+    if (waits) {
+        crowded_();
     }
-    ++threads_;
-    std::thread{[this] { run(); }}.detach();
+}
+
+bool connection_threads::refuses() noexcept
+{
+    return refuses_connection;
 }
 
 void connection_threads::run()
--- a/src/transport/http_front.cpp
+++ b/src/transport/http_front.cpp
@@ -22,6 +22,18 @@
 
 constexpr std::size_t max_header_bytes = 16 * 1024;
 
+/// What a connection takes: touched pages of its thread's stack, its read buffer, and the library's.
+constexpr std::size_t connection_bytes = std::size_t{48} * 1024;
+
+/// Pause between two lines on refusals by size or for lack of memory.
+constexpr millis refusal_log_pause{1'000};
+
+/// A body as it came, as text for its upstream, and as that is built.
+constexpr std::size_t request_copies = 3;
+
+/// The text of an answer as it is collected, with its growth, and as the caller's document.
+constexpr std::size_t answer_copies = 3;
+
 /// An idle connection holds a thread, so it is closed soon.
 constexpr time_t keep_alive_seconds = 5;
 
@@ -38,8 +50,10 @@
 std::size_t header_bytes(httplib::Request const& request)
 {
     std::size_t sum = 0;
-    for (auto const& [name, value] : request.headers) {
-        sum += name.size() + value.size() + 4;
+    for (auto const* const fields : {&request.headers, &std::as_const(request_account::current()->withheld_)}) {
+        for (auto const& [name, value] : *fields) {
+            sum += name.size() + value.size() + 4;
+        }
     }
     return sum;
 }
@@ -50,11 +64,13 @@
     if (key.empty()) {
         return false;
     }
-    bool const in_headers =
-        std::any_of(request.headers.begin(), request.headers.end(), [&key](auto const& item) {
-            return item.first != "Authorization" && item.first != "authorization" &&
-                   item.second.find(key) != std::string::npos;
-        });
+    auto const leaks = [&key](auto const& item) {
+        return item.first != "Authorization" && item.first != "authorization" &&
+               item.second.find(key) != std::string::npos;
+    };
+    auto const& withheld = request_account::current()->withheld_;
+    bool const in_headers = std::any_of(request.headers.begin(), request.headers.end(), leaks) ||
+                            std::any_of(withheld.begin(), withheld.end(), leaks);
     return in_headers || request.target.find(key) != std::string::npos ||
            request.path.find(key) != std::string::npos || request.body.find(key) != std::string::npos;
 }
@@ -133,24 +149,35 @@
 
 } // namespace
 
-http_front::http_front(request_services services) : services_{services}
+http_front::http_front(request_services services)
+    : services_{services}, bounds_{services_.memory_, services_.control_.time_source(),
+                                   static_cast<std::size_t>(services_.config_.max_body_bytes_),
+                                   [this](httplib::Request const& head) { return judge_head(head); },
+                                   [this](problem const& shown) { note_refused(shown); }}
 {
     auto const& config = services_.config_;
     if (config.callers_certificate_.empty()) {
-        auto server = std::make_unique<caller_server>();
+        auto server = std::make_unique<caller_server>(bounds_);
         connections_ = &server->connections();
         server_ = std::move(server);
     } else {
-        auto server =
-            std::make_unique<tls_caller_server>(config.callers_certificate_, config.callers_private_key_);
+        auto server = std::make_unique<tls_caller_server>(config.callers_certificate_,
+                                                          config.callers_private_key_, bounds_);
         connections_ = &server->connections();
         server_ = std::move(server);
         if (!server_->is_valid()) {
             throw error{"settings", config.callers_certificate_, "the certificate or its key cannot be used"};
         }
     }
-    auto const limit = static_cast<std::size_t>(config.max_open_streams_) + refusal_threads;
-    server_->new_task_queue = [limit] { return new connection_threads{limit}; };
+    auto const room = services_.memory_.limits().share(memory_purpose::connection) / connection_bytes;
+    auto const limit = std::min(static_cast<std::size_t>(config.max_open_streams_) + refusal_threads,
+                                std::max<std::size_t>(1, room));
+    server_->new_task_queue = [this, limit] {
+        return new connection_threads{limit, [this] {
+                                          services_.metrics_.count("auburnchute_crowded_connections_total");
+                                          connections_->end_slowest();
+                                      }};
+    };
     server_->set_payload_max_length(static_cast<std::size_t>(config.max_body_bytes_));
     server_->set_keep_alive_timeout(keep_alive_seconds);
     server_->set_keep_alive_max_count(max_requests_per_connection);
@@ -219,6 +246,51 @@
     return true;
 }
 
+std::optional<problem> http_front::judge_head(httplib::Request const& head)
+{
+    bool const serves_models =
+        head.method == "POST" && (head.path == "/v1/chat/completions" || head.path == "/v1/completions");
+    // What the library would decode is judged once the request is whole.
+    bool const has_body = head.method != "GET" && head.method != "HEAD" && head.method != "OPTIONS";
+    if (!has_body || head.path.find('%') != std::string::npos) {
+        return std::nullopt;
+    }
+    auto context = begin_request(services_, head.get_header_value("traceparent"));
+    std::optional<problem> refused;
+    if (serves_models) {
+        auto const key = bearer_key(head);
+        auto const digest = key.empty() ? std::string{} : salted_digest(services_.config_.key_salt_, key);
+        bool const unknown = services_.control_.read([&](fleet_view const& view) {
+            auto const& routes = view.state_->tables_->routes_;
+            return view.ready_ && !view.state_->keys_.contains(digest) &&
+                   std::none_of(routes.begin(), routes.end(),
+                                [](auto const& row) { return row.open_ && !row.model_.empty(); });
+        });
+        if (unknown) {
+            refused =
+                make_problem(context, 401, "unauthorized", "authenticate",
+                             key.empty() ? "not run: a key is required" : "not run: the key is not known");
+        }
+    } else {
+        refused = admit(services_, context, bearer_key(head), {{}, head.path});
+    }
+    if (refused) {
+        end_request(services_, context, "refused");
+    }
+    return refused;
+}
+
+void http_front::note_refused(problem const& shown)
+{
+    services_.metrics_.count("auburnchute_unread_requests_total", std::to_string(shown.status_));
+    auto const time = now(services_.control_.time_source()).count_;
+    auto until = refusals_logged_until_.load();
+    if (time >= until &&
+        refusals_logged_until_.compare_exchange_strong(until, time + refusal_log_pause.count_)) {
+        log_fault("accept", {}, shown.detail_);
+    }
+}
+
 void http_front::add_routes()
 {
     auto const model = [this](httplib::Request const& request, httplib::Response& response) {
@@ -299,6 +371,13 @@
     auto& counters = services_.metrics_;
     counters.gauge("auburnchute_open_requests", {}, open_.load());
     counters.gauge("auburnchute_log_age_ms", {}, static_cast<double>(services_.control_.log_age().count_));
+    auto const& memory = services_.memory_;
+    counters.gauge("auburnchute_held_bytes", "reading",
+                   static_cast<double>(memory.held(memory_purpose::reading)));
+    counters.gauge("auburnchute_held_bytes", "request",
+                   static_cast<double>(memory.held(memory_purpose::request)));
+    counters.gauge("auburnchute_held_bytes", "answer",
+                   static_cast<double>(memory.held(memory_purpose::answer)));
     counters.gauge("auburnchute_spans_dropped", {}, static_cast<double>(services_.spans_.dropped()));
     for (auto const& [pool, queue] : services_.queue_.status()) {
         counters.gauge("auburnchute_waiting", pool, static_cast<double>(queue.waiting_));
@@ -329,6 +408,18 @@
                             ? "the headers are above 16 KiB"
                             : "the key stands outside the Authorization header"};
         }
+        if (request_account::current()->withheld_.contains("Content-Encoding")) {
+            throw error{"accept", "", "the body must come without Content-Encoding"};
+        }
+        if (!request_account::current()->hold_request(request.body.size() * request_copies +
+                                                      json_memory(request.body))) {
+            auto refused = make_problem(context, 503, "not-ready", "accept",
+                                        "not run: the requests at this VM take all of its memory");
+            refused.retry_after_s_ = 1;
+            note_refused(refused);
+            refuse(refused);
+            return;
+        }
         parsed = parse_chat_request(request.body);
     } catch (error const& fault) {
         note(services_, context, "accept", std::string{"refused "} + fault.what());
@@ -386,7 +477,16 @@
     }
     if (!streamed) {
         completion_builder builder;
+        std::size_t collected = 0;
         while (first.kind_ == answer_event::kind::chunk) {
+            collected += first.data_.size();
+            if (!request_account::current()->hold_answer(collected * answer_copies)) {
+                first.kind_ = answer_event::kind::failed;
+                first.problem_ =
+                    make_problem(call->context(), 502, "upstream-failed", "relay",
+                                 "the answers at this VM take all of its memory", execution::ran);
+                break;
+            }
             builder.add(first.json_);
             first = call->next();
         }
--- a/src/transport/http_front.hpp
+++ b/src/transport/http_front.hpp
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "transport/caller_request.hpp"
 #include "transport/http_listener.hpp"
 #include "transport/model_call.hpp"
 #include "transport/request_context.hpp"
 
 #include <atomic>
+#include <cstdint>
 #include <memory>
+#include <optional>
 
 namespace httplib {
 struct Request;
@@ -59,8 +62,13 @@
     void serve_entries(httplib::Response& response) const;
     void serve_models(httplib::Request const& request, httplib::Response& response) const;
     [[nodiscard]] bool refuse_if_full(request_context const& context, httplib::Response& response) const;
+    /// \returns Why a request with a body is refused by its head, or none.
+    [[nodiscard]] std::optional<problem> judge_head(httplib::Request const& head);
+    void note_refused(problem const& shown);
 
     request_services services_;
+    caller_bounds bounds_;
+    std::atomic<std::int64_t> refusals_logged_until_{}; ///< Clock time in ms; one line is written a second.
     retry_budgets budgets_;
     std::unique_ptr<httplib::Server> server_;
     caller_connections* connections_{}; ///< The server's.
--- a/src/transport/request_context.hpp
+++ b/src/transport/request_context.hpp
@@ -8,8 +8,8 @@
 #include "transport/request_queue.hpp"
 #include "transport/stop_gate.hpp"
 
-#include <auburnchute/answer_ledger.hpp>
 #include <auburnchute/clock.hpp>
+#include <auburnchute/memory_budget.hpp>
 
 #include <cstdint>
 #include <limits>
@@ -28,7 +28,7 @@
     trail_store& trails_;
     span_sink& spans_;
     stop_gate& stop_;
-    answer_ledger& answers_; ///< What the answers of services take.
+    memory_budget& memory_; ///< What requests and answers take.
 };
 
 /// \brief Ends of requests whose whole time has no limit.
--- a/src/transport/service_call.cpp
+++ b/src/transport/service_call.cpp
@@ -1,10 +1,12 @@
 #include "transport/service_call.hpp"
 
 #include "protocol/logging.hpp"
+#include "transport/caller_request.hpp"
 #include "transport/http_client.hpp"
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <httplib.h>
 #include <memory>
 #include <optional>
@@ -23,6 +25,9 @@
 
 constexpr std::size_t max_key_length = 256;
 
+/// The answer as it came, and the library's copy.
+constexpr std::size_t answer_copies = 2;
+
 /// Status of an outcome whose call may or may not have run.
 constexpr int unknown_outcome = 0;
 
@@ -33,9 +38,10 @@
 
 /// Headers that concern one connection or carry the caller's key.
 constexpr std::array dropped_headers{
-    "authorization",     "connection",  "host",       "keep-alive", "proxy-authorization", "content-length",
-    "transfer-encoding", "te",          "trailer",    "upgrade",    "traceparent",         "x-request-id",
-    "remote_addr",       "remote_port", "local_addr", "local_port"};
+    "authorization",  "connection",        "host",         "keep-alive",  "proxy-authorization",
+    "content-length", "transfer-encoding", "te",           "trailer",     "upgrade",
+    "expect",         "traceparent",       "x-request-id", "remote_addr", "remote_port",
+    "local_addr",     "local_port"};
 
 std::string lower(std::string text)
 {
@@ -64,9 +70,12 @@
     auto const started = wall_now();
     http_client client{grant.address_, {connect_limit, answer_limit, send_limit}};
     call_request forwarded{.method_ = request.method, .target_ = request.target, .body_ = request.body};
-    for (auto const& [name, value] : request.headers) {
-        if (!is_dropped(name)) {
-            forwarded.headers_.emplace(name, value);
+    auto* const account = request_account::current();
+    for (auto const* const fields : {&request.headers, &std::as_const(account->withheld_)}) {
+        for (auto const& [name, value] : *fields) {
+            if (!is_dropped(name)) {
+                forwarded.headers_.emplace(name, value);
+            }
         }
     }
     forwarded.headers_.emplace("X-Request-Id", context.id_);
@@ -76,10 +85,19 @@
         result.given_up_ = true;
         return result;
     }
-    answer_ledger::entry held{services.answers_, [&client] { client.stop(); }};
-    auto answer = client.call(forwarded, {.held_ = [&held](std::size_t bytes) { held.hold(bytes); }});
+    std::atomic<bool> kept{true};
+    auto const give_up = [&] {
+        kept = false;
+        client.stop();
+    };
+    account->on_give_up(give_up);
+    auto answer = client.call(forwarded, {.held_ = [&](std::size_t bytes) {
+                                  if (!account->hold_answer(bytes * answer_copies)) {
+                                      give_up();
+                                  }
+                              }});
+    account->on_give_up({});
     (void)context.open_->on_give_up({});
-    bool const kept = held.finish();
     if (!kept || answer.fault_ == call_fault::wrong_answer) {
         log_fault("relay", grant.upstream_,
                   kept ? "the answer is malformed or too large" : "the answers take too much memory");
--- a/tests/protocol/openai_test.cpp
+++ b/tests/protocol/openai_test.cpp
@@ -200,3 +200,18 @@
     INFO(chunk);
     CHECK(usage_tokens(json::parse(chunk)) == tokens);
 }
+
+// Guards against a body whose values take far more memory than its text counts for.
+TEST_CASE("the memory of a JSON text is counted by its values", "[openai]")
+{
+    auto const [text, least, most] = GENERATE(table<std::string, std::size_t, std::size_t>({
+        {R"("{[:,]}")", 9, 9},
+        {R"("\"{[:,")", 8, 8},
+        {"[{},{},{}]", 300, 600},
+        {R"({"a":1})", 96 + 112, 400},
+        {"[0,0,0,0]", 96 + 3 * 16, 400},
+    }));
+    INFO(text);
+    CHECK(json_memory(text) >= least);
+    CHECK(json_memory(text) <= most);
+}
--- a/tests/transport/http_listener_test.cpp
+++ b/tests/transport/http_listener_test.cpp
@@ -64,7 +64,11 @@
 {
     constexpr int callers = 20;
     held_queue::gate gate;
-    caller_server server;
+    auburnchute::clock const clk;
+    memory_budget memory{divide_memory(0)};
+    caller_bounds const bounds{memory, clk, 1'024, [](auto const&) { return std::optional<problem>{}; },
+                               [](auto const&) {}};
+    caller_server server{bounds};
     server.new_task_queue = [&gate] { return new held_queue{gate}; };
     server.Get("/x", [](auto const&, auto& response) { response.set_content("whole", "text/plain"); });
     http_listener listener{server};
