--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -27,6 +27,10 @@
 
 namespace {
 
+/// Statuses of HTTP (RFC 9110, section 15).
+constexpr unsigned least_status = 100;
+constexpr unsigned largest_status = 599;
+
 constexpr std::size_t read_size = std::size_t{16} * 1024;
 
 /// \returns Whether the socket got ready, or ended, in time.
@@ -185,7 +189,7 @@
         error_code fault;
         http::write(stream, message, fault);
         // One that refuses a long body may have answered before it was read.
-        answer = read_answer(request.method_ == "HEAD", receiver);
+        answer = read_answer(request.method_ == "HEAD", !fault, receiver);
     }
     std::lock_guard const lock{mutex_};
     error_code ignored; // the other side may have closed first
@@ -193,7 +197,7 @@
     return answer;
 }
 
-call_answer http_client::read_answer(bool head_only, call_receiver const& receiver)
+call_answer http_client::read_answer(bool head_only, bool sent, call_receiver const& receiver)
 {
     call_answer answer;
     timed_stream stream{socket_, limits_};
@@ -213,6 +217,11 @@
             answer.fault_ = fault_of(fault);
             return answer;
         }
+        auto const status = parser->get().result_int();
+        if (status < least_status || status > largest_status) {
+            answer.fault_ = call_fault::wrong_answer;
+            return answer;
+        }
     }
     answer.status_ = static_cast<int>(parser->get().result_int());
     for (auto const& field : parser->get()) {
@@ -247,7 +256,8 @@
             receiver.held_(answer.body_.capacity());
         }
     }
-    answer.fault_ = call_fault::none;
+    // The failed write has taken the socket's error, so a reset reads like the end of an answer.
+    answer.fault_ = parser->need_eof() && !sent ? call_fault::broken : call_fault::none;
     return answer;
 }
 
