--- a/src/transport/http_front.cpp
+++ b/src/transport/http_front.cpp
@@ -50,7 +50,8 @@
 std::size_t header_bytes(httplib::Request const& request)
 {
     std::size_t sum = 0;
-    for (auto const* const fields : {&request.headers, &std::as_const(request_account::current()->withheld_)}) {
+    for (auto const* const fields :
+         {&request.headers, &std::as_const(request_account::current()->withheld_)}) {
         for (auto const& [name, value] : *fields) {
             sum += name.size() + value.size() + 4;
         }
