--- a/src/transport/http_front.cpp
+++ b/src/transport/http_front.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t max_header_bytes = 16 * 1024;
 
 /// What a connection takes: touched pages of its thread's stack, its read buffer, and the library's.
-constexpr std::size_t connection_bytes = std::size_t{48} * 1024;
+constexpr std::size_t caller_thread_bytes = std::size_t{48} * 1024;
 
 /// Pause between two lines on refusals by size or for lack of memory.
 constexpr millis refusal_log_pause{1'000};
@@ -170,7 +170,7 @@
             throw error{"settings", config.callers_certificate_, "the certificate or its key cannot be used"};
         }
     }
-    auto const room = services_.memory_.limits().share(memory_purpose::connection) / connection_bytes;
+    auto const room = services_.memory_.limits().share(memory_purpose::connection) / caller_thread_bytes;
     auto const limit = std::min(static_cast<std::size_t>(config.max_open_streams_) + refusal_threads,
                                 std::max<std::size_t>(1, room));
     server_->new_task_queue = [this, limit] {
