--- a/tests/transport/http_client_test.cpp
+++ b/tests/transport/http_client_test.cpp
@@ -120,7 +120,7 @@
 }
 
 // Guards against an upstream in trouble whose answer has no status of HTTP.
-TEST_CASE("an answer with a status outside 100 to 599 is none", "[transport][mixed]")
+TEST_CASE("the client takes an answer with a status outside 100 to 599 for none", "[transport][mixed]")
 {
     auto const* const status = GENERATE("000", "001", "099", "600", "999");
     auto const* const interim = GENERATE("", "HTTP/1.1 103 X\r\n\r\n");
