Take an unreadable record of the order lease for one of the store's present era

Change: such a record counts as of the era in which it was read; the test's peer states the store's era.

--- a/src/transport/entry/order_keeper.cpp
+++ b/src/transport/entry/order_keeper.cpp
@@ -87,8 +87,10 @@
         .dump();
 }
 
-/// \returns The record, or one of an unknown holder if it cannot be read: somebody may still give orders.
-lease_record read_lease(std::string const& document)
+/// \param era Of the store that has the record.
+/// \returns The record, or one of an unknown holder if it cannot be read: somebody may still give orders, and
+/// it does not show that it is from a copy.
+lease_record read_lease(std::string const& document, std::uint64_t era)
 {
     try {
         auto const fields = platform::parse_document(document);
@@ -100,7 +102,7 @@
                 static_cast<std::uint64_t>(platform::integer_field(fields, "store_era", 0, counts))};
     } catch (std::exception const& failure) {
         log_failure("lease-unreadable", {{"fault", failure.what()}});
-        return {.vm_ = "unreadable", .incarnation_ = 0, .epoch_ = 0};
+        return {.vm_ = "unreadable", .incarnation_ = 0, .epoch_ = 0, .orders_from_ = {}, .store_era_ = era};
     }
 }
 
@@ -136,7 +138,7 @@
     std::optional<lease_record> record;
     for (auto const& stored : newest.records_) {
         if (stored.key_ == lease_key && stored.value_) {
-            record = read_lease(*stored.value_);
+            record = read_lease(*stored.value_, newest.next_.era_);
         }
     }
     observe_lease(keeper.lease_, newest.next_, std::move(record), boot_now());
--- a/tests/transport/entry/odd_entries_test.cpp
+++ b/tests/transport/entry/odd_entries_test.cpp
@@ -368,8 +368,9 @@
     message.kind_ = message_kind::mesh;
     message.term_ = 1;
     message.send_interval_ = millis{200};
-    message.seen_news_ = 1; // the one entry
-    message.registry_ = 1;  // the digest of none
+    message.store_era_ = world.store_.era(); // offsets of another era would not be compared
+    message.seen_news_ = 1;                  // the one entry
+    message.registry_ = 1;                   // the digest of none
     auto const tell = [&] {
         ++message.sent_at_;
         peer.send(world.ip_, encode_message(message));
