Let the odd datagrams of a test be of the store's era

Cause: since messages name an era, those of the test named none and their offsets were not compared, so it checked less. Change: they state the store's era.

--- a/tests/transport/entry/odd_entries_test.cpp
+++ b/tests/transport/entry/odd_entries_test.cpp
@@ -401,6 +401,7 @@
     message.kind_ = message_kind::mesh;
     message.term_ = 1;
     message.send_interval_ = millis{200};
+    message.store_era_ = world.store_.era(); // offsets of another era would not be compared
     auto const odd = odd_entries();
     auto const keys = odd_keys();
     for (int i = 0; i < 600; ++i) {
