Bound small holdings of the memory budget, too

Callers saw: nothing yet; a process on a small machine could grow over its memory. Cause: what took up to 16 KiB always had room and was never given up, so as many connections as a machine's descriptors allow could take that much each beside the shares. Change: holdings of the spared size have a reserve of a quarter of the share beside it and give way only to others of this size, so large ones still don't keep them out. What isn't known to be allowed (`note_allowed`) goes first. The row "what is spared always has room" becomes "has room beside the share": the same check, with the reserve that makes it true, and two further rows for what happens beyond it. The new test can't be built with the code before, which has no reserve.

--- a/src/coordination/memory_budget.cpp
+++ b/src/coordination/memory_budget.cpp
@@ -15,6 +15,8 @@
     memory_limits limits;
     // Answers are the largest, and those of upstreams have no limit that the operator sets.
     limits.shares_ = {shared / 5, shared / 5, shared / 5 * 2, shared / 5};
+    // The number of connections is fixed by their share, so they need no reserve.
+    limits.reserves_ = {shared / 20, shared / 20, shared / 20 * 2, 0};
     limits.spared_ = spared_bytes;
     return limits;
 }
@@ -33,11 +35,11 @@
 std::optional<std::size_t> choose_given_up(std::span<held_memory const> held, millis now) noexcept
 {
     std::optional<std::size_t> chosen;
-    double most = -1;
+    std::pair<bool, double> most{false, -1};
     for (std::size_t i = 0; i < held.size(); ++i) {
         // One more, as what came in the same millisecond is told apart by its size.
         auto const age = static_cast<double>((now - held[i].since_).count_ + 1);
-        auto const weight = static_cast<double>(held[i].bytes_) * age;
+        std::pair const weight{!held[i].is_allowed_, static_cast<double>(held[i].bytes_) * age};
         if (held[i].may_be_given_up_ && weight > most) {
             most = weight;
             chosen = i;
@@ -74,6 +76,12 @@
     return budget_.book(*this, purpose, bytes_, now);
 }
 
+void memory_budget::holding::note_allowed()
+{
+    std::lock_guard const lock{budget_.mutex_};
+    is_allowed_ = true;
+}
+
 bool memory_budget::holding::keep()
 {
     std::lock_guard const lock{budget_.mutex_};
@@ -112,7 +120,7 @@
     }
     bool const moves = purpose != wanting.purpose_;
     bool const grows = moves || bytes > wanting.bytes_;
-    if (grows && bytes > limits_.spared_ && !make_room(wanting, purpose, bytes, now)) {
+    if (grows && !make_room(wanting, purpose, bytes, now)) {
         return false;
     }
     held_for(wanting.purpose_) -= wanting.bytes_;
@@ -129,19 +137,22 @@
 bool memory_budget::make_room(holding& wanting, memory_purpose purpose, std::size_t bytes, millis now)
 {
     auto const own_part = purpose == wanting.purpose_ ? wanting.bytes_ : 0;
-    auto const fits = [&] { return held_for(purpose) - own_part + bytes <= limits_.share(purpose); };
+    auto const bound = limits_.bound(purpose, bytes);
+    auto const fits = [&] { return held_for(purpose) - own_part + bytes <= bound; };
     if (fits()) {
         return true;
     }
-    if (bytes > limits_.share(purpose)) {
+    if (bytes > bound) {
         return false; // others would be given up in vain
     }
+    bool const is_small = bytes <= limits_.spared_;
     std::vector<holding*> others{&wanting};
-    std::vector<held_memory> held{{bytes, wanting.since_, true}};
+    std::vector<held_memory> held{{bytes, wanting.since_, true, wanting.is_allowed_}};
     for (auto* const other : holdings_[static_cast<std::size_t>(purpose)]) {
-        if (other != &wanting && other->give_up_ && !other->given_up_ && other->bytes_ > limits_.spared_) {
+        bool const may_end = other != &wanting && other->give_up_ && !other->given_up_ && other->bytes_ > 0;
+        if (may_end && (is_small || other->bytes_ > limits_.spared_)) {
             others.push_back(other);
-            held.push_back({other->bytes_, other->since_, true});
+            held.push_back({other->bytes_, other->since_, true, other->is_allowed_});
         }
     }
     while (!fits()) {
--- a/tests/coordination/memory_budget_test.cpp
+++ b/tests/coordination/memory_budget_test.cpp
@@ -15,6 +15,7 @@
 {
     memory_limits limits;
     limits.shares_.fill(share);
+    limits.reserves_.fill(2 * unit);
     limits.spared_ = unit;
     return limits;
 }
@@ -31,15 +32,21 @@
         std::vector<std::size_t> given_up_;
         bool has_room_;
     };
-    auto const r =
-        GENERATE(row{"all fit", {{4, 0}, {4, 0}}, 2, {}, true},
-                 row{"the larger of the same age", {{4, 0}, {5, 0}}, 2, {1}, true},
-                 row{"the older of the same size", {{4, 900}, {4, 0}}, 3, {1}, true},
-                 row{"as many as it takes", {{3, 0}, {3, 0}, {3, 0}}, 6, {0, 1}, true},
-                 row{"what wants room, if it is the worst", {{4, 1'000}, {4, 1'000}}, 5, {}, false},
-                 row{"none for what never fits", {{4, 0}, {4, 0}}, 11, {}, false},
-                 row{"none that is spared", {{1, 0}, {1, 0}, {1, 0}}, 9, {}, false},
-                 row{"what is spared always has room", {{5, 0}, {5, 0}}, 1, {}, true});
+    auto const r = GENERATE(
+        row{"all fit", {{4, 0}, {4, 0}}, 2, {}, true},
+        row{"the larger of the same age", {{4, 0}, {5, 0}}, 2, {1}, true},
+        row{"the older of the same size", {{4, 900}, {4, 0}}, 3, {1}, true},
+        row{"as many as it takes", {{3, 0}, {3, 0}, {3, 0}}, 6, {0, 1}, true},
+        row{"what wants room, if it is the worst", {{4, 1'000}, {4, 1'000}}, 5, {}, false},
+        row{"none for what never fits", {{4, 0}, {4, 0}}, 11, {}, false},
+        row{"none that is spared", {{1, 0}, {1, 0}, {1, 0}}, 9, {}, false},
+        row{"what is spared has room beside the share", {{5, 0}, {5, 0}}, 1, {}, true},
+        row{"what is spared goes on to have room", {{5, 0}, {5, 0}, {1, 0}, {1, 0}}, 1, {0}, true},
+        row{"the oldest of those that are spared",
+            {{1, 5}, {1, 0}, {1, 5}, {1, 5}, {1, 5}, {1, 5}, {1, 5}, {1, 5}, {1, 5}, {1, 5}, {1, 5}, {1, 5}},
+            1,
+            {1},
+            true});
     CAPTURE(r.what_);
     memory_budget budget{limits_of(10 * unit)};
     std::vector<std::size_t> given_up;
@@ -62,6 +69,34 @@
     CHECK(budget.held(memory_purpose::reading) == (r.has_room_ ? r.wanted_ * unit : 0));
 }
 
+// Guards against a crowd that shows no key and keeps a request out that may be served (issue 51).
+TEST_CASE("what isn't known to be allowed makes room for what is", "[memory]")
+{
+    struct row {
+        char const* what_;
+        bool allowed_; ///< The one that wants room, which is the larger and the younger.
+        bool other_allowed_;
+        bool given_up_;
+    };
+    auto const r =
+        GENERATE(row{"neither", false, false, false}, row{"the one that wants room", true, false, true},
+                 row{"the other", false, true, false}, row{"both", true, true, false});
+    CAPTURE(r.what_);
+    memory_budget budget{limits_of(10 * unit)};
+    bool given_up = false;
+    memory_budget::holding other{budget, memory_purpose::reading, millis{900}, [&] { given_up = true; }};
+    REQUIRE(other.grow_to(3 * unit, millis{900}));
+    memory_budget::holding last{budget, memory_purpose::reading, millis{950}, [] { FAIL("asked itself"); }};
+    if (r.other_allowed_) {
+        other.note_allowed();
+    }
+    if (r.allowed_) {
+        last.note_allowed();
+    }
+    CHECK(last.grow_to(8 * unit, millis{1'000}) == r.given_up_);
+    CHECK(given_up == r.given_up_);
+}
+
 // Guards against a purpose that takes the room of another, and against whole requests that are dropped.
 TEST_CASE("a purpose has its share, and what is kept is not given up", "[memory]")
 {
@@ -94,9 +129,34 @@
         sum += share;
         CHECK(share > 8 * mb); // two requests of the largest usual size, 4 MiB
     }
+    for (auto const reserve : limits.reserves_) {
+        sum += reserve;
+    }
     CHECK(sum + own_process_bytes < all);
 }
 
+// Guards against many small holdings, each of which always had room: with as many connections as the
+// descriptors allow they took more than a small machine has (issue 51).
+TEST_CASE("small holdings together stay within the share and its reserve", "[memory]")
+{
+    constexpr std::size_t mb = std::size_t{1024} * 1024;
+    auto const purpose = GENERATE(memory_purpose::reading, memory_purpose::request, memory_purpose::answer);
+    auto const limits = divide_memory(120 * mb);
+    memory_budget budget{limits};
+    std::vector<std::unique_ptr<memory_budget::holding>> all;
+    std::size_t refused = 0;
+    for (int i = 0; i < 3'000; ++i) {
+        auto give_up = purpose == memory_purpose::request ? std::function<void()>{} : [] {};
+        all.push_back(
+            std::make_unique<memory_budget::holding>(budget, purpose, millis{i}, std::move(give_up)));
+        refused += all.back()->grow_to(spared_bytes, millis{i}) ? 0U : 1U;
+    }
+    CHECK(budget.held(purpose) <= limits.bound(purpose, spared_bytes));
+    CHECK(budget.held(purpose) > limits.share(purpose));
+    // A whole request isn't given up for the next one.
+    CHECK((refused > 0) == (purpose == memory_purpose::request));
+}
+
 // Guards against connections that take the descriptors which requests need, and against a bound that ordinary
 // callers meet: 3,000 at once on a machine of 260 MB and 4,100 descriptors.
 TEST_CASE("callers' connections have their part of memory and descriptors", "[memory]")
