Count heads, chunk lines and trailers of callers in the account of memory

Callers saw: a process that runs out of memory and takes all requests with it, once some hundred clients send heads of many small fields, or trailers and chunk lines that stop short. Cause: the account took a connection for 8 KiB and a request for its body. The connection's buffer (up to 64 KiB beside the limit on heads), the parser's fields (some 80 bytes each, also for a line of four) and trailers, which the parser kept among the fields of the head and which were copied for the upstream, were in no account. The parser's limit on heads counts only the line that has not ended, so lines that come one by one have none. Change: `read_head` reads a head within its limit and books lines as they come. Each request has a holding from its first byte, with buffer, fields (twice, for the copy) and body; what finds no room is refused with 503 and closed, before the answer is written its memory is given back. The head is taken out of the parser before the body, so trailers are dropped: they aren't headers, and could replace what the head says. No new limit.

--- a/src/transport/entry/body_room.hpp
+++ b/src/transport/entry/body_room.hpp
@@ -15,6 +15,7 @@
 struct body_bounds {
     std::optional<std::uint64_t> announced_; ///< Its length, by the head.
     std::uint64_t limit_{};
+    std::size_t next_{read_bytes}; ///< Most bytes that the next read adds.
 };
 
 /// \returns The memory that the body takes once the next read has ended, in bytes: what was announced is
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -6,6 +6,7 @@
 #include "transport/entry/event_stream.hpp"
 #include "transport/entry/forward_job.hpp"
 #include "transport/entry/listen.hpp"
+#include "transport/entry/request_input.hpp"
 #include "transport/entry/upstream_booking.hpp"
 #include "transport/entry/upstream_keeper.hpp"
 #include "transport/entry/version_keeper.hpp"
@@ -197,10 +198,29 @@
     return socket.available(ignored) > 0;
 }
 
+/// What a prompt part of a request's head takes, in bytes: as it is split, parsed, and judged by the evidence
+/// of crashes.
+constexpr std::size_t prompt_part_bytes = 64;
+
+/// A request's head is copied for its upstream.
+constexpr std::size_t head_copies = 2;
+
+/// \returns What a request takes beside its body until it is answered, in bytes.
+std::size_t memory_of_head(caller_request const& request, request_attributes const& call)
+{
+    return head_copies * memory_of(request.base()) + prompt_part_bytes * call.prompt_parts_.size();
+}
+
+/// \returns What a connection's buffer takes beside that of an idle connection, in bytes.
+std::size_t extra_bytes(std::size_t capacity) noexcept
+{
+    return capacity - std::min(capacity, idle_buffer_bytes);
+}
+
 /// A request with the memory that it takes.
 struct held_request {
     std::shared_ptr<memory_budget> budget_;
-    std::unique_ptr<memory_budget::holding> memory_; ///< Null for one without a body.
+    std::unique_ptr<memory_budget::holding> memory_;
     caller_request message_;
 };
 
@@ -328,7 +348,14 @@
     net::awaitable<bool> read_request(held_request& request);
     net::awaitable<void> refuse_unread(own_answer answer, std::string request_id);
     /// As above, for a request of which a part was read: that part is let go first.
-    net::awaitable<void> refuse_part(own_answer answer, body_parser& parser, held_request& request);
+    net::awaitable<void> refuse_part(own_answer answer, std::optional<body_parser>& parser,
+                                     held_request& request);
+    /// Refuses a request whose head could not be read, if its caller can be told anything.
+    net::awaitable<void> refuse_head(error_code fault, std::optional<body_parser>& parser,
+                                     held_request& request);
+    /// Parses what has come of a body, or reads more of it. \param starved Nothing more can be parsed of what
+    /// was read.
+    net::awaitable<void> read_part(body_parser& parser, bool& starved, error_code& fault);
     net::awaitable<void> close_connection();
     net::awaitable<bool> serve(caller_request& request);
     net::awaitable<std::optional<own_answer>> dispatch(forward_job& job, caller_request const& request);
@@ -371,14 +398,17 @@
         return is_closing(node_) && fault == net::error::operation_aborted;
     }
     /// Reads the rest of a request whose head was read. \returns False if it is not to be served.
-    net::awaitable<bool> read_body(body_parser& parser, caller_limits const& limits, held_request& request);
+    net::awaitable<bool> read_body(std::optional<body_parser>& parser, caller_limits const& limits,
+                                   held_request& request, request_attributes const& call);
     /// Books room for the next part of a body. \returns The refusal, or none if it may be read.
     std::optional<own_answer> book_next_part(body_parser& parser, caller_limits const& limits,
-                                             held_request& request, bool& authorized);
+                                             held_request& request, bool starved, bool& authorized);
     void start_watch();
     void end_watch();
     void note_result(forward_job const& job, chosen_upstream const& upstream, try_outcome const& outcome);
     void note_survival(forward_job& job, caller_request const& request);
+    /// Counts a request that found no room for the purpose, or was given up for others.
+    void note_no_room(held_request const& request, std::string_view purpose);
     void log_end(forward_job const& job, std::string_view outcome, int status, std::string_view reason) const;
 
     entry_node& node_;
@@ -407,6 +437,7 @@
     std::function<void()> on_first_event_; ///< Called once when the upstream begins to answer.
     std::function<void()> on_survival_;    ///< Called once when it has answered for `crash_onset`.
     wake_event* waiting_{};
+    std::size_t held_head_{}; ///< What the head of the present request takes, in bytes.
 };
 
 net::awaitable<void> caller_session::run()
@@ -424,6 +455,8 @@
             buffer_.shrink_to_fit();
         }
     }
+    buffer_.consume(buffer_.size());
+    buffer_.shrink_to_fit();
     request_.reset();
     co_await close_connection();
 }
@@ -522,74 +555,121 @@
     co_return !fault;
 }
 
+net::awaitable<void> caller_session::refuse_head(error_code fault, std::optional<body_parser>& parser,
+                                                 held_request& request)
+{
+    if (fault == http::error::header_limit) {
+        co_await refuse_part({431, "header-too-large", millis{-1}}, parser, request);
+    } else if (fault == net::error::no_buffer_space || request.memory_->given_up()) {
+        note_no_room(request, "reading");
+        co_await refuse_part({unavailable, "no-room", no_room_retry_after}, parser, request);
+    } else if (ended_by_stop(fault)) {
+        co_await refuse_part(refuse_for_stop(node_, boot_now()), parser, request);
+    } else if (fault.category() == make_error_code(http::error::bad_method).category()) {
+        co_await refuse_part({400, "malformed-request", millis{-1}}, parser, request);
+    }
+}
+
 net::awaitable<bool> caller_session::read_request(held_request& request)
 {
     request_id_.clear();
     last_upstream_.clear();
     head_only_ = false;
-    if (buffer_.size() == 0 && !co_await read_first_bytes()) {
-        co_return false;
+    if (buffer_.size() == 0) {
+        if (!co_await read_first_bytes()) {
+            co_return false;
+        }
     }
     enter(session_state::reading);
-    error_code fault;
     auto const limits = limits_in_force(); // of now, not of when the connection became idle
     auto const came_at = std::exchange(next_began_at_, millis{0});
     began_at_ = came_at > millis{0} ? came_at : state_since();
     buffer_.max_size(std::max<std::size_t>(buffer_.size(), limits.header_bytes_ + max_unparsed_bytes));
-    body_parser parser;
-    parser.header_limit(limits.header_bytes_);
-    parser.body_limit(unlimited_body); // judged below, by the limit in force once the head is read
+    request.memory_ = std::make_unique<memory_budget::holding>(*request.budget_, memory_purpose::reading,
+                                                               began_at_, [this] { stream_.cancel(); });
+    std::optional<body_parser> parser{std::in_place};
+    parser->body_limit(unlimited_body); // judged below, by the limit in force once the head is read
     stream_.expires_after(to_chrono(limits.header_timeout_));
-    co_await http::async_read_header(stream_, buffer_, parser, outcome_in(fault));
-    if (fault == http::error::header_limit) {
-        co_await refuse_unread({431, "header-too-large", millis{-1}}, "");
-        co_return false;
-    }
-    if (ended_by_stop(fault)) {
-        co_await refuse_unread(refuse_for_stop(node_, boot_now()), "");
-        co_return false;
-    }
+    head_terms const terms{
+        .limit_ = limits.header_bytes_,
+        .hold_ =
+            [&](std::size_t bytes) {
+                auto const buffer = extra_bytes(capacity_after_read(buffer_));
+                return request.memory_->grow_to(bytes + buffer, boot_now());
+            },
+    };
+    error_code fault;
+    co_await read_head(stream_, buffer_, *parser, terms, fault);
     if (fault) {
-        bool const malformed = fault.category() == make_error_code(http::error::bad_method).category() &&
-                               fault != http::error::end_of_stream && fault != http::error::partial_message;
-        if (malformed) {
-            co_await refuse_unread({400, "malformed-request", millis{-1}}, "");
-        }
+        co_await refuse_head(fault, parser, request);
         co_return false;
     }
-    request_id_ = platform::parse_request_attributes(parser.get().base()).request_id_;
-    head_only_ = parser.get().method() == http::verb::head;
+    // The parser keeps trailers, of which nothing is passed on, apart from the head.
+    request.message_.base() = std::move(parser->get().base());
+    auto const& head = request.message_;
+    auto const call = platform::parse_request_attributes(head);
+    request_id_ = call.request_id_;
+    head_only_ = head.method() == http::verb::head;
+    held_head_ = memory_of_head(head, call);
     // A body whose end cannot be told could hide a second request.
-    bool const unclear = parser.get().find(http::field::transfer_encoding) != parser.get().end() &&
-                         (!parser.chunked() || parser.get().version() < 11);
-    if (unclear || parser.get().count(http::field::host) != 1) {
-        co_await refuse_unread({400, "malformed-request", millis{-1}}, request_id_);
+    bool const unclear = head.find(http::field::transfer_encoding) != head.end() &&
+                         (!parser->chunked() || head.version() < 11);
+    if (unclear || head.count(http::field::host) != 1) {
+        co_await refuse_part({400, "malformed-request", millis{-1}}, parser, request);
         co_return false;
     }
     auto const limits_of_body = limits_in_force();
-    if (parser.content_length().value_or(0) > limits_of_body.body_bytes_) {
-        co_await refuse_unread({413, "body-too-large", millis{-1}}, request_id_);
+    if (parser->content_length().value_or(0) > limits_of_body.body_bytes_) {
+        co_await refuse_part({413, "body-too-large", millis{-1}}, parser, request);
+        co_return false;
+    }
+    parser->body_limit(limits_of_body.body_bytes_);
+    if (!co_await read_body(parser, limits_of_body, request, call)) {
         co_return false;
     }
-    parser.body_limit(limits_of_body.body_bytes_);
-    if (!co_await read_body(parser, limits_of_body, request)) {
+    keep_ = parser->keep_alive();
+    auto& body = request.message_.body();
+    body = std::move(parser->get().body());
+    if (body.capacity() - body.size() > read_bytes) {
+        body.shrink_to_fit();
+    }
+    if (buffer_.capacity() > idle_buffer_bytes) {
+        buffer_.shrink_to_fit();
+    }
+    auto const whole = body.capacity() + held_head_ + extra_bytes(buffer_.capacity());
+    bool const has_room = request.memory_->grow_to(whole, boot_now()) &&
+                          request.memory_->move_to(memory_purpose::request, boot_now()) &&
+                          request.memory_->keep();
+    if (!has_room) {
+        note_no_room(request, "request");
+        co_await refuse_part({unavailable, "no-room", no_room_retry_after}, parser, request);
         co_return false;
     }
-    keep_ = parser.keep_alive();
-    request.message_ = parser.release();
     if (buffer_.size() > 0) {
         next_began_at_ = boot_now();
     }
     co_return true;
 }
 
+void caller_session::note_no_room(held_request const& request, std::string_view purpose)
+{
+    if (request.memory_->given_up()) {
+        node_.counters_.count("auburnchute_requests_given_up_total");
+    } else {
+        node_.counters_.count("auburnchute_no_room_total", purpose);
+    }
+}
+
 std::optional<own_answer> caller_session::book_next_part(body_parser& parser, caller_limits const& limits,
-                                                         held_request& request, bool& authorized)
+                                                         held_request& request, bool starved,
+                                                         bool& authorized)
 {
     auto const now = boot_now();
+    auto const capacity = capacity_after_read(buffer_);
     body_bounds const bounds{.announced_ = parser.content_length() ? std::optional{*parser.content_length()}
                                                                    : std::nullopt,
-                             .limit_ = limits.body_bytes_};
+                             .limit_ = limits.body_bytes_,
+                             .next_ = std::max(read_bytes, starved ? 0 : buffer_.size())};
     auto const room = next_room(parser.get().body(), bounds);
     // What is small is read, so that its refusal need not end the connection.
     if (!authorized && std::max<std::uint64_t>(room, bounds.announced_.value_or(0)) > spared_bytes) {
@@ -597,35 +677,55 @@
         forward_job job;
         job.arrived_ = began_at_;
         job.config_ = current_view(node_).config_;
-        job.call_ = platform::parse_request_attributes(parser.get().base());
+        job.call_ = platform::parse_request_attributes(request.message_);
         if (auto refusal = authorize(node_, job, now)) {
             return refusal;
         }
+        request.memory_->note_allowed();
     }
-    if (!request.memory_->grow_to(room + buffer_.capacity(), now)) {
-        node_.counters_.count("auburnchute_no_room_total", "reading");
+    if (!request.memory_->grow_to(room + held_head_ + extra_bytes(capacity), now)) {
+        note_no_room(request, "reading");
         return own_answer{unavailable, "no-room", no_room_retry_after};
     }
     make_room(parser.get().body(), room, bounds);
     return std::nullopt;
 }
 
-net::awaitable<void> caller_session::refuse_part(own_answer answer, body_parser& parser,
+net::awaitable<void> caller_session::refuse_part(own_answer answer, std::optional<body_parser>& parser,
                                                  held_request& request)
 {
-    std::string{}.swap(parser.get().body());
+    parser.reset();
+    request.message_ = {};
+    buffer_.consume(buffer_.size());
+    buffer_.shrink_to_fit();
     request.memory_.reset();
     co_await refuse_unread(answer, request_id_);
 }
 
-net::awaitable<bool> caller_session::read_body(body_parser& parser, caller_limits const& limits,
-                                               held_request& request)
+net::awaitable<void> caller_session::read_part(body_parser& parser, bool& starved, error_code& fault)
 {
-    bool const asked = boost::beast::iequals(parser.get()[http::field::expect], "100-continue");
-    if (parser.is_done() && !asked) {
+    if (starved) {
+        co_await read_more(stream_, buffer_, fault);
+        if (fault) {
+            co_return;
+        }
+    }
+    auto const size = parser.put(buffer_.data(), fault);
+    buffer_.consume(size);
+    starved = buffer_.size() == 0 || fault == http::error::need_more;
+    if (fault == http::error::need_more) {
+        fault = {};
+    }
+}
+
+net::awaitable<bool> caller_session::read_body(std::optional<body_parser>& parser,
+                                               caller_limits const& limits, held_request& request,
+                                               request_attributes const& call)
+{
+    bool const asked = boost::beast::iequals(request.message_[http::field::expect], "100-continue");
+    if (parser->is_done() && !asked) {
         co_return true;
     }
-    auto const call = platform::parse_request_attributes(parser.get().base());
     auto const config = current_view(node_).config_;
     auto const* const route = config ? match_route(*config, call.host_, call.path_) : nullptr;
     // Without a route the request is refused for that once it was read.
@@ -633,10 +733,8 @@
         route != nullptr ? std::optional{deadline_of(*route, call, began_at_)} : std::nullopt;
     auto const is_late = [&] { return deadline && !may_begin(node_, *deadline); };
     auto const is_over = [&] { return deadline && boot_now() >= *deadline; };
-    request.memory_ = std::make_unique<memory_budget::holding>(*request.budget_, memory_purpose::reading,
-                                                               began_at_, [this] { stream_.cancel(); });
     bool authorized = false;
-    auto refusal = book_next_part(parser, limits, request, authorized);
+    auto refusal = book_next_part(*parser, limits, request, buffer_.size() == 0, authorized);
     if (refusal) {
         co_await refuse_part(*refusal, parser, request);
         co_return false;
@@ -657,21 +755,22 @@
     upload_deadline_ = deadline;
     error_code fault;
     bool in_time = true;
-    while (!parser.is_done() && !fault && in_time) {
+    bool starved = buffer_.size() == 0;
+    while (!parser->is_done() && !fault && in_time) {
         // What has come is read, so that a further request behind it is not dropped.
-        bool const must_wait = buffer_.size() == 0 && !has_input(stream_.socket());
+        bool const must_wait = starved && !has_input(stream_.socket());
         in_time = !must_wait || !(is_late() || is_over());
-        refusal = in_time ? book_next_part(parser, limits, request, authorized) : std::nullopt;
+        refusal = in_time ? book_next_part(*parser, limits, request, starved, authorized) : std::nullopt;
         if (refusal) {
             break;
         }
         if (in_time) {
-            co_await http::async_read_some(stream_, buffer_, parser, outcome_in(fault));
+            co_await read_part(*parser, starved, fault);
         }
     }
     upload_deadline_.reset();
     if (!refusal && request.memory_->given_up()) {
-        node_.counters_.count("auburnchute_requests_given_up_total");
+        note_no_room(request, "reading");
         refusal = own_answer{unavailable, "no-room", no_room_retry_after};
     }
     if (refusal) {
@@ -688,25 +787,14 @@
         co_return false;
     }
     if (fault == http::error::buffer_overflow) {
-        co_await refuse_unread({400, "malformed-request", millis{-1}}, request_id_);
+        co_await refuse_part({400, "malformed-request", millis{-1}}, parser, request);
         co_return false;
     }
     if (fault == http::error::body_limit) {
-        co_await refuse_unread({413, "body-too-large", millis{-1}}, request_id_);
-        co_return false;
-    }
-    if (fault) {
+        co_await refuse_part({413, "body-too-large", millis{-1}}, parser, request);
         co_return false;
     }
-    auto const whole = parser.get().body().capacity();
-    bool const has_room = request.memory_->grow_to(whole, boot_now()) &&
-                          request.memory_->move_to(memory_purpose::request, boot_now()) &&
-                          request.memory_->keep();
-    if (!has_room) {
-        node_.counters_.count("auburnchute_no_room_total", "request");
-        co_await refuse_part({unavailable, "no-room", no_room_retry_after}, parser, request);
-    }
-    co_return has_room;
+    co_return !fault;
 }
 
 net::awaitable<void> caller_session::refuse_unread(own_answer answer, std::string request_id)
--- a/tests/transport/entry/crowded_callers_test.cpp
+++ b/tests/transport/entry/crowded_callers_test.cpp
@@ -1,5 +1,6 @@
 #include "transport/entry/entry_world.hpp"
 
+#include <atomic>
 #include <functional>
 
 using namespace auburnchute::tests;
@@ -13,6 +14,14 @@
 constexpr int crowd = 64;
 constexpr int idle_crowd = 500; ///< Connections on which nothing comes.
 
+/// Settings of the tests of heads and trailers: more connections, and a larger limit on heads.
+constexpr std::size_t many_descriptors = 1'000;
+constexpr int many = 500;
+constexpr std::size_t large_header_bytes = 65'536;
+constexpr std::size_t large_trailer = 120'000; ///< More than any limit, less than a process read at once.
+constexpr std::size_t legal_fields = 60'000;   ///< Bytes of fields within `large_header_bytes`.
+constexpr std::size_t endless_bytes = 1'000'000;
+
 /// Without a byte taken for so long, in milliseconds, a caller of the crowd stops sending.
 constexpr int stalled_ms = 2'000;
 
@@ -66,6 +75,25 @@
     return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: crowd\r\n" + fields + "\r\n";
 }
 
+/// \returns Fields of four bytes each, the shortest that a line can hold.
+std::string small_fields(std::size_t bytes)
+{
+    std::string all;
+    while (all.size() + 4 <= bytes) {
+        all += "A:\r\n";
+    }
+    return all;
+}
+
+/// \returns A head that does not end. Its lines end where a read of any multiple of four bytes ends.
+std::string open_head(std::string const& path, std::size_t bytes)
+{
+    auto text = head(path, "P: ");
+    text.resize(text.size() - 4); // the end of the field and of the head
+    text += std::string(6 - text.size() % 4, 'p') + "\r\n";
+    return text + small_fields(bytes);
+}
+
 std::string chunks(std::size_t size, std::size_t count)
 {
     std::string all;
@@ -81,6 +109,9 @@
     std::string bytes_;
     std::size_t piece_{1'000'000}; ///< Bytes that a caller sends before it is the next one's turn.
     bool reads_{};                 ///< The callers read their answers.
+    int port_{callers_port};
+    std::size_t descriptors_{descriptors};
+    std::size_t header_bytes_{}; ///< Limit of the configuration; 0: that of `config_document`.
 };
 
 std::vector<crowd_row> crowd_rows()
@@ -108,8 +139,48 @@
     };
 }
 
+/// Heads, trailers and what lies before a body's bytes.
+std::vector<crowd_row> field_rows()
+{
+    std::string const key = "Api-Key: key\r\n";
+    auto const chunked = head("/look/1", key + "Transfer-Encoding: chunked\r\n") + chunk("x");
+    auto const waiting = head("/look/wait", key + "Transfer-Encoding: chunked\r\n") + chunk("x");
+    auto const two_bytes = key + "Content-Length: 2\r\n";
+    auto const row = [](char const* what, int callers, std::string bytes) {
+        return crowd_row{.what_ = what,
+                         .callers_ = callers,
+                         .bytes_ = std::move(bytes),
+                         .descriptors_ = many_descriptors,
+                         .header_bytes_ = large_header_bytes};
+    };
+    auto const short_body = head("/look/1", two_bytes + small_fields(legal_fields)) + "x";
+    return {
+        row("heads of many fields before a body that stops short", crowd, short_body),
+        row("heads of many fields that wait for an answer", crowd,
+            head("/look/wait", two_bytes + small_fields(legal_fields)) + "xx"),
+        row("heads of whole lines without end", crowd, open_head("/look/1", endless_bytes)),
+        row("heads that stop short", many, open_head("/look/1", legal_fields)),
+        row("a head's line that stops short", many,
+            head("/look/1", "A: " + std::string(legal_fields, 'x')).substr(0, legal_fields)),
+        row("trailers of many fields that stop short", many, chunked + "0\r\n" + small_fields(large_trailer)),
+        row("a trailer's line that stops short", many,
+            chunked + "0\r\nA: " + std::string(large_trailer, 'x')),
+        row("trailers without end", crowd, chunked + "0\r\n" + small_fields(endless_bytes)),
+        row("whole trailers of many fields that wait for an answer", crowd,
+            waiting + "0\r\n" + small_fields(legal_fields) + "\r\n"),
+        row("a chunk's extension that stops short", many, chunked + "5;a=" + std::string(large_trailer, 'x')),
+        row("a chunk's length that stops short", many, chunked + std::string(large_trailer, '0')),
+    };
+}
+
+/// Answers of the crowd's that wait are sent when the test has seen what they cost.
+std::atomic<bool> released{false};
+
 bool answer_crowd(received_request const& request, owned_socket& connection)
 {
+    if (request.head_.find("/look/wait") != std::string::npos) {
+        (void)eventually(limit, [] { return released.load(); });
+    }
     if (request.head_.find("/buy/long") != std::string::npos) {
         connection.send(answer_to(request, std::string(std::size_t{4} * 1024 * 1024, 'a')));
     } else if (request.head_.find("/watch/long") != std::string::npos) {
@@ -125,20 +196,27 @@
     return true;
 }
 
-} // namespace
-
-// Guards against a process that ends as it runs out of memory or descriptors by callers that nobody controls.
-TEST_CASE("a crowd of callers outside the limits costs others nothing", "[entry][crowd]")
+void play_crowd(crowd_row const& r)
 {
-    auto const r = GENERATE(from_range(crowd_rows()));
     CAPTURE(r.what_);
-    entry_world world{std::vector<scripted_upstream::script>(5, after_probe(answer_crowd)),
+    released = false;
+    // With places for all of the crowd, so that nobody is refused for their lack.
+    entry_world world{std::vector<scripted_upstream::script>(13, after_probe(answer_crowd)),
                       "memory_mb: " + std::to_string(memory_mb) +
-                          "\nmax_descriptors: " + std::to_string(descriptors) + "\n"};
+                          "\nmax_descriptors: " + std::to_string(r.descriptors_) + "\n"};
+    if (r.header_bytes_ > 0) {
+        auto config = nlohmann::json::parse(config_document(4, "\"key\""));
+        config["limits"]["max_header_bytes"] = r.header_bytes_;
+        world.store_.put("keyed.op", "config", config.dump());
+        REQUIRE(eventually(limit, [&] {
+            auto const large = world.call("GET", "/look/0", "", "Api-Key: key\r\n" + small_fields(30'000));
+            return entry_world::status_of(large.receive_until("\r\n\r\n")) == 200;
+        }));
+    }
     auto const pid = world.daemon().pid();
     std::vector<owned_socket> callers;
     for (int i = 0; i < r.callers_; ++i) {
-        callers.push_back(connect_to(world.ip_, callers_port));
+        callers.push_back(connect_to(world.ip_, r.port_));
         int const small = 4'096;
         ::setsockopt(callers.back().handle(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
     }
@@ -151,8 +229,27 @@
     auto const ordinary = world.call("GET", "/look/2").receive_until("fine");
     CHECK(entry_world::status_of(ordinary) == 200);
     auto const largest = world.call("POST", "/look/3", std::string(largest_body, 'y')).receive_until("fine");
+    INFO(largest);
     CHECK(entry_world::status_of(largest) == 200);
-    CHECK(open_descriptors(pid) <= descriptors);
+    CHECK(open_descriptors(pid) <= r.descriptors_);
     CHECK(peak_memory_kb(pid) <= memory_mb * 1024);
+    CHECK(world.ready());
     CHECK_FALSE(world.daemon().has_ended());
+    released = true;
+}
+
+} // namespace
+
+// Guards against a process that ends as it runs out of memory or descriptors by callers that nobody controls.
+TEST_CASE("a crowd of callers outside the limits costs others nothing", "[entry][crowd]")
+{
+    auto const r = GENERATE(from_range(crowd_rows()));
+    play_crowd(r);
+}
+
+// Guards against the same by what surrounds a body, which no limit on bodies counts (issue 51).
+TEST_CASE("a crowd of callers with heads and trailers without end costs others nothing", "[entry][crowd]")
+{
+    auto const r = GENERATE(from_range(field_rows()));
+    play_crowd(r);
 }
