Parse what has come of a body at once, and let costly connections take turns

Callers saw: few clients that send a byte in a chunk of its own keep a whole core busy; on machines with 0.12 of a core everybody waits for one of them for up to a minute. Cause: each chunk was a read of its own, with a timer and a booking, though its bytes lay in the buffer already. And parsing a line (a field, a chunk's length) costs many times its bytes, which no limit counts. Change: a part that was read is parsed in one go. Nobody is refused, and alone on a daemon a costly connection goes on at once. Metric `auburnchute_work_turns_total`.

--- a/src/protocol/metrics.cpp
+++ b/src/protocol/metrics.cpp
@@ -72,6 +72,8 @@
     description{"auburnchute_requests_given_up_total", "",
                 "Requests that made room for others while they were being read."},
     description{"auburnchute_no_room_total", "purpose", "Requests that found no room in memory."},
+    description{"auburnchute_work_turns_total", "",
+                "Times that a connection which is costly to read waited for its turn."},
     description{"auburnchute_connections_closed_total", "how",
                 "Callers' connections that were closed as there were too many."},
     description{"auburnchute_held_bytes", "purpose", "Memory that requests and answers take."},
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -11,6 +11,7 @@
 #include "transport/entry/upstream_keeper.hpp"
 #include "transport/entry/version_keeper.hpp"
 #include "transport/entry/wait_keeper.hpp"
+#include "transport/entry/work_turns.hpp"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -353,6 +354,8 @@
     /// Refuses a request whose head could not be read, if its caller can be told anything.
     net::awaitable<void> refuse_head(error_code fault, std::optional<body_parser>& parser,
                                      held_request& request);
+    /// Waits until others have had their turn, if this connection has done much work since its last one.
+    net::awaitable<void> work(std::size_t amount);
     /// Parses what has come of a body, or reads more of it. \param starved Nothing more can be parsed of what
     /// was read.
     net::awaitable<void> read_part(body_parser& parser, bool& starved, error_code& fault);
@@ -437,6 +440,9 @@
     std::function<void()> on_first_event_; ///< Called once when the upstream begins to answer.
     std::function<void()> on_survival_;    ///< Called once when it has answered for `crash_onset`.
     wake_event* waiting_{};
+    std::size_t work_{};      ///< Done on this connection since its last turn; see `work_turns`.
+    bool took_turn_{};        ///< It has waited for a turn since the last look at the time.
+    wake_event* turn_{};      ///< While it waits for a turn.
     std::size_t held_head_{}; ///< What the head of the present request takes, in bytes.
 };
 
@@ -519,6 +525,9 @@
     gone_ = true; // nothing is written any more, so nothing has to be read out
     enter(session_state::closing);
     stream_.close();
+    if (turn_ != nullptr) {
+        turn_->notify();
+    }
 }
 
 caller_limits caller_session::limits_in_force() const
@@ -555,6 +564,23 @@
     co_return !fault;
 }
 
+net::awaitable<void> caller_session::work(std::size_t amount)
+{
+    work_ += amount;
+    while (work_ > work_per_turn && !gone_) {
+        work_ -= work_per_turn;
+        node_.counters_.count("auburnchute_work_turns_total");
+        took_turn_ = true;
+        wake_event turn{node_.loop_};
+        turn_ = &turn;
+        co_await node_.turns_->wait(turn);
+        turn_ = nullptr;
+        if (request_->memory_->given_up()) {
+            co_return;
+        }
+    }
+}
+
 net::awaitable<void> caller_session::refuse_head(error_code fault, std::optional<body_parser>& parser,
                                                  held_request& request)
 {
@@ -576,6 +602,7 @@
     last_upstream_.clear();
     head_only_ = false;
     if (buffer_.size() == 0) {
+        work_ = 0;
         if (!co_await read_first_bytes()) {
             co_return false;
         }
@@ -586,7 +613,12 @@
     began_at_ = came_at > millis{0} ? came_at : state_since();
     buffer_.max_size(std::max<std::size_t>(buffer_.size(), limits.header_bytes_ + max_unparsed_bytes));
     request.memory_ = std::make_unique<memory_budget::holding>(*request.budget_, memory_purpose::reading,
-                                                               began_at_, [this] { stream_.cancel(); });
+                                                               began_at_, [this] {
+                                                                   stream_.cancel();
+                                                                   if (turn_ != nullptr) {
+                                                                       turn_->notify();
+                                                                   }
+                                                               });
     std::optional<body_parser> parser{std::in_place};
     parser->body_limit(unlimited_body); // judged below, by the limit in force once the head is read
     stream_.expires_after(to_chrono(limits.header_timeout_));
@@ -597,6 +629,7 @@
                 auto const buffer = extra_bytes(capacity_after_read(buffer_));
                 return request.memory_->grow_to(bytes + buffer, boot_now());
             },
+        .work_ = [this](std::size_t amount) { return work(amount); },
     };
     error_code fault;
     co_await read_head(stream_, buffer_, *parser, terms, fault);
@@ -705,11 +738,15 @@
 net::awaitable<void> caller_session::read_part(body_parser& parser, bool& starved, error_code& fault)
 {
     if (starved) {
+        co_await work(buffer_.size()); // what couldn't be parsed is looked at again
         co_await read_more(stream_, buffer_, fault);
         if (fault) {
             co_return;
         }
     }
+    co_await work(0);
+    // All that has come is parsed at once: a read for each chunk would cost far more than its bytes.
+    parser.eager(true);
     auto const size = parser.put(buffer_.data(), fault);
     buffer_.consume(size);
     starved = buffer_.size() == 0 || fault == http::error::need_more;
@@ -753,12 +790,16 @@
         });
     }
     upload_deadline_ = deadline;
+    auto count_chunk = [this](std::uint64_t, boost::beast::string_view, error_code&) {
+        work_ += work_per_line;
+    };
+    parser->on_chunk_header(count_chunk);
     error_code fault;
     bool in_time = true;
     bool starved = buffer_.size() == 0;
     while (!parser->is_done() && !fault && in_time) {
         // What has come is read, so that a further request behind it is not dropped.
-        bool const must_wait = starved && !has_input(stream_.socket());
+        bool const must_wait = (starved && !has_input(stream_.socket())) || std::exchange(took_turn_, false);
         in_time = !must_wait || !(is_late() || is_over());
         refusal = in_time ? book_next_part(*parser, limits, request, starved, authorized) : std::nullopt;
         if (refusal) {
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -6,6 +6,7 @@
 #include "transport/entry/entry_view.hpp"
 #include "transport/entry/open_session.hpp"
 #include "transport/entry/upstream_pool.hpp"
+#include "transport/entry/work_turns.hpp"
 
 #include <auburnchute/crash_evidence.hpp>
 #include <auburnchute/fleet_exchange.hpp>
@@ -123,6 +124,8 @@
     /// What requests and answers take; shared, as coroutines may outlive the node.
     std::shared_ptr<memory_budget> memory_{std::make_shared<memory_budget>(
         divide_memory(static_cast<std::size_t>(settings_.memory_mb_ * 1024 * 1024)))};
+    /// Of connections that are costly to read; shared like the above.
+    std::shared_ptr<work_turns> turns_{std::make_shared<work_turns>(loop_)};
     fleet_exchange exchange_;
     std::map<std::string, net::ip::udp::endpoint, std::less<>> endpoints_; ///< Of the members, by VM.
     store_position announced_config_{}; ///< `config_next_` of the newest configuration that was announced to
--- a/src/transport/entry/request_input.cpp
+++ b/src/transport/entry/request_input.cpp
@@ -1,6 +1,7 @@
 #include "transport/entry/request_input.hpp"
 
 #include "transport/entry/body_room.hpp"
+#include "transport/entry/work_turns.hpp"
 
 #include <algorithm>
 #include <boost/beast/http/error.hpp>
@@ -73,6 +74,9 @@
     std::size_t lines = lines_in(bytes_of(buffer));
     while (true) {
         if (buffer.size() > 0) {
+            if (terms.work_) {
+                co_await terms.work_(buffer.size() + lines_in(bytes_of(buffer)) * work_per_line);
+            }
             auto const size = parser.put(buffer.data(), fault);
             buffer.consume(size);
             taken += size;
--- a/src/transport/entry/request_input.hpp
+++ b/src/transport/entry/request_input.hpp
@@ -20,6 +20,8 @@
     /// Books what the head takes until it is whole, beside the buffer, in bytes. \returns Whether there is
     /// room.
     std::function<bool(std::size_t bytes)> hold_;
+    /// Waits until work may be done; see `work_per_turn`.
+    std::function<net::awaitable<void>(std::size_t work)> work_;
 };
 
 /// \returns What the fields take in a parser, in bytes. Thread safety: pure.
--- a/tests/transport/entry/request_input_test.cpp
+++ b/tests/transport/entry/request_input_test.cpp
@@ -1,6 +1,7 @@
 #include "transport/entry/request_input.hpp"
 
 #include "transport/entry/standin_platform.hpp"
+#include "transport/entry/work_turns.hpp"
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
@@ -21,6 +22,7 @@
 struct head_result {
     error_code fault_;
     std::size_t held_{}; ///< Most that was booked, in bytes.
+    std::size_t work_{};
     std::size_t fields_{};
 };
 
@@ -34,9 +36,15 @@
     boost::beast::flat_buffer buffer{std::size_t{2} * head_limit};
     http::request_parser<http::string_body> parser;
     head_result result;
-    head_terms const terms{.limit_ = head_limit, .hold_ = [&](std::size_t bytes) {
-                               result.held_ = std::max(result.held_, bytes);
-                               return bytes <= room;
+    head_terms const terms{.limit_ = head_limit,
+                           .hold_ =
+                               [&](std::size_t bytes) {
+                                   result.held_ = std::max(result.held_, bytes);
+                                   return bytes <= room;
+                               },
+                           .work_ = [&](std::size_t amount) -> net::awaitable<void> {
+                               result.work_ += amount;
+                               co_return;
                            }};
     bool ended = false;
     net::co_spawn(
@@ -93,6 +101,7 @@
     CHECK(result.fault_ == r.fault_);
     CHECK(result.fields_ <= head_limit / 4);
     CHECK(result.held_ >= field_bytes * (result.fields_ > 1 ? result.fields_ - 1 : 0));
+    CHECK(result.work_ >= work_per_line * (result.fields_ > 1 ? result.fields_ - 1 : 0));
 }
 
 // Guards against fields that a parser holds and no account counts (issue 51).
