Forget names of models that callers make up with their requests

Callers saw: nothing yet; a caller with a key can fill a process's memory with requests that are all within the limits. Cause: the smoothed rate of each model that a request names was kept for about a minute, and under contested load the pace at which its requests find room for good, under a name of up to 16 KiB that nobody checks. Change: rates are kept for models of the configuration only (nothing else can be loaded). Requests of a plain service wait for the same upstreams whatever model they name, so they share one pace.

--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -403,7 +403,12 @@
 
 void note_need(entry_node& node, forward_job const& job, millis now)
 {
-    auto& need = need_of(node, need_of(job));
+    auto const key = need_of(job);
+    // Callers may name any model; only one that an engine can load is worth remembering.
+    if (!key.model_.empty() && !names_of_needs(node).contains(name_hash_of(key))) {
+        return;
+    }
+    auto& need = need_of(node, key);
     need.rate_ = decayed_rate(need, now) + 1'000.0 / rate_memory_ms;
     need.rated_at_ = now;
 }
--- a/src/transport/entry/wait_keeper.cpp
+++ b/src/transport/entry/wait_keeper.cpp
@@ -21,10 +21,10 @@
     return call.job_ != nullptr ? turn_of(*call.job_) : turn{call.urgency_, call.arrived_, call.deadline_};
 }
 
-/// Requests with the same key wait for the same upstreams.
+/// Requests with the same key wait for the same upstreams. Those of a plain service take any model's.
 need_key pace_key(forward_job const& job)
 {
-    return {job.service_, job.call_.model_, ""};
+    return {job.service_, job.engine_ != nullptr ? job.call_.model_ : std::string{}, ""};
 }
 
 bool could_use(entry_node const& node, forward_job const& job, upstream const& entry, millis now)
--- a/tests/transport/entry/crowded_callers_test.cpp
+++ b/tests/transport/entry/crowded_callers_test.cpp
@@ -253,3 +253,24 @@
     auto const r = GENERATE(from_range(field_rows()));
     play_crowd(r);
 }
+
+// Guards against state that is kept under a name which callers make up, long after their requests have ended
+// (issue 51).
+TEST_CASE("names that callers make up are forgotten with their requests", "[entry][crowd]")
+{
+    constexpr int requests = 5'000;
+    constexpr std::size_t name_bytes = 12'000;
+    entry_world world{{after_probe(answer_crowd)}, "memory_mb: " + std::to_string(memory_mb) + "\n"};
+    auto const caller = connect_to(world.ip_, callers_port);
+    // Beyond its rate a request is refused, and the caller goes on all the same.
+    for (int served = 0, sent = 0; served < requests; ++sent) {
+        caller.send("GET /look/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: id-" + std::to_string(sent) +
+                    "\r\nApi-Key: key\r\nX-Model: " + std::to_string(sent) + std::string(name_bytes, 'm') +
+                    "\r\n\r\n");
+        auto const status = entry_world::status_of(caller.receive_until("\r\n\r\n"));
+        REQUIRE((status == 200 || status == 429));
+        served += status == 200 ? 1 : 0;
+    }
+    CHECK(peak_memory_kb(world.daemon().pid()) <= memory_mb * 1024);
+    CHECK_FALSE(world.daemon().has_ended());
+}
