Bound what callers of the daemon's own pages make it hold

Callers saw: nothing yet; connections to the page for readiness, the directory and the metrics used up descriptors, and their requests (bodies of up to 1 MiB, heads without a bound) and answers that nobody takes were in no account. Cause: the pages' server had an idle time of 20 s as its only bound. Change: each page has a sixteenth of the callers' connections, 32 at least; the one that has been without a whole request for longest makes way. Heads (8 KiB, as before) and answers are in the account; bodies aren't read.

--- a/apps/auburnchute-entry.cpp
+++ b/apps/auburnchute-entry.cpp
@@ -94,20 +94,28 @@
     return page(200, platform::encode_resolve_response(addresses, lifetime), "application/json");
 }
 
+/// Connections to one of the own pages, as a part of those that callers may have, and at least.
+constexpr std::size_t page_connections_divisor = 16;
+constexpr std::size_t least_page_connections = 32;
+
 void serve_own_pages(entry_node& node)
 {
-    serve_pages(node.loop_, node.settings_.ready_listen_, [&node](plain_request const&) {
+    auto const callers = connection_limit(
+        node.memory_->limits(), static_cast<std::size_t>(std::max(0.0, node.settings_.max_descriptors_)));
+    page_bounds const bounds{node.counters_, node.memory_, node.turns_,
+                             std::max(least_page_connections, callers / page_connections_divisor)};
+    serve_pages(node.loop_, node.settings_.ready_listen_, bounds, [&node](plain_request const&) {
         return is_ready(node, boot_now()) ? page(200, "ready\n", "text/plain")
                                           : page(503, "not ready\n", "text/plain");
     });
-    serve_pages(node.loop_, node.settings_.directory_listen_, [&node](plain_request const& request) {
+    serve_pages(node.loop_, node.settings_.directory_listen_, bounds, [&node](plain_request const& request) {
         return platform::is_resolve_request({request.target().data(), request.target().size()})
                    ? directory_page(node)
                    : page(404, "no such page\n", "text/plain");
     });
     if (node.settings_.metrics_port_ != 0) {
         auto const address = node.settings_.ip_ + ":" + std::to_string(node.settings_.metrics_port_);
-        serve_pages(node.loop_, address, [&node](plain_request const&) {
+        serve_pages(node.loop_, address, bounds, [&node](plain_request const&) {
             node.counters_.gauge("auburnchute_open_requests", "",
                                  static_cast<double>(open_requests(*node.sessions_)));
             node.counters_.gauge("auburnchute_open_connections", "",
--- a/tests/transport/entry/crowded_callers_test.cpp
+++ b/tests/transport/entry/crowded_callers_test.cpp
@@ -173,6 +173,24 @@
     };
 }
 
+/// Pages of the daemon's own, which callers reach, too.
+std::vector<crowd_row> page_rows()
+{
+    auto const row = [](char const* what, int port, int callers, std::string bytes) {
+        return crowd_row{.what_ = what, .callers_ = callers, .bytes_ = std::move(bytes), .port_ = port};
+    };
+    std::string const body(largest_body, 'x');
+    auto const upload = head("/auburnchute/ready", "Content-Length: 1000000\r\n") + body.substr(1);
+    return {
+        row("connections to the page for readiness", ready_port, idle_crowd, ""),
+        row("connections to the directory", directory_port, idle_crowd, ""),
+        row("bodies at the page for readiness", ready_port, crowd, upload),
+        row("bodies at the directory", directory_port, crowd, upload),
+        row("heads of whole lines at the page for readiness", ready_port, crowd,
+            open_head("/auburnchute/ready", endless_bytes)),
+    };
+}
+
 /// Answers of the crowd's that wait are sent when the test has seen what they cost.
 std::atomic<bool> released{false};
 
@@ -254,6 +272,13 @@
     play_crowd(r);
 }
 
+// Guards against the same at the pages of the daemon's own (issue 51).
+TEST_CASE("a crowd at the daemon's own pages costs callers nothing", "[entry][crowd]")
+{
+    auto const r = GENERATE(from_range(page_rows()));
+    play_crowd(r);
+}
+
 // Guards against state that is kept under a name which callers make up, long after their requests have ended
 // (issue 51).
 TEST_CASE("names that callers make up are forgotten with their requests", "[entry][crowd]")
