Let ended connections make way for further callers first

Callers saw: refused connections for up to 2 s after a crowd was refused. Cause: a connection that was answered for the last time waits for its caller to close, up to 2 s, and counted as one that is served, so a crowd of them left no room for anyone. Change: these make way first, then idle ones, then those that read a request; one that made way is not chosen again.

--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -523,6 +523,7 @@
 void caller_session::make_way()
 {
     gone_ = true; // nothing is written any more, so nothing has to be read out
+    note_made_way();
     enter(session_state::closing);
     stream_.close();
     if (turn_ != nullptr) {
--- a/src/transport/entry/open_session.hpp
+++ b/src/transport/entry/open_session.hpp
@@ -43,6 +43,9 @@
     /// \returns Since when the session has its state; boot clock.
     [[nodiscard]] millis state_since() const noexcept { return state_since_; }
 
+    /// \returns Whether it was closed for others, and ends in the loop's next turns.
+    [[nodiscard]] bool made_way() const noexcept { return made_way_; }
+
     /// \returns The id of the present request; empty if it was not read yet.
     [[nodiscard]] virtual std::string_view request_id() const noexcept = 0;
 
@@ -61,7 +64,7 @@
     /// \brief Closes the connection, whatever its state; the session ends in the loop's next turns.
     virtual void abort() = 0;
 
-    /// \brief Closes the connection as others need its room. \pre It is idle, or reads a request.
+    /// \brief Closes the connection as others need its room. \pre No request is served on it.
     virtual void make_way() = 0;
 
 protected:
@@ -76,9 +79,12 @@
         state_since_ = boot_now();
     }
 
+    void note_made_way() noexcept { made_way_ = true; }
+
 private:
     session_state state_{session_state::idle};
     millis state_since_{boot_now()};
+    bool made_way_{};
 };
 
 using session_set = std::set<open_session*>;
@@ -106,19 +112,24 @@
     return session.state() == session_state::reading || session.state() == session_state::serving;
 }
 
-/// \returns The session that makes way for a further caller: the one that has been idle for longest, else the
-/// one that has read the same request for longest; null if all are served or end. Thread safety: pure.
+/// \returns The session that makes way for a further caller: the one that has ended for longest and waits for
+/// its caller to close, else the one that has been idle for longest, else the one that has read the same
+/// request for longest; null if all are served. Thread safety: pure.
 [[nodiscard]] inline open_session* choose_to_make_way(session_set const& sessions) noexcept
 {
+    // By how little the caller loses.
+    auto const order = [](session_state state) {
+        return state == session_state::closing ? 0 : state == session_state::idle ? 1 : 2;
+    };
     open_session* chosen = nullptr;
     for (auto* const session : sessions) {
-        if (session->state() != session_state::idle && session->state() != session_state::reading) {
+        if (session->state() == session_state::serving || session->made_way()) {
             continue;
         }
-        auto const is_idle = [](open_session const& one) { return one.state() == session_state::idle; };
-        bool const first = chosen == nullptr || (is_idle(*session) && !is_idle(*chosen));
-        bool const same = chosen != nullptr && session->state() == chosen->state();
-        if (first || (same && session->state_since() < chosen->state_since())) {
+        auto const rank = [&](open_session const& one) {
+            return std::pair{order(one.state()), one.state_since().count_};
+        };
+        if (chosen == nullptr || rank(*session) < rank(*chosen)) {
             chosen = session;
         }
     }
