auburnchuted: count heads, chunk lines and trailers of callers in the account of memory

Callers saw: a daemon that runs out of memory by a hundred heads of small fields whose bodies stop short. Cause: the fields of a head were held twice while the body was read, each with some 200 bytes beside its text, and three times while it was served, and not booked; a head of up to 64 KiB was read though 16 KiB are legal, and lines that come one by one had no bound at all. Change: heads are read within their bound and booked as their lines come, then as what they take until they are served. Headers above 16 KiB are refused from the head (same status and words; the connection ends then). The parser's and the judge's copies go before the body is read. What has come of a body is parsed in one go; trailers are booked before they are parsed. A request that is known to be allowed doesn't give way to one that isn't.

--- a/src/transport/caller_request.cpp
+++ b/src/transport/caller_request.cpp
@@ -25,6 +25,12 @@
 /// The body as it came, and the copy that the library makes of it.
 constexpr std::size_t copies = 2;
 
+/// A head as the library has it, as it is forwarded, and as it is written to the upstream.
+constexpr std::size_t head_copies = 3;
+
+/// What a field takes beside its text in the library's map, in bytes.
+constexpr std::size_t mapped_field_bytes = 112;
+
 /// Fields on which the library acts: it answers to `Expect`, unpacks and splits bodies, and cuts answers.
 constexpr std::array withheld_fields{http::field::expect,          http::field::content_encoding,
                                      http::field::content_type,    http::field::content_length,
@@ -65,6 +71,36 @@
     httplib::Stream& from_;
 };
 
+std::string_view bytes_of(boost::beast::flat_buffer const& buffer) noexcept
+{
+    return {static_cast<char const*>(buffer.data().data()), buffer.size()};
+}
+
+/// \returns What the parser takes for the fields in these bytes, at most.
+std::size_t memory_of_lines(std::string_view bytes) noexcept
+{
+    return field_bytes * static_cast<std::size_t>(std::count(bytes.begin(), bytes.end(), '\n'));
+}
+
+void read_more(stream_source& source, boost::beast::flat_buffer& buffer, error_code& fault)
+{
+    auto const left = buffer.max_size() - buffer.size();
+    if (left == 0) {
+        fault = http::error::buffer_overflow;
+        return;
+    }
+    auto const room = buffer.capacity() - buffer.size();
+    auto const size = std::min({left, room > 0 ? room : read_size, read_size});
+    buffer.commit(source.read_some(buffer.prepare(size), fault));
+}
+
+/// \returns Whether the last chunk may come next, whose trailers the parser takes at once.
+bool may_end(std::string_view bytes) noexcept
+{
+    bytes.remove_prefix(std::min(bytes.size(), bytes.starts_with("\r\n") ? std::size_t{2} : std::size_t{0}));
+    return bytes.starts_with('0');
+}
+
 /// An assignment would keep the memory.
 void give_back(std::string& text)
 {
@@ -170,7 +206,12 @@
 
 bool request_account::hold_request(std::size_t bytes)
 {
-    return request_.grow_to(bytes, now(clock_));
+    return request_.grow_to(bytes + head_bytes_, now(clock_));
+}
+
+void request_account::note_allowed()
+{
+    request_.note_allowed();
 }
 
 bool request_account::read_whole()
@@ -224,56 +265,109 @@
     return request_fault::refused;
 }
 
-request_fault caller_requests::read(httplib::Stream& from, request_account& account)
+error_code caller_requests::read_head(httplib::Stream& from, request_account& account,
+                                      http::request_parser<http::buffer_body>& parser)
 {
     stream_source source{from};
-    http::request_parser<http::buffer_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(max_unparsed_bytes));
-    parser.body_limit(bounds_.body_bytes_);
+    // The parser alone has no bound, as it counts only what it has not taken yet.
+    std::size_t taken = 0;
+    std::size_t fields = memory_of_lines(bytes_of(buffer_));
     error_code fault;
+    while (true) {
+        if (buffer_.size() > 0) {
+            auto const size = parser.put(buffer_.data(), fault);
+            buffer_.consume(size);
+            taken += size;
+            if (parser.is_header_done() || fault != http::error::need_more) {
+                return fault;
+            }
+            fault = {};
+        }
+        if (taken + buffer_.size() >= max_unparsed_bytes) {
+            return http::error::header_limit;
+        }
+        if (!account.hold_request(taken + fields + buffer_.capacity())) {
+            return boost::asio::error::no_buffer_space;
+        }
+        auto const before = buffer_.size();
+        read_more(source, buffer_, fault);
+        if (fault) {
+            return fault;
+        }
+        fields += memory_of_lines(bytes_of(buffer_).substr(before));
+    }
+}
+
+error_code caller_requests::read_part(httplib::Stream& from, request_account& account,
+                                      http::request_parser<http::buffer_body>& parser, bool& starved)
+{
+    error_code fault;
+    if (starved) {
+        stream_source source{from};
+        read_more(source, buffer_, fault);
+    }
+    starved = false;
+    while (!fault && !parser.is_done() && !starved) {
+        if (may_end(bytes_of(buffer_)) && !account.hold_request(body_.size() * copies + buffer_.capacity() +
+                                                                memory_of_lines(bytes_of(buffer_)))) {
+            return boost::asio::error::no_buffer_space;
+        }
+        buffer_.consume(parser.put(buffer_.data(), fault));
+        starved = buffer_.size() == 0 || fault == http::error::need_more;
+        if (fault == http::error::need_more) {
+            fault = {};
+        }
+    }
+    return fault == http::error::need_buffer ? error_code{} : fault;
+}
+
+request_fault caller_requests::read(httplib::Stream& from, request_account& account)
+{
+    http::request_parser<http::buffer_body> parser;
+    parser.body_limit(bounds_.body_bytes_);
     auto const refuse_by = [&](problem const& shown) {
         bounds_.refused_(shown);
         return refuse(from, shown);
     };
-    http::read_header(source, buffer_, parser, fault);
-    if (fault == http::error::end_of_stream || fault == http::error::partial_message ||
-        fault == boost::asio::error::eof) {
-        return request_fault::ended;
+    auto fault = read_head(from, account, parser);
+    if (fault == boost::asio::error::eof) {
+        // What is given up for others ends like this, too.
+        return account.hold_request(0) ? request_fault::ended : refuse_by(no_room());
+    }
+    if (fault == boost::asio::error::no_buffer_space) {
+        return refuse_by(no_room());
     }
     if (fault == http::error::body_limit) {
         return refuse_by(too_large());
     }
-    if (fault == http::error::header_limit || fault == http::error::buffer_overflow) {
+    if (fault == http::error::header_limit) {
         return refuse_by(malformed("not run: the headers are above 16 KiB"));
     }
     if (fault) {
         return refuse(from, malformed());
     }
-    auto const& message = parser.get();
-    httplib::Request judged;
-    judged.method = to_std(message.method_string());
-    judged.target = to_std(message.target());
-    judged.path = judged.target.substr(0, judged.target.find_first_of("?#"));
-    head_ = judged.method + " " + judged.target + " HTTP/1." + (message.version() == 10 ? "0" : "1") + "\r\n";
-    bool expects = false;
-    for (auto const& field : message) {
-        std::string const name{to_std(field.name_string())};
-        std::string const value{to_std(field.value())};
-        judged.headers.emplace(name, value);
-        if (is_withheld(field.name())) {
-            expects = expects || field.name() == http::field::expect;
-            account.withheld_.emplace(name, value);
-        } else {
-            head_ += name;
-            head_ += ": " + value + "\r\n";
-        }
+    std::size_t fields = 0;
+    std::size_t text = 0;
+    for (auto const& field : parser.get()) {
+        ++fields;
+        text += field.name_string().size() + field.value().size();
+    }
+    if (text + fields * field_separator_bytes > max_header_bytes) {
+        return refuse_by(malformed("not run: the headers are above 16 KiB"));
+    }
+    account.head_bytes_ = head_copies * (text + fields * mapped_field_bytes);
+    if (!account.hold_request(buffer_.capacity())) {
+        return refuse_by(no_room());
     }
+    bool expects = false;
     auto const length = parser.content_length();
     bool const is_small = parser.is_done() || (length && *length <= bounds_.memory_.limits().spared_);
+    if (auto const refused = take_head(parser.get(), account, is_small, expects)) {
+        return refuse(from, *refused);
+    }
     if (!is_small) {
-        if (auto const refused = bounds_.judge_(judged)) {
-            return refuse(from, *refused);
-        }
+        account.note_allowed();
     }
     if (expects) {
         constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -283,32 +377,34 @@
         body_.reserve(static_cast<std::size_t>(*length)); // pages that nothing is written to cost nothing
     }
     std::array<char, read_size> piece{};
+    bool starved = buffer_.size() == 0;
     while (!parser.is_done()) {
         auto& into = parser.get().body();
         into.data = piece.data();
         into.size = piece.size();
-        http::read_some(source, buffer_, parser, fault);
+        fault = read_part(from, account, parser, starved);
         std::string_view const bytes{piece.data(), piece.size() - into.size};
         if (fault == http::error::body_limit) {
             return refuse_by(too_large());
         }
-        if (fault && fault != http::error::need_buffer) {
-            bool const cut = fault == boost::asio::error::eof || fault == http::error::partial_message ||
-                             fault == http::error::end_of_stream;
-            if (!account.hold_request(body_.size() * copies)) {
+        if (fault) {
+            if (fault == boost::asio::error::no_buffer_space ||
+                !account.hold_request(body_.size() * copies)) {
+                give_back(body_);
                 return refuse_by(no_room()); // given up for others
             }
-            return cut ? request_fault::ended : refuse(from, malformed());
+            return fault == boost::asio::error::eof ? request_fault::ended : refuse(from, malformed());
         }
         auto const size = body_.size() + bytes.size();
         auto const needed = size > body_.capacity() ? body_.capacity() + size * 2 : size;
-        if (!account.hold_request(std::max(needed, size * copies))) {
+        if (!account.hold_request(std::max(needed, size * copies) + buffer_.capacity() +
+                                  memory_of_lines(bytes_of(buffer_)))) {
             give_back(body_);
             return refuse_by(no_room());
         }
         body_ += bytes;
     }
-    if (!account.hold_request(body_.size() * copies) || !account.read_whole()) {
+    if (!account.hold_request(body_.size() * copies + buffer_.capacity()) || !account.read_whole()) {
         give_back(body_);
         return refuse_by(no_room());
     }
@@ -316,6 +412,30 @@
     return request_fault::none;
 }
 
+std::optional<problem> caller_requests::take_head(http::request_header<>& head, request_account& account,
+                                                  bool is_small, bool& expects)
+{
+    httplib::Request judged;
+    judged.method = to_std(head.method_string());
+    judged.target = to_std(head.target());
+    judged.path = judged.target.substr(0, judged.target.find_first_of("?#"));
+    head_ = judged.method + " " + judged.target + " HTTP/1." + (head.version() == 10 ? "0" : "1") + "\r\n";
+    for (auto const& field : head) {
+        std::string const name{to_std(field.name_string())};
+        std::string const value{to_std(field.value())};
+        judged.headers.emplace(name, value);
+        if (is_withheld(field.name())) {
+            expects = expects || field.name() == http::field::expect;
+            account.withheld_.emplace(name, value);
+        } else {
+            head_ += name;
+            head_ += ": " + value + "\r\n";
+        }
+    }
+    head.clear();
+    return is_small ? std::nullopt : bounds_.judge_(judged);
+}
+
 std::unique_ptr<httplib::Stream> caller_requests::whole(httplib::Stream& to)
 {
     return std::make_unique<whole_request>(std::exchange(head_, {}), std::exchange(body_, {}), to);
--- a/src/transport/caller_request.hpp
+++ b/src/transport/caller_request.hpp
@@ -6,6 +6,8 @@
 #include <auburnchute/memory_budget.hpp>
 
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -17,6 +19,10 @@
 
 namespace auburnchute {
 
+/// \brief Largest fields of a request, in bytes; each counts with what separates it from the next.
+inline constexpr std::size_t max_header_bytes = std::size_t{16} * 1024;
+inline constexpr std::size_t field_separator_bytes = 4;
+
 /// \brief What a request of a caller takes, from its first byte until its answer has gone. The answer may be
 /// given up for others while it is made or taken slowly; the request only while it is read.
 ///
@@ -32,6 +38,8 @@
     /// \brief Books what the request takes while it is read, and after `read_whole` what it takes until it
     /// has been served. \returns False if there is no room, or if it was given up.
     [[nodiscard]] bool hold_request(std::size_t bytes);
+    /// \brief The request's head is known to be allowed, so requests that aren't give way to it.
+    void note_allowed();
     [[nodiscard]] bool read_whole();
 
     /// \brief Books what the answer takes. \returns As `hold_request`.
@@ -44,6 +52,7 @@
     [[nodiscard]] static request_account* current() noexcept;
 
     httplib::Headers withheld_; ///< Fields that the library does not see, as it would act on them.
+    std::size_t head_bytes_{};  ///< What the head takes until the request is served; booked beside the rest.
 
 private:
     void give_up_answer();
@@ -91,7 +100,18 @@
     [[nodiscard]] bool has_bytes() const { return buffer_.size() > 0; }
 
 private:
+    using body_parser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
+
     request_fault refuse(httplib::Stream& to, problem shown);
+    /// Reads a head within its bound. \returns The stream's or the parser's fault, or `no_buffer_space`.
+    boost::system::error_code read_head(httplib::Stream& from, request_account& account, body_parser& parser);
+    /// Hands the head over to the library and to the account. \returns The refusal by its head, or none.
+    std::optional<problem> take_head(boost::beast::http::request_header<>& head, request_account& account,
+                                     bool is_small, bool& expects);
+    /// Parses what has come of a body until its room is full, or reads more of it. \param starved Nothing
+    /// more can be parsed of what was read. \returns As `read_head`.
+    boost::system::error_code read_part(httplib::Stream& from, request_account& account, body_parser& parser,
+                                        bool& starved);
 
     caller_bounds const& bounds_;
     boost::beast::flat_buffer buffer_;
--- a/src/transport/http_front.cpp
+++ b/src/transport/http_front.cpp
@@ -20,8 +20,6 @@
 /// Connections above `max_open_streams` that can be told so; further ones wait to be accepted.
 constexpr std::size_t refusal_threads = 64;
 
-constexpr std::size_t max_header_bytes = 16 * 1024;
-
 /// What a connection takes: touched pages of its thread's stack, its read buffer, and the library's.
 constexpr std::size_t caller_thread_bytes = std::size_t{48} * 1024;
 
@@ -53,7 +51,7 @@
     for (auto const* const fields :
          {&request.headers, &std::as_const(request_account::current()->withheld_)}) {
         for (auto const& [name, value] : *fields) {
-            sum += name.size() + value.size() + 4;
+            sum += name.size() + value.size() + field_separator_bytes;
         }
     }
     return sum;
--- a/tests/transport/crowded_daemon_test.cpp
+++ b/tests/transport/crowded_daemon_test.cpp
@@ -59,6 +59,16 @@
     return all;
 }
 
+/// Bytes of a head or trailer of small fields; four of them are a field.
+constexpr std::size_t field_bytes = 60'000;
+
+/// \returns A head that does not end. Its lines end where a read of any multiple of four bytes ends.
+std::string aligned_head()
+{
+    auto text = head_of({}) + "P: ";
+    return text + std::string(6 - text.size() % 4, 'p') + "\r\n";
+}
+
 std::string packed(std::size_t bytes)
 {
     z_stream stream{};
@@ -202,6 +212,19 @@
         crowd{"the line of a chunk's length without end", 64, head_of(chunked) + "\r\n5;a=", "x", 2 * mib},
         crowd{"legal bodies that are whole", 64, head_of(length) + "\r\n", "x", largest_body, mib, 2'000},
         with_small_values("legal bodies of many small values"),
+        crowd{"heads of many fields before a body that stops short", 100,
+              head_of(length) + repeat("A:\r\n", field_bytes) + "\r\n", "x", 1},
+        crowd{"heads of whole lines without end", 64, aligned_head(), "A:\r\n", mib},
+        crowd{"heads of many fields that wait for an answer", 100,
+              head_of("Content-Length: 2\r\n") + repeat("A:\r\n", 15'000) + "\r\n", "xx", 2, mib, 2'000},
+        crowd{"trailers of many fields that stop short", 100, head_of(chunked) + "\r\n1\r\nx\r\n0\r\n",
+              "A:\r\n", field_bytes},
+        crowd{"a trailer's line that stops short", 100, head_of(chunked) + "\r\n1\r\nx\r\n0\r\nA: ", "x",
+              field_bytes},
+        crowd{"whole trailers of many fields that wait for an answer", 100,
+              head_of(chunked) + "\r\n1\r\nx\r\n0\r\n" + repeat("A:\r\n", field_bytes), "\r\n", 2, mib,
+              2'000},
+        crowd{"trailers without end", 64, head_of(chunked) + "\r\n1\r\nx\r\n0\r\n", "A:\r\n", mib},
         with_packed_body("packed bodies that unpack to more than the limit", 64 * mib),
         crowd{"connections without a request", 400, ""});
     CAPTURE(r.what_);
