End a request that is given up while it waits for its turn

Change: the read looks whether the request was given up; lines count only where nothing can be parsed. Evidence: by reading; the crowd tests of the entry daemon passed after it.

--- a/src/transport/caller_request.cpp
+++ b/src/transport/caller_request.cpp
@@ -22,6 +22,9 @@
 /// Bytes taken from a connection at once.
 constexpr std::size_t read_size = std::size_t{16} * 1024;
 
+/// A buffer with less room grows first.
+constexpr std::size_t smallest_read = 512;
+
 /// The body as it came, and the copy that the library makes of it.
 constexpr std::size_t copies = 2;
 
@@ -90,7 +93,7 @@
         return;
     }
     auto const room = buffer.capacity() - buffer.size();
-    auto const size = std::min({left, room > 0 ? room : read_size, read_size});
+    auto const size = std::min({left, room >= smallest_read ? room : read_size, read_size});
     buffer.commit(source.read_some(buffer.prepare(size), fault));
 }
 
@@ -397,8 +400,8 @@
         }
         auto const size = body_.size() + bytes.size();
         auto const needed = size > body_.capacity() ? body_.capacity() + size * 2 : size;
-        if (!account.hold_request(std::max(needed, size * copies) + buffer_.capacity() +
-                                  memory_of_lines(bytes_of(buffer_)))) {
+        auto const trailers = starved ? memory_of_lines(bytes_of(buffer_)) : 0;
+        if (!account.hold_request(std::max(needed, size * copies) + buffer_.capacity() + trailers)) {
             give_back(body_);
             return refuse_by(no_room());
         }
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -739,7 +739,11 @@
 net::awaitable<void> caller_session::read_part(body_parser& parser, bool& starved, error_code& fault)
 {
     if (starved) {
-        co_await work(buffer_.size()); // what couldn't be parsed is looked at again
+        co_await work(buffer_.size());       // what couldn't be parsed is looked at again
+        if (request_->memory_->given_up()) { // no read was pending that this could have ended
+            fault = net::error::operation_aborted;
+            co_return;
+        }
         co_await read_more(stream_, buffer_, fault);
         if (fault) {
             co_return;
