--- a/src/transport/entry/plain_server.cpp
+++ b/src/transport/entry/plain_server.cpp
@@ -62,12 +62,12 @@
 /// \returns Whether the connection may be used for a further request.
 net::awaitable<bool> serve_next(page_connection& one)
 {
-    auto& [loop, bounds, handler, open] = one.all_;
+    auto& all = one.all_;
+    auto& memory = *all.bounds_.memory_;
     auto& stream = one.stream_;
-    open.splice(open.end(), open, one.place_);
+    all.open_.splice(all.open_.end(), all.open_, one.place_);
     one.waits_ = true;
-    memory_budget::holding held{*bounds.memory_, memory_purpose::reading, boot_now(),
-                                [&stream] { stream.close(); }};
+    memory_budget::holding held{memory, memory_purpose::reading, boot_now(), [&stream] { stream.close(); }};
     head_terms const terms{
         .limit_ = page_head_bytes,
         .hold_ =
@@ -76,8 +76,8 @@
             },
         .work_ = [&](std::size_t amount) -> net::awaitable<void> {
             if (amount > work_per_turn) {
-                wake_event turn{loop};
-                co_await bounds.turns_->wait(turn);
+                wake_event turn{all.loop_};
+                co_await all.bounds_.turns_->wait(turn);
             }
         },
     };
@@ -90,9 +90,8 @@
         co_return false;
     }
     bool const keep = parser.keep_alive() && parser.is_done();
-    auto answer = handler(plain_request{std::move(parser.get().base())});
-    memory_budget::holding sent{*bounds.memory_, memory_purpose::answer, boot_now(),
-                                [&stream] { stream.close(); }};
+    auto answer = all.handler_(plain_request{std::move(parser.get().base())});
+    memory_budget::holding sent{memory, memory_purpose::answer, boot_now(), [&stream] { stream.close(); }};
     if (!sent.grow_to(answer.body().size(), boot_now())) {
         co_return false;
     }
