--- a/tests/platform/json_codec_test.cpp
+++ b/tests/platform/json_codec_test.cpp
@@ -48,6 +48,26 @@
     CHECK(config.workspaces_[0].in_tokens_);
 }
 
+// Guards against ignoring a configuration for the size of its version, which may be a time of day.
+TEST_CASE("a configuration's version may be any number of 63 bits", "[platform][config]")
+{
+    struct row {
+        char const* version_;
+        std::uint64_t expected_;
+    };
+    for (auto const& row :
+         {row{"0", 0}, row{"1125899906842624", std::uint64_t{1} << 50U},
+          row{"1125899906842625", (std::uint64_t{1} << 50U) + 1},
+          row{"1800000000000001", 1'800'000'000'000'001}, row{"1.8e15", 1'800'000'000'000'000},
+          row{"9007199254740993", (std::uint64_t{1} << 53U) + 1},
+          row{"1800000000000000001", 1'800'000'000'000'000'001},
+          row{"9223372036854775807", (std::uint64_t{1} << 63U) - 1}}) {
+        CAPTURE(row.version_);
+        CHECK(parse_config(R"({"routes":[],"services":[],"version":)" + std::string{row.version_} + "}")
+                  .version_ == row.expected_);
+    }
+}
+
 // Guards against retrying requests of a route type that this release does not know.
 TEST_CASE("a route of an unknown type is unsafe", "[platform][config][promise-10]")
 {
