Put the keys of a configuration in force that can't be read otherwise

Cause: such a document was logged and passed over. The next read found nothing behind it and booked a proof that the configuration in force was the newest, so keys never grew stale, and peers were told the same proof.

Change: the version and keys are read by themselves if the rest can't be. The keys in force are then exactly those of the newest state, as far as their workspaces are known, and what the VM does not know is refused with 503 in place of 404 or 401 (fleet_config::complete_). If not even these can be read, no proof is booked and the offset isn't told to peers, so requests with keys get 503 keys-stale once the last proof is too old. Metric auburnchute_config_complete; log lines config-keys-unreadable and complete= of config-in-force.

Why this works: the bound on withdrawn keys rests on the age of a proof that there are no newer keys; now only a VM that has read the newest keys books one.

odd_entries_test: its odd configurations now hold the key that the test goes on to use. Before, they withdrew it, and the test expected it to work beside them, which is this fault; what it checks is as before, and that the key which a configuration withdraws stops working is in the new test.

--- a/include/auburnchute/fleet_config.hpp
+++ b/include/auburnchute/fleet_config.hpp
@@ -90,6 +90,7 @@
 /// \brief One version of the operator's configuration, which is read and replaced as a whole.
 struct fleet_config {
     std::uint64_t version_{};
+    bool complete_{true}; ///< Else only the version and the keys are of this version; see `with_keys`.
     std::vector<request_route> routes_;
     std::map<std::string, service_profile, std::less<>> services_;
     std::vector<workspace_limit> workspaces_;
@@ -97,6 +98,16 @@
     caller_limits limits_;
 };
 
+/// \brief The version and the API keys of a configuration, without the rest of it.
+struct config_keys {
+    std::uint64_t version_{};
+    std::map<std::string, std::string> keys_; ///< API key to the name of its workspace.
+};
+
+/// \returns The configuration with other keys, as far as it has their workspaces, and their version. It is
+/// not complete: a route or key that it lacks may exist. Thread safety: pure.
+[[nodiscard]] fleet_config with_keys(fleet_config config, config_keys const& newer);
+
 /// \brief Finds the route of the host whose path prefix is the longest that matches.
 /// \returns Null if no route matches. Thread safety: pure.
 [[nodiscard]] request_route const* match_route(fleet_config const& config, std::string_view host,
--- a/src/protocol/metrics.cpp
+++ b/src/protocol/metrics.cpp
@@ -80,6 +80,8 @@
     description{"auburnchute_streams_taken_up_total", "outcome",
                 "Requests that take a stream up, by outcome; own-answer: refused."},
     description{"auburnchute_version_plans", "", "Services whose software versions this VM has a plan for."},
+    description{"auburnchute_config_complete", "",
+                "0 while only the keys of the newest configuration, or nothing of it, could be read."},
     description{"auburnchute_unreadable_entries_total", "", "Entries of upstreams that could not be read."},
     description{"auburnchute_store_changes_total", "state",
                 "Times that the platform's store was lost or regained."},
--- a/src/state/fleet_config.cpp
+++ b/src/state/fleet_config.cpp
@@ -4,6 +4,23 @@
 
 namespace auburnchute {
 
+fleet_config with_keys(fleet_config config, config_keys const& newer)
+{
+    std::map<std::string_view, std::size_t> workspaces;
+    for (std::size_t i = 0; i < config.workspaces_.size(); ++i) {
+        workspaces.emplace(config.workspaces_[i].name_, i);
+    }
+    config.keys_.clear();
+    for (auto const& [key, workspace] : newer.keys_) {
+        if (auto const known = workspaces.find(workspace); known != workspaces.end()) {
+            config.keys_.emplace(key, known->second);
+        }
+    }
+    config.version_ = newer.version_;
+    config.complete_ = false;
+    return config;
+}
+
 request_route const* match_route(fleet_config const& config, std::string_view host,
                                  std::string_view path) noexcept
 {
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -38,11 +38,11 @@
     return at > millis{0} && now - at < freshness_bound(node.settings_.key_withdrawal_);
 }
 
-bool absence_is_certain(entry_node const& node, millis now) noexcept
+bool absence_is_certain(entry_node const& node, fleet_config const& config, millis now) noexcept
 {
     // A confirmation may have come just after the proof, and answers take their time to the caller.
     constexpr millis answering_time{200};
-    return keys_are_fresh(node, now) &&
+    return config.complete_ && keys_are_fresh(node, now) &&
            now - fresh_at(node) < node.settings_.config_in_force_ - answering_time;
 }
 
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -201,7 +201,8 @@
 
 /// \returns Whether a key or route that this VM does not know does not exist: a newer configuration would be
 /// in force by now.
-[[nodiscard]] bool absence_is_certain(entry_node const& node, millis now) noexcept;
+[[nodiscard]] bool absence_is_certain(entry_node const& node, fleet_config const& config,
+                                      millis now) noexcept;
 
 /// \returns Whether the holder of the order lease is this VM or responsive, directly or over relays.
 [[nodiscard]] bool is_holder_responsive(entry_node const& node, millis now) noexcept;
--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -121,7 +121,7 @@
         return std::nullopt;
     }
     if (!job.route_->resumable_) {
-        return absence_is_certain(node, now)
+        return absence_is_certain(node, *job.config_, now)
                    ? own_answer{bad_request, "not-resumable", millis{-1}}
                    : own_answer{unavailable, "configuration-stale", stale_retry_after};
     }
@@ -156,7 +156,7 @@
     job.route_ = match_route(*job.config_, job.call_.host_, job.call_.path_);
     if (job.route_ == nullptr) {
         // A VM without the newest configuration cannot know that there is no such route.
-        return absence_is_certain(node, now)
+        return absence_is_certain(node, *job.config_, now)
                    ? own_answer{not_found, "no-route", millis{-1}}
                    : own_answer{unavailable, "configuration-stale", stale_retry_after};
     }
@@ -166,7 +166,7 @@
         }
         auto const key = job.config_->keys_.find(job.call_.key_);
         if (key == job.config_->keys_.end()) {
-            return absence_is_certain(node, now)
+            return absence_is_certain(node, *job.config_, now)
                        ? own_answer{unauthorized, "unknown-key", millis{-1}}
                        : own_answer{unavailable, "configuration-stale", stale_retry_after};
         }
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -14,6 +14,7 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <span>
 #include <utility>
 
 namespace auburnchute {
@@ -101,39 +102,52 @@
     millis pause_{failure_pause};
 };
 
+/// A configuration as the store has it.
+struct config_record {
+    std::string document_;
+    std::uint64_t next_{}; ///< Offset after it.
+};
+
 std::uint64_t config_version(store_reader const& reader)
 {
     return reader.draft_.config_ ? reader.draft_.config_->version_ : 0;
 }
 
-/// Books a proof that the configuration in force was the newest when a read was sent. There is none while a
-/// peer has a newer one, which the store may have lost: keys may be withdrawn there.
+/// Books a proof that the keys in force were the newest when a read was sent. There is none while newer ones
+/// can't be read, or a peer has a newer configuration, which the store may have lost: keys may be withdrawn
+/// there.
 void note_fresh(store_reader& reader, millis sent_at)
 {
-    if (config_version(reader) < reader.told_config_version_) {
+    if (reader.config_unread_ || config_version(reader) < reader.told_config_version_) {
         return;
     }
     reader.shared_.config_read_at_.store(sent_at.count_, std::memory_order_release);
 }
 
-/// \returns Whether the document can be read; one that cannot leaves the configuration in force.
+/// Puts a configuration in force unless it is older than the present one.
+void adopt_config(store_reader& reader, fleet_config config, std::uint64_t next)
+{
+    auto const before = config_version(reader);
+    if (reader.draft_.config_ && config.version_ < before) {
+        log_failure("config-older", {{"version", config.version_}, {"in_force", before}});
+        return;
+    }
+    if (config.version_ != before) {
+        log_decision("config-in-force", {{"version", config.version_},
+                                         {"before", before},
+                                         {"complete", config.complete_},
+                                         {"routes", config.routes_.size()},
+                                         {"workspaces", config.workspaces_.size()},
+                                         {"offset", next}});
+    }
+    reader.draft_.config_ = std::make_shared<fleet_config const>(std::move(config));
+}
+
+/// \returns Whether the whole document can be read.
 bool take_config(store_reader& reader, std::string const& document, std::uint64_t next)
 {
     try {
-        auto config = std::make_shared<fleet_config const>(platform::parse_config(document));
-        auto const before = reader.draft_.config_ ? reader.draft_.config_->version_ : 0;
-        if (reader.draft_.config_ && config->version_ < before) {
-            log_failure("config-older", {{"version", config->version_}, {"in_force", before}});
-            return true;
-        }
-        if (config->version_ != before) {
-            log_decision("config-in-force", {{"version", config->version_},
-                                             {"before", before},
-                                             {"routes", config->routes_.size()},
-                                             {"workspaces", config->workspaces_.size()},
-                                             {"offset", next}});
-        }
-        reader.draft_.config_ = std::move(config);
+        adopt_config(reader, platform::parse_config(document), next);
         return true;
     } catch (error const& failure) {
         log_failure("config-unreadable", {{"fault", failure.what()}, {"offset", next}});
@@ -141,11 +155,45 @@
     }
 }
 
-/// Notes up to where the configuration was read.
+/// Takes the keys of a document of which the rest can't be read: those that it withdraws must not work any
+/// longer, and all others go on to work.
+/// \returns Whether they can be read; else the configuration in force stays as it is.
+bool take_keys(store_reader& reader, std::string const& document, std::uint64_t next)
+{
+    try {
+        auto const keys = platform::parse_config_keys(document);
+        if (reader.draft_.config_) {
+            adopt_config(reader, with_keys(*reader.draft_.config_, keys), next);
+        }
+        return true;
+    } catch (error const& failure) {
+        log_failure("config-keys-unreadable", {{"fault", failure.what()}, {"offset", next}});
+        return false;
+    }
+}
+
+/// Takes from the configurations of one read, oldest first, the newest one that can be read, and the keys of
+/// the last one if it can't.
+void take_configs(store_reader& reader, std::span<config_record const> configs)
+{
+    auto const readable = std::find_if(configs.rbegin(), configs.rend(), [&](config_record const& record) {
+        return take_config(reader, record.document_, record.next_);
+    });
+    if (configs.empty()) {
+        return;
+    }
+    auto const& newest = configs.back();
+    bool const whole = readable == configs.rbegin();
+    reader.config_unread_ = !whole && !take_keys(reader, newest.document_, newest.next_);
+    reader.counters_.gauge("auburnchute_config_complete", "", whole ? 1.0 : 0.0);
+}
+
+/// Notes up to where the configuration was read. What could not be read is not told as known: peers prove to
+/// each other that there is none behind what they have.
 void reach_config(store_reader& reader, store_position next)
 {
     reader.config_next_ = next;
-    if (supersedes(next, reader.draft_.config_next_)) {
+    if (!reader.config_unread_ && supersedes(next, reader.draft_.config_next_)) {
         reader.draft_.config_next_ = next;
     }
     publish(reader);
@@ -155,11 +203,13 @@
 {
     auto const sent_at = boot_now();
     auto const newest = co_await store.read_newest(platform::config_topic);
+    std::vector<config_record> configs; // one at most, as no other is kept
     for (auto const& record : newest.records_) {
         if (record.key_ == platform::config_key && record.value_) {
-            (void)take_config(reader, *record.value_, newest.next_.offset_); // no other is kept
+            configs.push_back({*record.value_, newest.next_.offset_});
         }
     }
+    take_configs(reader, configs);
     reach_config(reader, newest.next_);
     note_fresh(reader, sent_at);
 }
@@ -203,13 +253,14 @@
                 next.reset();
                 continue;
             }
-            for (auto stored = page.records_.rbegin(); stored != page.records_.rend(); ++stored) {
-                auto const record = platform::parse_keyed_record(stored->bytes_);
-                bool const is_config = record && record->key_ == platform::config_key && record->value_;
-                if (is_config && take_config(reader, *record->value_, stored->position_.offset_ + 1)) {
-                    break; // the newest one that can be read
+            std::vector<config_record> configs;
+            for (auto const& stored : page.records_) {
+                auto record = platform::parse_keyed_record(stored.bytes_);
+                if (record && record->key_ == platform::config_key && record->value_) {
+                    configs.push_back({std::move(*record->value_), stored.position_.offset_ + 1});
                 }
             }
+            take_configs(reader, configs);
             if (!page.records_.empty()) {
                 reach_config(reader, page.next_);
             }
--- a/src/transport/entry/store_reader.hpp
+++ b/src/transport/entry/store_reader.hpp
@@ -38,6 +38,7 @@
     std::uint64_t logged_era_{};                  ///< Of the store, as last logged.
     std::uint64_t told_era_{};                    ///< Newest era of the store that a peer told.
     std::optional<store_position> config_next_{}; ///< From which it is read next; none: all of it.
+    bool config_unread_{};                        ///< The keys of the newest one could not be read.
     store_position config_hint_{};                ///< Largest end of it that peers told in the newest era.
     std::uint64_t told_config_version_{};         ///< Highest version that a peer has in force.
     std::optional<store_position>
--- a/tests/platform/json_codec_test.cpp
+++ b/tests/platform/json_codec_test.cpp
@@ -68,6 +68,41 @@
     }
 }
 
+// Guards against a withdrawn key that goes on to work, or a valid one that doesn't, because of other fields.
+TEST_CASE("the keys of a configuration are read whatever the rest of it holds", "[platform][config][odd]")
+{
+    auto const before = parse_config(config_document);
+    struct row {
+        char const* workspaces_;
+        std::vector<std::string> keys_; ///< That are valid then.
+    };
+    for (auto const& row :
+         {row{R"([{"name":"t","api_keys":["k1","k3"],"rate_per_s":"x"}])", {"k1", "k3"}},
+          row{R"([{"name":"t"}])", {}}, row{"[]", {}}, row{"null", {}},
+          row{R"([{"name":"new","api_keys":["k1"]},{"name":"t","api_keys":["k2"],"burst":1e300}])",
+              {"k2"}}}) {
+        CAPTURE(row.workspaces_);
+        auto const document = R"({"version":8,"routes":7,"tenants":)" + std::string{row.workspaces_} + "}";
+        CHECK_THROWS_AS(parse_config(document), error);
+        auto const after = with_keys(before, parse_config_keys(document));
+        CHECK(after.version_ == 8);
+        CHECK_FALSE(after.complete_);
+        CHECK(after.routes_.size() == before.routes_.size());
+        CHECK(after.keys_.size() == row.keys_.size());
+        for (auto const& key : row.keys_) {
+            CHECK(after.keys_.at(key) == 0);
+        }
+    }
+    for (auto const* const workspaces :
+         {"7", "{}", "[7]", R"([{"api_keys":["k1"]}])", R"([{"name":7}])",
+          R"([{"name":"t","api_keys":"k1"}])", R"([{"name":"t","api_keys":[7]}])"}) {
+        CAPTURE(workspaces);
+        CHECK_THROWS_AS(parse_config_keys(R"({"version":8,"tenants":)" + std::string{workspaces} + "}"),
+                        error);
+    }
+    CHECK_THROWS_AS(parse_config_keys(R"({"routes":[]})"), error);
+}
+
 // Guards against retrying requests of a route type that this release does not know.
 TEST_CASE("a route of an unknown type is unsafe", "[platform][config][promise-10]")
 {
--- a/tests/transport/entry/odd_entries_test.cpp
+++ b/tests/transport/entry/odd_entries_test.cpp
@@ -278,7 +278,7 @@
 {
     entry_world world{{answering("first")}};
     auto const with = [](std::string const& engine, std::string const& rate = "1000") {
-        auto document = nlohmann::json::parse(config_document(4, "\"odd\"")).dump();
+        auto document = nlohmann::json::parse(config_document(4, R"("key","odd")")).dump();
         auto const service = document.find(R"("max_conns":100)");
         document.insert(service, R"("engine":{"models":[{"name":"m")" + engine + "}]},");
         for (auto at = document.find(R"("rate_per_s":1000)"); at != std::string::npos;
