Refuse a stream at once whose service has no upstreams

What callers saw: a new stream on a resumable route to a service without upstreams was held for half of the time that its caller waits for the first event, then refused as version-awaited. Requests of other kinds are refused at once with no-upstream.

Cause: choose looks for the stream's software version before it looks for upstreams, and without upstreams there is no plan of versions, so the stream waited for one that could not be made.

Change: if the version is not known and the service has no upstream that accepts work, the fault is no-upstream.

--- a/src/transport/entry/forward_job.cpp
+++ b/src/transport/entry/forward_job.cpp
@@ -241,7 +241,11 @@
     std::optional<millis> held_until;
     auto const bound = version_for(node, job, now);
     if (bound.fault_ != version_fault::none) {
-        chosen.fault_ = fault_of(bound.fault_);
+        bool const service_exists =
+            std::any_of(view.upstreams_->begin(), view.upstreams_->end(), [&](auto const& known) {
+                return known.second.service_ == job.service_ && !known.second.leaving_;
+            });
+        chosen.fault_ = service_exists ? fault_of(bound.fault_) : choice_fault::no_upstream;
         return chosen;
     }
     bool version_there = !bound.version_;
--- a/tests/transport/entry/joined_versions_test.cpp
+++ b/tests/transport/entry/joined_versions_test.cpp
@@ -505,3 +505,17 @@
         CHECK(count(all).went_on_ == streams_at_once);
     }
 }
+
+// Guards against streams that wait for a plan which can't be made, as their service has no upstreams.
+TEST_CASE("a stream to a service without upstreams is refused for that at once", "[entry][versions]")
+{
+    auto const* const path = GENERATE("/watch/question", "/resume/question");
+    CAPTURE(path);
+    entry_world const world{{}};
+    auto const sent = steady::now();
+    auto const answer =
+        world.call("POST", path, "{}", "Api-Key: key\r\nConnection: close\r\n").receive_until("\r\n\r\n");
+    CHECK(entry_world::status_of(answer) == 503);
+    CHECK(answer.find("no-upstream") != std::string::npos);
+    CHECK(steady::now() - sent < refusal_bound);
+}
