Bind all streams to a software version, also on routes that aren't resumable

Cause: a take-up goes by the slot of the stream's id and takes for granted that the stream was bound to the slot's version when it began. needs_one_version bound a stream only if its route was resumable at that time, while the take-up is judged by the route of the newest configuration.

Change: every stream is bound, and every service with streams has a plan. A new stream on a route that isn't resumable is not refused for what only a take-up needs: without a proof of the plans it begins by the newest era known, and it doesn't wait for its caller's limit to be in the plan.

Why this works: the version that began a stream now follows from its id and the plans alone, which outlive changes of routes and VMs.

--- a/include/auburnchute/fleet_config.hpp
+++ b/include/auburnchute/fleet_config.hpp
@@ -119,8 +119,8 @@
 [[nodiscard]] std::string_view choose_service(request_route const& route,
                                               std::uint64_t request_hash) noexcept;
 
-/// \returns Whether a stream of the service may be taken up on some route. Thread safety: pure.
-[[nodiscard]] bool has_resumable_streams(fleet_config const& config, std::string_view service) noexcept;
+/// \returns Whether a route of streams leads to the service. Thread safety: pure.
+[[nodiscard]] bool has_streams(fleet_config const& config, std::string_view service) noexcept;
 
 /// \returns The engine of the service, or null for a plain or unknown service. Thread safety: pure.
 [[nodiscard]] engine_profile const* find_engine(fleet_config const& config,
--- a/src/state/fleet_config.cpp
+++ b/src/state/fleet_config.cpp
@@ -53,10 +53,10 @@
     return route.services_.back().service_;
 }
 
-bool has_resumable_streams(fleet_config const& config, std::string_view service) noexcept
+bool has_streams(fleet_config const& config, std::string_view service) noexcept
 {
     return std::any_of(config.routes_.begin(), config.routes_.end(), [&](request_route const& route) {
-        return route.kind_ == route_type::stream && route.resumable_ &&
+        return route.kind_ == route_type::stream &&
                std::any_of(route.services_.begin(), route.services_.end(),
                            [&](weighted_service const& part) { return part.service_ == service; });
     });
--- a/src/transport/entry/plan_reader.cpp
+++ b/src/transport/entry/plan_reader.cpp
@@ -146,7 +146,7 @@
         if (plan != feed.known_.end()) {
             return is_open(&plan->second, service.second);
         }
-        return (!config || has_resumable_streams(*config, service.first)) && is_open(nullptr, service.second);
+        return (!config || has_streams(*config, service.first)) && is_open(nullptr, service.second);
     });
 }
 
--- a/src/transport/entry/version_keeper.cpp
+++ b/src/transport/entry/version_keeper.cpp
@@ -19,11 +19,6 @@
 constexpr millis last_plan_delay{3'000};
 constexpr std::uint64_t plan_delay_spread_ms = 4'000;
 
-bool is_resumable_stream(request_route const& route) noexcept
-{
-    return route.kind_ == route_type::stream && route.resumable_;
-}
-
 /// Time for which a caller that states no limit counts as waiting, at least.
 constexpr millis least_unstated_limit{30'000};
 
@@ -34,11 +29,11 @@
     return std::min(job.call_.time_left_.value_or(unstated), max_time_limit);
 }
 
-std::set<std::string_view> services_with_resumable_streams(fleet_config const& config)
+std::set<std::string_view> services_with_streams(fleet_config const& config)
 {
     std::set<std::string_view> services;
     for (auto const& route : config.routes_) {
-        if (is_resumable_stream(route)) {
+        if (route.kind_ == route_type::stream) {
             for (auto const& part : route.services_) {
                 services.insert(part.service_);
             }
@@ -109,7 +104,7 @@
     if (now - proof_at > timing.fence_) {
         return;
     }
-    for (auto const service : services_with_resumable_streams(*config)) {
+    for (auto const service : services_with_streams(*config)) {
         auto const known = plans->find(service);
         auto const* const plan = known != plans->end() ? &known->second : nullptr;
         auto const limit = node.longest_limits_.find(service);
@@ -151,7 +146,7 @@
 
 bool needs_one_version(forward_job const& job) noexcept
 {
-    return is_resumable_stream(*job.route_) || takes_up_stream(job);
+    return job.route_->kind_ == route_type::stream;
 }
 
 version_timing timing_of(entry_node const& node) noexcept
@@ -183,8 +178,11 @@
     auto const proof_at = millis{node.shared_.plans_proof_at_.load(std::memory_order_acquire)};
     auto const plans = node.shared_.cell_.read([](entry_view const& view) { return view.plans_; });
     bool const unsettled = now < millis{node.shared_.plans_unsettled_until_.load(std::memory_order_acquire)};
-    if (proof_at == millis{0} || unsettled ||
-        now - proof_at > (taken_up ? timing.fence_ : timing.begin_limit_)) {
+    bool const stale = proof_at == millis{0} || unsettled ||
+                       now - proof_at > (taken_up ? timing.fence_ : timing.begin_limit_);
+    // A stream that its route lets nobody take up is not refused for lack of what only a take-up needs.
+    bool const may_be_taken_up = taken_up || job.route_->resumable_;
+    if (stale && may_be_taken_up) {
         return {std::nullopt, version_fault::stale};
     }
     auto const plan = plans->find(job.service_);
@@ -199,7 +197,9 @@
                                : std::optional<std::string_view>{job.call_.stream_id_};
         version = version_of_begun(
             *eras, named, began_after(plan->second, job.call_.time_left_, timing, job.arrived_), timing, now);
-    } else if (limit_of(job) <= plan->second.longest_limit_) {
+    } else if (stale) {
+        version = eras->back().owner(slot_of(job.call_.request_id_));
+    } else if (!may_be_taken_up || limit_of(job) <= plan->second.longest_limit_) {
         version = version_of_new(*eras, job.call_.request_id_, timing, now);
     }
     if (!version) {
--- a/src/transport/entry/version_keeper.hpp
+++ b/src/transport/entry/version_keeper.hpp
@@ -20,8 +20,8 @@
     version_fault fault_{version_fault::none};
 };
 
-/// \returns Whether one version has to serve the whole request: it may be taken up later, or takes up a
-/// stream.
+/// \returns Whether one version has to serve the whole request: it is a stream. Also one on a route that is
+/// not resumable may be taken up, since a change of the configuration can make the route resumable.
 [[nodiscard]] bool needs_one_version(forward_job const& job) noexcept;
 
 /// \returns Whether the request goes on with a stream that an earlier one began.
@@ -36,7 +36,7 @@
 /// \brief Notes the time limit of a new stream's caller, so that it is in the plan before the stream begins.
 void note_time_limit(entry_node& node, forward_job const& job);
 
-/// \brief Plans how versions share the streams of each service that has resumable ones, until the loop stops.
+/// \brief Plans how versions share the streams of each service that has any, until the loop stops.
 /// The VM that comes first among those that read the store for all stores the plans, others if it does not.
 void keep_versions(entry_node& node);
 
--- a/tests/transport/entry/entry_world.hpp
+++ b/tests/transport/entry/entry_world.hpp
@@ -39,10 +39,11 @@
 class entry_world {
 public:
     explicit entry_world(std::vector<scripted_upstream::script> const& scripts,
-                         std::string const& more_settings = "")
+                         std::string const& more_settings = "",
+                         std::string const& config = config_document(3, "\"key\""))
         : ip_{own_address()}, store_{ip_}
     {
-        store_.put("keyed.op", "config", config_document(3, "\"key\""));
+        store_.put("keyed.op", "config", config);
         for (auto const& script : scripts) {
             add_upstream(script);
         }
--- a/tests/transport/entry/joined_versions_test.cpp
+++ b/tests/transport/entry/joined_versions_test.cpp
@@ -506,6 +506,135 @@
     }
 }
 
+namespace {
+
+/// \returns The configuration of that version after a change to its routes, an array by `entry_world`.
+template <typename Change>
+std::string config_with_routes(int version, Change change)
+{
+    auto document = nlohmann::json::parse(config_document(version, "\"key\""));
+    change(document["routes"]);
+    return document.dump();
+}
+
+nlohmann::json& route_named(nlohmann::json& routes, char const* name)
+{
+    return *std::find_if(routes.begin(), routes.end(), [&](auto const& row) { return row["name"] == name; });
+}
+
+/// \returns The status of a take-up behind the last but one event, of a stream that nobody began.
+int probe_take_up(versioned_world const& world, std::string const& path, std::string const& ip)
+{
+    auto const answer = world.world_
+                            .call("POST", path, "{}",
+                                  "Api-Key: key\r\nConnection: close\r\nResumes: probe-0\r\nLast-Event-Id: " +
+                                      std::to_string(stream_events - 1) + "\r\n",
+                                  ip, "probe")
+                            .receive_until("\r\n\r\n");
+    return entry_world::status_of(answer);
+}
+
+/// How the streams of a path come to be resumable.
+struct route_change {
+    char const* about_;
+    char const* path_;
+    std::string before_; ///< Configurations.
+    std::string after_;
+};
+
+std::vector<route_change> route_changes()
+{
+    auto const none = [](auto&) {};
+    auto const set = [](char const* name, bool resumable) {
+        return [=](auto& routes) { route_named(routes, name)["resumable"] = resumable; };
+    };
+    auto const add_longer = [](char const* name, char const* prefix, bool resumable) {
+        return [=](auto& routes) {
+            auto longer = route_named(routes, name);
+            longer["name"] = "season";
+            longer["path_prefix"] = prefix;
+            longer["resumable"] = resumable;
+            routes.push_back(longer);
+        };
+    };
+    return {
+        {"the route changes", "/watch/question", config_with_routes(3, none),
+         config_with_routes(4, set("watch", true))},
+        {"a longer route is added", "/watch/season/question", config_with_routes(3, none),
+         config_with_routes(4, add_longer("watch", "/watch/season/", true))},
+        {"a longer route goes", "/resume/season/question",
+         config_with_routes(3, add_longer("resume", "/resume/season/", false)), config_with_routes(4, none)},
+        {"no route was resumable before", "/resume/question", config_with_routes(3, set("resume", false)),
+         config_with_routes(4, none)},
+    };
+}
+
+} // namespace
+
+// Guards against joining streams that began before a change of the configuration made them resumable.
+TEST_CASE("streams that began on a route that wasn't resumable go on at their software version once it is",
+          "[entry][versions][config][promise-8]")
+{
+    auto const changes = route_changes();
+    REQUIRE(changes.size() == 4);
+    auto const& r = changes[GENERATE(range(std::size_t{0}, std::size_t{4}))];
+    bool const all_killed = GENERATE(false, true); // after the change
+    CAPTURE(r.about_, all_killed);
+    versioned_world world{{"v1", "v1", "v1", "v2", "v2", "v2"}, 3, r.before_};
+    auto all = make_streams("stream", streams_at_once);
+    for (auto& stream : all) {
+        stream.path_ = r.path_;
+    }
+    auto begins = for_each_at_once(all, [&](auto& stream, auto number) {
+        (void)attempt(stream, world.ips_[number % world.ips_.size()], events_before);
+    });
+    wait_all(begins);
+    REQUIRE(count_if(all, [](auto const& s) { return s.begun(); }) == streams_at_once);
+    CHECK(count_if(all, [](auto const& s) { return s.version() == "v1"; }) > 0);
+    CHECK(count_if(all, [](auto const& s) { return s.version() == "v2"; }) > 0);
+
+    world.world_.store_.put("keyed.op", "config", r.after_);
+    for (auto const& ip : world.ips_) {
+        REQUIRE(eventually(limit, [&] { return probe_take_up(world, r.path_, ip) == 200; }));
+    }
+    if (all_killed) {
+        world.world_.daemons_.clear();
+        for (std::size_t vm = 0; vm < world.ips_.size(); ++vm) {
+            world.start(vm);
+        }
+        REQUIRE(eventually(limit, [&] { return world.all_ready(); }));
+    }
+    auto take_ups = for_each_at_once(all, [&](auto& stream, auto number) {
+        (void)attempt(stream, world.ips_[(number + 1) % world.ips_.size()]);
+    });
+    wait_all(take_ups);
+    check_sound(r.about_, count(all));
+    CHECK(count(all).went_on_ * 2 >= streams_at_once);
+}
+
+// Guards against refusing streams for the sake of take-ups that their route does not allow.
+TEST_CASE("new streams that can't be taken up begin while the store is away", "[entry][versions]")
+{
+    auto const versions =
+        GENERATE(std::vector<std::string>{"v1", "v1"}, std::vector<std::string>{"v1", "v2"});
+    CAPTURE(versions);
+    constexpr auto outage = 6s; // longer than streams that may be taken up begin without the store
+    versioned_world world{versions, 2, config_with_routes(3, [](auto& routes) {
+                              route_named(routes, "watch")["public"] = true;
+                          })};
+    world.world_.store_.set_down(true);
+    (void)eventually(outage, [] { return false; });
+    auto all = make_streams("stream", streams_at_once);
+    for (auto& stream : all) {
+        stream.path_ = "/watch/question";
+    }
+    auto begins = for_each_at_once(all, [&](auto& stream, auto number) {
+        (void)attempt(stream, world.ips_[number % world.ips_.size()], 1);
+    });
+    wait_all(begins);
+    CHECK(count_if(all, [](auto const& s) { return s.begun(); }) == streams_at_once);
+}
+
 // Guards against streams that wait for a plan which can't be made, as their service has no upstreams.
 TEST_CASE("a stream to a service without upstreams is refused for that at once", "[entry][versions]")
 {
--- a/tests/transport/entry/versioned_world.hpp
+++ b/tests/transport/entry/versioned_world.hpp
@@ -211,8 +211,9 @@
 class versioned_world {
 public:
     /// \param versions Of each upstream's software at the start; empty: its entry states none.
-    explicit versioned_world(std::vector<std::string> const& versions, std::size_t vms = 3)
-        : world_{{}, settings}
+    explicit versioned_world(std::vector<std::string> const& versions, std::size_t vms = 3,
+                             std::string const& config = config_document(3, "\"key\""))
+        : world_{{}, settings, config}
     {
         world_.slots_ = 60; // no stream has to wait
         for (auto const& version : versions) {
