--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -172,18 +172,18 @@
     }
 }
 
-/// Takes from the configurations of one read, oldest first, the newest one that can be read, and the keys of
-/// the last one if it can't.
+/// Takes the newest configuration that can be read, and the keys of the newest of all if that is another one.
+/// \param configs Of one read, oldest first.
 void take_configs(store_reader& reader, std::span<config_record const> configs)
 {
-    auto const readable = std::find_if(configs.rbegin(), configs.rend(), [&](config_record const& record) {
-        return take_config(reader, record.document_, record.next_);
-    });
     if (configs.empty()) {
         return;
     }
+    auto const taken = std::find_if(configs.rbegin(), configs.rend(), [&](config_record const& record) {
+        return take_config(reader, record.document_, record.next_);
+    });
     auto const& newest = configs.back();
-    bool const whole = readable == configs.rbegin();
+    bool const whole = taken == configs.rbegin();
     reader.config_unread_ = !whole && !take_keys(reader, newest.document_, newest.next_);
     reader.counters_.gauge("auburnchute_config_complete", "", whole ? 1.0 : 0.0);
 }
