--- a/tests/transport/entry/unreadable_config_test.cpp
+++ b/tests/transport/entry/unreadable_config_test.cpp
@@ -91,7 +91,7 @@
 
 // Guards against a withdrawn key that goes on to work because the state that withdrew it can't be read.
 TEST_CASE("a key that an odd configuration withdraws works no longer than any other withdrawn key",
-          "[entry][odd][config]")
+          "[entry][odd][config][promise-6]")
 {
     auto const configs = odd_configs();
     auto const number = GENERATE(range(std::size_t{0}, std::size_t{7}));
